--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+BUILD ?= build
+SANITIZED ?= build-sanitized
+JOBS ?= $(shell nproc)
+
+.PHONY: deps configure build test sanitize lint format clean
+
+deps:
+	tools/install_deps.sh
+
+configure:
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+
+build: configure
+	cmake --build $(BUILD) -j $(JOBS)
+
+sanitize:
+	cmake -S . -B $(SANITIZED) -G Ninja -DEBONYKEEL_SANITIZE=ON >/dev/null
+	cmake --build $(SANITIZED) -j $(JOBS)
+	ctest --test-dir $(SANITIZED) -j $(JOBS) --output-on-failure
+
+lint: configure
+	tools/lint.sh $(BUILD) $(JOBS)
+
+format:
+	git ls-files -z '*.h' '*.cc' | xargs -0 clang-format -i
+
+test: deps build lint sanitize
+	ctest --test-dir $(BUILD) -j 4 --output-on-failure
+
+clean:
+	rm -rf $(BUILD) $(SANITIZED)
--- /dev/null
+++ b/cmake/EbonykeelTargets.cmake
@@ -0,0 +1,47 @@
+# Functions that declare the workspace's targets: a library, a program and a
+# doctest test, each with the warnings and sanitizers of this build.
+
+add_library(ebonykeel_options INTERFACE)
+target_include_directories(ebonykeel_options INTERFACE ${CMAKE_SOURCE_DIR}/packages)
+target_compile_options(ebonykeel_options INTERFACE
+  -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+if(EBONYKEEL_SANITIZE)
+  target_compile_options(ebonykeel_options INTERFACE
+    -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  target_link_options(ebonykeel_options INTERFACE -fsanitize=address,undefined)
+endif()
+
+# ek_library(NAME target SRCS files... DEPS targets...)
+function(ek_library)
+  cmake_parse_arguments(ARG "" "NAME" "SRCS;DEPS" ${ARGN})
+  if(ARG_SRCS)
+    add_library(${ARG_NAME} STATIC ${ARG_SRCS})
+    target_link_libraries(${ARG_NAME} PUBLIC ebonykeel_options ${ARG_DEPS})
+  else()
+    add_library(${ARG_NAME} INTERFACE)
+    target_link_libraries(${ARG_NAME} INTERFACE ebonykeel_options ${ARG_DEPS})
+  endif()
+endfunction()
+
+# ek_program(NAME target SRCS files... DEPS targets...)
+function(ek_program)
+  cmake_parse_arguments(ARG "" "NAME" "SRCS;DEPS" ${ARGN})
+  add_executable(${ARG_NAME} ${ARG_SRCS})
+  target_link_libraries(${ARG_NAME} PRIVATE ebonykeel_options ${ARG_DEPS})
+  set_target_properties(${ARG_NAME} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# ek_test(NAME target SRCS files... DEPS targets... [LABELS labels...])
+function(ek_test)
+  cmake_parse_arguments(ARG "" "NAME" "SRCS;DEPS;LABELS" ${ARGN})
+  add_executable(${ARG_NAME} ${ARG_SRCS})
+  target_link_libraries(${ARG_NAME} PRIVATE ebonykeel_options doctest::doctest ${ARG_DEPS})
+  target_compile_definitions(${ARG_NAME} PRIVATE
+    DOCTEST_CONFIG_NO_SHORT_MACRO_NAMES DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN)
+  add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME})
+  set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300)
+  if(ARG_LABELS)
+    set_tests_properties(${ARG_NAME} PROPERTIES LABELS "${ARG_LABELS}")
+  endif()
+endfunction()
--- /dev/null
+++ b/packages/core/base/finding_test.cc
@@ -0,0 +1,26 @@
+#include "core/base/finding.h"
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+DOCTEST_TEST_CASE("a finding names its place, key, problem and what is allowed")
+{
+  Finding finding{ .m_place = { "desk.toml", 4, 9 },
+                   .m_key = "slots",
+                   .m_problem = "is 0",
+                   .m_allowed = "1 to 64" };
+  DOCTEST_CHECK(FormatFinding(finding) ==
+                "desk.toml:4:9: slots: is 0 (allowed: 1 to 64)");
+}
+
+DOCTEST_TEST_CASE("all findings are reported, one a line")
+{
+  Findings findings{ { .m_place = { "a", 1, 1 }, .m_problem = "x" },
+                     { .m_place = { "b", 2, 3 }, .m_problem = "y" } };
+  DOCTEST_CHECK(FormatFindings(findings) == "a:1:1: x\nb:2:3: y\n");
+}
+
+} // namespace
+} // namespace ebonykeel
