Add the platform stand-in

Nodes and tests need an object store with versions, conditional updates and watches, and a lagging instance list. The store's core is a plain object that keeps the states of the last 30 s, so that reads can be served stale.

The loop spun without end in a process without an active libuv handle, since libuv then asks for a timeout of zero; it now looks whether any handle is alive.

--- a/packages/runtime/loop/loop.cc
+++ b/packages/runtime/loop/loop.cc
@@ -128,6 +128,10 @@
 void
 Loop::ArmTimer()
 {
+  // Without an active handle, libuv asks for a timeout of zero for ever.
+  if (uv_loop_alive(&m_uv) == 0) {
+    return;
+  }
   int timeout = uv_backend_timeout(&m_uv);
   if (timeout < 0) {
     return;
--- /dev/null
+++ b/packages/standins/platform/object_store.h
@@ -0,0 +1,97 @@
+// The platform stand-in's objects: versions, conditional updates, listing and
+// reads of the past.
+//
+//   ObjectStore store;
+//   auto version = store.Put(now, "a/b", "body", { .m_version = 0 });
+//   const StoredObject* object = store.Find("a/b", now);
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace ebonykeel::standins {
+
+// The version of a key that has no object.
+constexpr uint64_t kAbsent = 0;
+
+struct StoredObject
+{
+  uint64_t m_version = kAbsent;
+  std::string m_body;
+};
+
+// What a key's version must be for a change to be taken; nothing means any.
+// `kAbsent` demands that there is no object.
+struct Condition
+{
+  std::optional<uint64_t> m_version;
+};
+
+// The outcome of a change. When it was not taken, `m_version` is the version
+// that stands in its way.
+struct ChangeResult
+{
+  bool m_taken = false;
+  uint64_t m_version = kAbsent;
+};
+
+struct ObjectSummary
+{
+  std::string m_key;
+  uint64_t m_version = kAbsent;
+  size_t m_size = 0;
+};
+
+// Versions grow over the whole store, so that none is used twice.
+class ObjectStore
+{
+public:
+  // Reads may look back this far.
+  static constexpr Duration kHistory = Seconds(30);
+
+  ChangeResult Put(TimePoint aNow,
+                   std::string_view aKey,
+                   std::string_view aBody,
+                   const Condition& aCondition);
+  ChangeResult Delete(TimePoint aNow,
+                      std::string_view aKey,
+                      const Condition& aCondition);
+
+  // Returns the object as it was at `aAt`, or null when there was none. The
+  // pointer lives until the next change.
+  [[nodiscard]] const StoredObject* Find(std::string_view aKey,
+                                         TimePoint aAt) const;
+
+  // Returns up to `aLimit` objects whose keys start with `aPrefix` and come
+  // after `aAfter`, sorted by key, as they were at `aAt`.
+  [[nodiscard]] std::vector<ObjectSummary> List(std::string_view aPrefix,
+                                                std::string_view aAfter,
+                                                size_t aLimit,
+                                                TimePoint aAt) const;
+
+private:
+  // One state of a key, from `m_since` on. `kAbsent` stands for a deletion.
+  struct State
+  {
+    TimePoint m_since;
+    StoredObject m_object;
+  };
+  using States = std::deque<State>;
+
+  [[nodiscard]] static const StoredObject* FindState(const States& aStates,
+                                                     TimePoint aAt);
+  [[nodiscard]] uint64_t CurrentVersion(std::string_view aKey) const;
+  void Append(TimePoint aNow, std::string_view aKey, StoredObject aObject);
+
+  std::map<std::string, States, std::less<>> m_keys;
+  uint64_t m_lastVersion = 0;
+};
+
+} // namespace ebonykeel::standins
--- /dev/null
+++ b/packages/standins/support/json_fields.h
@@ -0,0 +1,54 @@
+// Reads optional fields of a JSON object into values that have a default.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "core/base/time.h"
+
+namespace ebonykeel::standins {
+
+// Returns whether `aJson` can be read as a `T` without loss of its kind.
+template<typename T>
+[[nodiscard]] bool
+HasType(const nlohmann::json& aJson)
+{
+  if constexpr (std::is_same_v<T, bool>) {
+    return aJson.is_boolean();
+  } else if constexpr (std::is_unsigned_v<T>) {
+    return aJson.is_number_unsigned();
+  } else if constexpr (std::is_arithmetic_v<T>) {
+    return aJson.is_number();
+  } else {
+    return aJson.is_string();
+  }
+}
+
+// Sets `aValue` when `aObject` has the field `aName` with a fitting type.
+template<typename T>
+void
+UpdateField(const nlohmann::json& aObject, const char* aName, T& aValue)
+{
+  auto found = aObject.find(aName);
+  if (found != aObject.end() && HasType<T>(*found)) {
+    aValue = found->get<T>();
+  }
+}
+
+// Sets `aValue` when `aObject` has the number of milliseconds `aName`.
+inline void
+UpdateMilliseconds(const nlohmann::json& aObject,
+                   const char* aName,
+                   Duration& aValue)
+{
+  double milliseconds = ToMillisecondsF(aValue);
+  UpdateField(aObject, aName, milliseconds);
+  aValue = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+} // namespace ebonykeel::standins
