--- /dev/null
+++ b/packages/core/config/configuration_change.cc
@@ -0,0 +1,362 @@
+#include "core/config/configuration_change.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+#include "core/config/address.h"
+#include "core/config/configuration_json.h"
+#include "core/config/limits.h"
+
+namespace ebonykeel {
+namespace {
+
+ChangeResult
+Refuse(ChangeRefusal aRefusal, std::string aKey, std::string aProblem)
+{
+  ChangeResult result;
+  result.m_refusal = aRefusal;
+  result.m_findings.push_back(
+    { .m_key = std::move(aKey), .m_problem = std::move(aProblem) });
+  return result;
+}
+
+// Puts the next generation and `aNote` on `aNext`, unless it is too large.
+ChangeResult
+Seal(const Configuration& aCurrent,
+     Configuration aNext,
+     const ChangeNote& aNote,
+     std::string aSummary)
+{
+  aNext.m_generation = aCurrent.m_generation + 1;
+  aNext.m_changeId = aNote.m_changeId;
+  aNext.m_author = aNote.m_author;
+  aNext.m_summary =
+    aNote.m_summary.empty() ? std::move(aSummary) : aNote.m_summary;
+  size_t bytes = EncodeConfiguration(aNext).size();
+  if (bytes > kMaxConfigurationBytes) {
+    return Refuse(ChangeRefusal::kInvalid,
+                  "services",
+                  absl::StrCat("the configuration would take ",
+                               bytes,
+                               " bytes, over the limit of ",
+                               kMaxConfigurationBytes));
+  }
+  ChangeResult result;
+  result.m_next = std::move(aNext);
+  return result;
+}
+
+template<typename Visit>
+void
+ForEachUpstream(const ServiceConfig& aService, Visit aVisit)
+{
+  for (const ShardConfig& shard : aService.m_shards) {
+    std::ranges::for_each(shard.m_replicas, aVisit);
+  }
+}
+
+std::set<UpstreamId>
+UpstreamIds(const Configuration& aConfiguration)
+{
+  std::set<UpstreamId> ids;
+  for (const ServiceConfig& service : aConfiguration.m_services) {
+    ForEachUpstream(service, [&](const UpstreamConfig& aUpstream) {
+      ids.insert(aUpstream.m_id);
+    });
+  }
+  return ids;
+}
+
+// Checks services against each other.
+class CrossCheck
+{
+public:
+  CrossCheck(const Publication& aPublication, Findings& aFindings)
+    : m_publication(&aPublication)
+    , m_findings(&aFindings)
+  {
+    for (const PublishedService& published : aPublication.m_services) {
+      m_files[published.m_service.m_name] = published.m_file;
+    }
+  }
+
+  void CheckService(const ServiceConfig& aService)
+  {
+    ForEachUpstream(aService, [&](const UpstreamConfig& aUpstream) {
+      CheckUnique("upstream id", aUpstream.m_id.Text(), aService.m_name);
+      CheckUnique("address",
+                  FormatAddress({ aUpstream.m_host, aUpstream.m_port }),
+                  aService.m_name);
+      CheckDataCentre(aUpstream, aService.m_name);
+    });
+  }
+
+  void CheckRepeatedNames()
+  {
+    std::map<ServiceName, std::string> seen;
+    for (const PublishedService& published : m_publication->m_services) {
+      auto [entry, fresh] =
+        seen.try_emplace(published.m_service.m_name, published.m_file);
+      if (!fresh) {
+        Report(published.m_file,
+               "name",
+               absl::StrCat("\"",
+                            published.m_service.m_name.Text(),
+                            "\" is also described by ",
+                            entry->second));
+      }
+    }
+  }
+
+private:
+  void CheckUnique(std::string_view aWhat,
+                   const std::string& aText,
+                   const ServiceName& aService)
+  {
+    auto [entry, fresh] = m_owners.try_emplace(
+      absl::StrCat(std::string(aWhat), " \"", aText, "\""), aService);
+    if (fresh || entry->second == aService) {
+      return;
+    }
+    // Names the file that was published: the other one may be in force already.
+    bool published = m_files.contains(aService);
+    const ServiceName& here = published ? aService : entry->second;
+    const ServiceName& there = published ? entry->second : aService;
+    Report(FileOf(here),
+           "shard.replicas",
+           absl::StrCat(
+             entry->first, " also belongs to service \"", there.Text(), "\""));
+  }
+
+  void CheckDataCentre(const UpstreamConfig& aUpstream,
+                       const ServiceName& aService)
+  {
+    const std::set<DataCentre>& known = m_publication->m_knownDataCentres;
+    if (known.empty() || known.contains(aUpstream.m_dataCentre) ||
+        !m_files.contains(aService)) {
+      return;
+    }
+    std::string allowed;
+    for (const DataCentre& dataCentre : known) {
+      absl::StrAppend(&allowed, allowed.empty() ? "" : ", ", dataCentre.Text());
+    }
+    Report(FileOf(aService),
+           "shard.replicas.data_centre",
+           absl::StrCat("upstream \"",
+                        aUpstream.m_id.Text(),
+                        "\" is in the unknown data centre \"",
+                        aUpstream.m_dataCentre.Text(),
+                        "\""),
+           std::move(allowed));
+  }
+
+  void Report(std::string aFile,
+              std::string aKey,
+              std::string aProblem,
+              std::string aAllowed = {})
+  {
+    m_findings->push_back({ .m_place = { std::move(aFile) },
+                            .m_key = std::move(aKey),
+                            .m_problem = std::move(aProblem),
+                            .m_allowed = std::move(aAllowed) });
+  }
+
+  std::string FileOf(const ServiceName& aService) const
+  {
+    auto found = m_files.find(aService);
+    return found == m_files.end() ? aService.Text() : found->second;
+  }
+
+  const Publication* m_publication;
+  Findings* m_findings;
+  std::map<ServiceName, std::string> m_files;
+  std::map<std::string, ServiceName> m_owners;
+};
+
+// Returns the services that are in force once `aPublication` is.
+std::vector<ServiceConfig>
+MergeServices(const Configuration& aCurrent, const Publication& aPublication)
+{
+  std::map<ServiceName, ServiceConfig> byName;
+  for (const ServiceConfig& service : aCurrent.m_services) {
+    byName[service.m_name] = service;
+  }
+  for (const ServiceName& removed : aPublication.m_removed) {
+    byName.erase(removed);
+  }
+  for (const PublishedService& published : aPublication.m_services) {
+    byName[published.m_service.m_name] = published.m_service;
+  }
+  std::vector<ServiceConfig> services;
+  for (auto& [name, service] : byName) {
+    services.push_back(std::move(service));
+  }
+  return services;
+}
+
+std::set<UpstreamId>
+KeepKnown(const std::set<UpstreamId>& aDrained, const Configuration& aNext)
+{
+  std::set<UpstreamId> known = UpstreamIds(aNext);
+  std::set<UpstreamId> kept;
+  std::ranges::set_intersection(
+    aDrained, known, std::inserter(kept, kept.end()));
+  return kept;
+}
+
+std::optional<ChangeResult>
+CheckRemoved(const Configuration& aCurrent, const Publication& aPublication)
+{
+  for (const ServiceName& removed : aPublication.m_removed) {
+    if (!aCurrent.FindService(removed)) {
+      return Refuse(ChangeRefusal::kNotFound,
+                    "removed",
+                    absl::StrCat("no service \"", removed.Text(), "\""));
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+ChangeResult
+PublishServices(const Configuration& aCurrent,
+                const Publication& aPublication,
+                const ChangeNote& aNote)
+{
+  if (std::optional<ChangeResult> refused =
+        CheckRemoved(aCurrent, aPublication)) {
+    return *refused;
+  }
+  Configuration next = aCurrent;
+  next.m_services = MergeServices(aCurrent, aPublication);
+  ChangeResult checked;
+  CrossCheck check(aPublication, checked.m_findings);
+  check.CheckRepeatedNames();
+  for (const ServiceConfig& service : next.m_services) {
+    check.CheckService(service);
+  }
+  if (!checked.m_findings.empty()) {
+    checked.m_refusal = ChangeRefusal::kInvalid;
+    return checked;
+  }
+  if (next.m_services == aCurrent.m_services) {
+    return Refuse(ChangeRefusal::kNoChange,
+                  "services",
+                  "all of these services are in force already");
+  }
+  next.m_drainedUpstreams = KeepKnown(aCurrent.m_drainedUpstreams, next);
+  return Seal(aCurrent,
+              std::move(next),
+              aNote,
+              absl::StrCat("publish ",
+                           aPublication.m_services.size(),
+                           " services, remove ",
+                           aPublication.m_removed.size()));
+}
+
+ChangeResult
+SetDataCentre(const Configuration& aCurrent,
+              const DataCentre& aDataCentre,
+              Withdrawal aWithdrawal,
+              const ChangeNote& aNote,
+              const std::set<DataCentre>& aKnown)
+{
+  bool out = aWithdrawal == Withdrawal::kOut;
+  bool isOut = aCurrent.m_withdrawnDataCentres.contains(aDataCentre);
+  std::set<DataCentre> known = aKnown;
+  for (const ServiceConfig& service : aCurrent.m_services) {
+    ForEachUpstream(service, [&](const UpstreamConfig& aUpstream) {
+      known.insert(aUpstream.m_dataCentre);
+    });
+  }
+  if (!isOut && !known.contains(aDataCentre)) {
+    return Refuse(ChangeRefusal::kNotFound,
+                  "data_centre",
+                  absl::StrCat("no data centre \"", aDataCentre.Text(), "\""));
+  }
+  if (out == isOut) {
+    return Refuse(
+      ChangeRefusal::kNoChange,
+      "data_centre",
+      absl::StrCat(
+        "\"", aDataCentre.Text(), "\" is ", out ? "out" : "in", " already"));
+  }
+  Configuration next = aCurrent;
+  if (out) {
+    next.m_withdrawnDataCentres.insert(aDataCentre);
+  } else {
+    next.m_withdrawnDataCentres.erase(aDataCentre);
+  }
+  return Seal(
+    aCurrent,
+    std::move(next),
+    aNote,
+    absl::StrCat("data centre ", aDataCentre.Text(), out ? " out" : " in"));
+}
+
+ChangeResult
+SetUpstreamDrained(const Configuration& aCurrent,
+                   const UpstreamId& aUpstream,
+                   Withdrawal aWithdrawal,
+                   const ChangeNote& aNote)
+{
+  bool drain = aWithdrawal == Withdrawal::kOut;
+  if (!UpstreamIds(aCurrent).contains(aUpstream)) {
+    return Refuse(ChangeRefusal::kNotFound,
+                  "upstream",
+                  absl::StrCat("no upstream \"", aUpstream.Text(), "\""));
+  }
+  if (drain == aCurrent.m_drainedUpstreams.contains(aUpstream)) {
+    return Refuse(
+      ChangeRefusal::kNoChange,
+      "upstream",
+      absl::StrCat("\"",
+                   aUpstream.Text(),
+                   drain ? "\" is drained already" : "\" is not drained"));
+  }
+  Configuration next = aCurrent;
+  if (drain) {
+    next.m_drainedUpstreams.insert(aUpstream);
+  } else {
+    next.m_drainedUpstreams.erase(aUpstream);
+  }
+  return Seal(aCurrent,
+              std::move(next),
+              aNote,
+              absl::StrCat(drain ? "drain " : "restore ", aUpstream.Text()));
+}
+
+ChangeResult
+Rollback(const Configuration& aCurrent,
+         const Configuration& aOld,
+         const ChangeNote& aNote)
+{
+  if (aOld.m_generation >= aCurrent.m_generation) {
+    return Refuse(ChangeRefusal::kNotFound,
+                  "generation",
+                  absl::StrCat("generation ",
+                               aOld.m_generation,
+                               " is not older than the current ",
+                               aCurrent.m_generation));
+  }
+  if (aOld.m_services == aCurrent.m_services) {
+    return Refuse(ChangeRefusal::kNoChange,
+                  "generation",
+                  absl::StrCat("the services of generation ",
+                               aOld.m_generation,
+                               " are in force already"));
+  }
+  Configuration next = aCurrent;
+  next.m_services = aOld.m_services;
+  next.m_drainedUpstreams = KeepKnown(aCurrent.m_drainedUpstreams, next);
+  return Seal(aCurrent,
+              std::move(next),
+              aNote,
+              absl::StrCat("roll back to generation ", aOld.m_generation));
+}
+
+} // namespace ebonykeel
