--- /dev/null
+++ b/packages/core/config/configuration_change_test.cc
@@ -0,0 +1,166 @@
+#include "core/config/configuration_change.h"
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+const ChangeNote kNote{ .m_author = "maite", .m_changeId = "c1" };
+
+ServiceConfig
+MakeService(const std::string& aName,
+            const std::string& aUpstream,
+            uint16_t aPort)
+{
+  ServiceConfig service;
+  service.m_name = ServiceName(aName);
+  service.m_group = GroupName("g");
+  service.m_indexVersion = 1;
+  service.m_shards = {
+    { ShardName("s0"),
+      { { UpstreamId(aUpstream), "10.0.0.1", aPort, DataCentre("oviedo") } } }
+  };
+  return service;
+}
+
+Configuration
+WithService()
+{
+  Publication publication{ .m_services = {
+                             { "b.toml", MakeService("b", "ub", 1) } } };
+  return *PublishServices(Configuration{}, publication, kNote).m_next;
+}
+
+std::string
+Problem(const ChangeResult& aResult)
+{
+  DOCTEST_CHECK(!aResult.m_next);
+  DOCTEST_REQUIRE(!aResult.m_findings.empty());
+  return aResult.m_findings[0].m_problem;
+}
+
+DOCTEST_TEST_CASE(
+  "publishing adds, replaces and removes under a new generation")
+{
+  Configuration first = WithService();
+  DOCTEST_CHECK(first.m_generation == 1);
+  DOCTEST_CHECK(first.m_changeId == "c1");
+  DOCTEST_CHECK(first.m_summary == "publish 1 services, remove 0");
+  ServiceConfig changed = MakeService("b", "ub2", 2);
+  Publication both{ .m_services = { { "b.toml", changed },
+                                    { "a.toml", MakeService("a", "ua", 3) } } };
+  Configuration second = *PublishServices(first, both, kNote).m_next;
+  DOCTEST_CHECK(second.m_generation == 2);
+  DOCTEST_REQUIRE(second.m_services.size() == 2);
+  DOCTEST_CHECK(second.m_services[0].m_name == ServiceName("a"));
+  DOCTEST_CHECK(second.m_services[1] == changed);
+  Publication removal{ .m_removed = { ServiceName("a") } };
+  Configuration third = *PublishServices(second, removal, kNote).m_next;
+  DOCTEST_CHECK(third.m_services.size() == 1);
+}
+
+DOCTEST_TEST_CASE("a publication that alters nothing is refused")
+{
+  Publication same{ .m_services = { { "b.toml", MakeService("b", "ub", 1) } } };
+  ChangeResult result = PublishServices(WithService(), same, kNote);
+  DOCTEST_CHECK(result.m_refusal == ChangeRefusal::kNoChange);
+  DOCTEST_CHECK(Problem(result) ==
+                "all of these services are in force already");
+}
+
+DOCTEST_TEST_CASE("findings between services name the published file")
+{
+  Publication clash{ .m_services = { { "a.toml", MakeService("a", "ub", 1) },
+                                     { "c.toml", MakeService("c", "uc", 9) },
+                                     { "d.toml", MakeService("c", "uc", 9) } },
+                     .m_knownDataCentres = { DataCentre("bilbao") } };
+  ChangeResult result = PublishServices(WithService(), clash, kNote);
+  DOCTEST_CHECK(result.m_refusal == ChangeRefusal::kInvalid);
+  DOCTEST_CHECK(
+    FormatFindings(result.m_findings) ==
+    "d.toml:0:0: name: \"c\" is also described by c.toml\n"
+    "a.toml:0:0: shard.replicas.data_centre: upstream \"ub\" is in the "
+    "unknown data centre \"oviedo\" (allowed: bilbao)\n"
+    "a.toml:0:0: shard.replicas: upstream id \"ub\" also belongs to service "
+    "\"b\"\n"
+    "a.toml:0:0: shard.replicas: address \"10.0.0.1:1\" also belongs to "
+    "service \"b\"\n"
+    "d.toml:0:0: shard.replicas.data_centre: upstream \"uc\" is in the "
+    "unknown data centre \"oviedo\" (allowed: bilbao)\n");
+}
+
+DOCTEST_TEST_CASE("a configuration over the size of one object is refused")
+{
+  Publication large;
+  for (int i = 0; i < 12'000; ++i) {
+    std::string name = "service-" + std::to_string(i);
+    large.m_services.push_back(
+      { name, MakeService(name, name, static_cast<uint16_t>(i + 1)) });
+  }
+  ChangeResult result = PublishServices(Configuration{}, large, kNote);
+  DOCTEST_CHECK(result.m_refusal == ChangeRefusal::kInvalid);
+  DOCTEST_CHECK(Problem(result).find("over the limit") != std::string::npos);
+}
+
+DOCTEST_TEST_CASE("a data centre is taken out and put back, once each")
+{
+  DataCentre oviedo("oviedo");
+  Configuration first = WithService();
+  Configuration out =
+    *SetDataCentre(first, oviedo, Withdrawal::kOut, kNote).m_next;
+  DOCTEST_CHECK(out.m_generation == 2);
+  DOCTEST_CHECK(out.m_withdrawnDataCentres.contains(oviedo));
+  DOCTEST_CHECK(Problem(SetDataCentre(out, oviedo, Withdrawal::kOut, kNote)) ==
+                "\"oviedo\" is out already");
+  Configuration in = *SetDataCentre(out, oviedo, Withdrawal::kIn, kNote).m_next;
+  DOCTEST_CHECK(in.m_withdrawnDataCentres.empty());
+  DOCTEST_CHECK(in.m_generation == 3);
+  DOCTEST_CHECK(
+    SetDataCentre(in, DataCentre("x"), Withdrawal::kOut, kNote).m_refusal ==
+    ChangeRefusal::kNotFound);
+  DOCTEST_CHECK(
+    SetDataCentre(
+      in, DataCentre("x"), Withdrawal::kOut, kNote, { DataCentre("x") })
+      .m_next.has_value());
+}
+
+DOCTEST_TEST_CASE("an upstream is drained and restored, once each")
+{
+  UpstreamId upstream("ub");
+  Configuration first = WithService();
+  Configuration drained =
+    *SetUpstreamDrained(first, upstream, Withdrawal::kOut, kNote).m_next;
+  DOCTEST_CHECK(drained.m_drainedUpstreams.contains(upstream));
+  DOCTEST_CHECK(
+    SetUpstreamDrained(drained, upstream, Withdrawal::kOut, kNote).m_refusal ==
+    ChangeRefusal::kNoChange);
+  Configuration restored =
+    *SetUpstreamDrained(drained, upstream, Withdrawal::kIn, kNote).m_next;
+  DOCTEST_CHECK(restored.m_drainedUpstreams.empty());
+  DOCTEST_CHECK(
+    SetUpstreamDrained(first, UpstreamId("x"), Withdrawal::kOut, kNote)
+      .m_refusal == ChangeRefusal::kNotFound);
+}
+
+DOCTEST_TEST_CASE("a rollback is a new generation and keeps what is out now")
+{
+  Configuration first = WithService();
+  Publication publication{ .m_services = {
+                             { "b.toml", MakeService("b", "ub2", 2) } } };
+  Configuration second = *PublishServices(first, publication, kNote).m_next;
+  Configuration out =
+    *SetDataCentre(second, DataCentre("oviedo"), Withdrawal::kOut, kNote)
+       .m_next;
+  Configuration back = *Rollback(out, first, kNote).m_next;
+  DOCTEST_CHECK(back.m_generation == 4);
+  DOCTEST_CHECK(back.m_services == first.m_services);
+  DOCTEST_CHECK(back.m_withdrawnDataCentres == out.m_withdrawnDataCentres);
+  DOCTEST_CHECK(back.m_summary == "roll back to generation 1");
+  DOCTEST_CHECK(Rollback(back, first, kNote).m_refusal ==
+                ChangeRefusal::kNoChange);
+  DOCTEST_CHECK(Rollback(first, out, kNote).m_refusal ==
+                ChangeRefusal::kNotFound);
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -76,9 +76,9 @@
 struct LimitSettings
 {
   // The body of one request of a caller, in bytes.
-  size_t m_requestBytes = 1 << 20;
+  size_t m_requestBytes = size_t{ 1 } << 20;
   // The body of one answer of an upstream, in bytes.
-  size_t m_upstreamAnswerBytes = 4 << 20;
+  size_t m_upstreamAnswerBytes = size_t{ 4 } << 20;
   // Connections of callers.
   uint32_t m_connections = 4096;
   // Requests that wait or run.
--- a/packages/core/config/service_file.cc
+++ b/packages/core/config/service_file.cc
@@ -13,7 +13,6 @@
 namespace ebonykeel {
 namespace {
 
-using internal::IntegerRange;
 using internal::NameRule;
 using internal::NumberRange;
 using internal::PlacedText;
