Add the membership machine: monitors, leases, votes and gossip

Cause: ownership and routing need to know who lives without a coordinator, and an instance has to notice by itself that it may no longer act.

Weighed: leases in the store (grows with the fleet, ends with the store), full-mesh heartbeats (bytes grow with the fleet), a few monitors for each instance. Chosen: three monitors that the instance names in its own record, changed as in joint consensus, so that votes of death and leases always intersect.

--- /dev/null
+++ b/packages/core/membership/detection.cc
@@ -0,0 +1,270 @@
+// How a monitor votes on a silent instance and how votes are counted.
+#include <algorithm>
+#include <set>
+
+#include "core/membership/membership.h"
+
+namespace ebonykeel {
+
+bool
+Membership::IsMonitorOf(const InstanceRecord& aTarget, const InstanceRef& aRef)
+{
+  const auto has = [&](const std::vector<InstanceRef>& aSet) {
+    return std::ranges::find(aSet, aRef) != aSet.end();
+  };
+  return has(aTarget.m_monitors) || has(aTarget.m_previousMonitors);
+}
+
+Duration
+Membership::DetectionDelay() const
+{
+  return m_settings.m_lease + m_settings.m_margin;
+}
+
+void
+Membership::ExcuseOwnPause(TimePoint aNow)
+{
+  const Duration gap = aNow - m_lastTick;
+  if (gap <= m_settings.m_heartbeat + m_settings.m_heartbeat / 2) {
+    return;
+  }
+  for (auto& [id, watch] : m_watches) {
+    watch.m_lastHeard = std::min(aNow, watch.m_lastHeard + gap);
+  }
+}
+
+void
+Membership::UpdateWatch(const InstanceRecord& aTarget, TimePoint aNow)
+{
+  const InstanceRef self{ m_self.m_id, m_self.m_incarnation };
+  const bool watched =
+    aTarget.m_state != InstanceState::kDead && IsMonitorOf(aTarget, self);
+  if (!watched) {
+    m_watches.erase(aTarget.m_id);
+    return;
+  }
+  const auto found = m_watches.find(aTarget.m_id);
+  if (found == m_watches.end() ||
+      found->second.m_incarnation != aTarget.m_incarnation) {
+    m_watches[aTarget.m_id] = Watch{ .m_incarnation = aTarget.m_incarnation,
+                                     .m_lastHeard = aNow,
+                                     .m_ackedEpoch = aTarget.m_monitorEpoch };
+  } else if (found->second.m_suspectedEpoch > 0 &&
+             found->second.m_suspectedEpoch < aTarget.m_monitorEpoch) {
+    found->second.m_lastHeard = aNow;
+  }
+  m_nextTick = std::min(m_nextTick, aNow + DetectionDelay());
+}
+
+void
+Membership::HearFrom(const Peer& aPeer, const Gossip& aPing, TimePoint aNow)
+{
+  const InstanceRecord& record = aPeer.m_record;
+  const auto found = m_watches.find(record.m_id);
+  if (found == m_watches.end() ||
+      aPing.m_sender.m_incarnation != found->second.m_incarnation ||
+      found->second.m_suspectedEpoch >= record.m_monitorEpoch) {
+    return;
+  }
+  found->second.m_lastHeard = aNow;
+  found->second.m_ackedEpoch = record.m_monitorEpoch;
+}
+
+void
+Membership::SuspectSilent(TimePoint aNow)
+{
+  std::vector<Suspicion> made;
+  for (auto& [id, watch] : m_watches) {
+    const auto found = m_peers.find(id);
+    if (found == m_peers.end()) {
+      continue;
+    }
+    const InstanceRecord& target = found->second.m_record;
+    if (watch.m_suspectedEpoch >= target.m_monitorEpoch ||
+        aNow < watch.m_lastHeard + DetectionDelay()) {
+      continue;
+    }
+    watch.m_suspectedEpoch = target.m_monitorEpoch;
+    made.push_back({ .m_monitor = { m_self.m_id, m_self.m_incarnation },
+                     .m_target = { id, watch.m_incarnation },
+                     .m_fromEpoch = watch.m_ackedEpoch,
+                     .m_toEpoch = watch.m_suspectedEpoch });
+  }
+  for (const Suspicion& suspicion : made) {
+    AddSuspicion(suspicion);
+    PingFellowMonitors(suspicion.m_target.m_id);
+  }
+}
+
+void
+Membership::PingFellowMonitors(const InstanceId& aTarget)
+{
+  const InstanceRecord& target = m_peers.at(aTarget).m_record;
+  for (auto& [id, peer] : m_peers) {
+    const InstanceRef ref{ id, peer.m_record.m_incarnation };
+    peer.m_pingSoon |= id != aTarget && IsMonitorOf(target, ref);
+  }
+}
+
+void
+Membership::AddSuspicion(const Suspicion& aSuspicion)
+{
+  const auto found = m_peers.find(aSuspicion.m_target.m_id);
+  if (found == m_peers.end()) {
+    return;
+  }
+  const InstanceRecord& target = found->second.m_record;
+  if (target.m_incarnation != aSuspicion.m_target.m_incarnation ||
+      target.m_state == InstanceState::kDead) {
+    return;
+  }
+  auto& votes = m_suspicions[target.m_id];
+  const auto vote = votes.find(aSuspicion.m_monitor);
+  const bool known =
+    vote != votes.end() && vote->second.m_toEpoch >= aSuspicion.m_toEpoch;
+  if (known) {
+    return;
+  }
+  votes[aSuspicion.m_monitor] = aSuspicion;
+  m_suspicionNews[{ target.m_id, aSuspicion.m_monitor }] = SpreadCount();
+}
+
+void
+Membership::JudgeSuspected(TimePoint aNow)
+{
+  std::vector<InstanceId> dead;
+  for (const auto& [id, votes] : m_suspicions) {
+    const auto found = m_peers.find(id);
+    if (found != m_peers.end() && IsDeadByVotes(found->second.m_record, aNow)) {
+      dead.push_back(id);
+    }
+  }
+  for (const InstanceId& id : dead) {
+    DeclareDead(id, aNow);
+  }
+}
+
+void
+Membership::JudgeAbandoned(TimePoint aNow)
+{
+  std::vector<InstanceId> dead;
+  for (const auto& [id, peer] : m_peers) {
+    const InstanceRecord& record = peer.m_record;
+    const bool abandoned =
+      record.m_state != InstanceState::kDead && !m_seeds.contains(id) &&
+      m_listReceivedAt != TimePoint::min() && !record.m_monitors.empty() &&
+      std::ranges::all_of(record.m_monitors, [&](const InstanceRef& aRef) {
+        return IsGone(aRef, aNow);
+      });
+    if (abandoned) {
+      dead.push_back(id);
+    }
+  }
+  for (const InstanceId& id : dead) {
+    DeclareDead(id, aNow);
+  }
+}
+
+void
+Membership::DeclareDead(const InstanceId& aId, TimePoint aNow)
+{
+  InstanceRecord dead = m_peers.at(aId).m_record;
+  dead.m_state = InstanceState::kDead;
+  dead.m_changingMonitors = false;
+  dead.m_monitors.clear();
+  dead.m_previousMonitors.clear();
+  TakeRecord(dead, aNow);
+}
+
+bool
+Membership::IsDeadByVotes(const InstanceRecord& aTarget, TimePoint aNow) const
+{
+  if (aTarget.m_state == InstanceState::kDead) {
+    return false;
+  }
+  const bool current =
+    VotesSuffice(aTarget, aTarget.m_monitors, aTarget.m_monitorEpoch, aNow);
+  const bool previous =
+    aTarget.m_changingMonitors &&
+    VotesSuffice(
+      aTarget, aTarget.m_previousMonitors, aTarget.m_monitorEpoch - 1, aNow);
+  return current || previous;
+}
+
+bool
+Membership::VotesSuffice(const InstanceRecord& aTarget,
+                         std::span<const InstanceRef> aMonitors,
+                         uint32_t aEpoch,
+                         TimePoint aNow) const
+{
+  const auto found = m_suspicions.find(aTarget.m_id);
+  if (found == m_suspicions.end() || aMonitors.empty()) {
+    return false;
+  }
+  size_t votes = 0;
+  size_t gone = 0;
+  for (const InstanceRef& monitor : aMonitors) {
+    const auto vote = found->second.find(monitor);
+    const bool counts =
+      vote != found->second.end() &&
+      vote->second.m_target.m_incarnation == aTarget.m_incarnation &&
+      vote->second.m_fromEpoch <= aEpoch && aEpoch <= vote->second.m_toEpoch;
+    if (counts) {
+      ++votes;
+    } else if (IsGone(monitor, aNow)) {
+      ++gone;
+    }
+  }
+  const bool everyMonitor = votes > 0 && votes + gone == aMonitors.size();
+  return votes >= DeathQuorum(aMonitors.size()) || everyMonitor;
+}
+
+bool
+Membership::IsGone(const InstanceRef& aRef, TimePoint aNow) const
+{
+  if (aRef.m_id == m_self.m_id) {
+    return aRef.m_incarnation != m_self.m_incarnation &&
+           aNow - m_joinedAt >= DetectionDelay();
+  }
+  const auto found = m_peers.find(aRef.m_id);
+  if (found == m_peers.end()) {
+    // Forgotten, unless this instance is too young to have heard of it.
+    return m_self.m_state == InstanceState::kActive &&
+           aNow - m_joinedAt >= 2 * DetectionDelay();
+  }
+  const InstanceRecord& record = found->second.m_record;
+  const bool over = record.m_incarnation > aRef.m_incarnation ||
+                    (record.m_incarnation == aRef.m_incarnation &&
+                     record.m_state == InstanceState::kDead);
+  return over && aNow - found->second.m_changedAt >= DetectionDelay();
+}
+
+bool
+Membership::IsSuspected(const InstanceId& aId) const
+{
+  const auto found = m_suspicions.find(aId);
+  const auto peer = m_peers.find(aId);
+  if (found == m_suspicions.end() || peer == m_peers.end()) {
+    return false;
+  }
+  const InstanceRecord& record = peer->second.m_record;
+  return std::ranges::any_of(found->second, [&](const auto& aEntry) {
+    const Suspicion& vote = aEntry.second;
+    return vote.m_target.m_incarnation == record.m_incarnation &&
+           vote.m_toEpoch >= record.m_monitorEpoch;
+  });
+}
+
+void
+Membership::ForgetDead(TimePoint aNow)
+{
+  std::erase_if(m_peers, [&](const auto& aEntry) {
+    const Peer& peer = aEntry.second;
+    return peer.m_record.m_state == InstanceState::kDead &&
+           !m_seeds.contains(aEntry.first) &&
+           aNow - peer.m_changedAt >= m_settings.m_forgetAfter;
+  });
+  m_viewStale = true;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/membership/membership.cc
@@ -0,0 +1,568 @@
+#include "core/membership/membership.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+#include "absl/random/distributions.h"
+
+#include "core/base/stable_hash.h"
+
+namespace ebonykeel {
+namespace {
+
+// A joining instance pings this many times as often.
+constexpr int64_t kJoiningSpeedUp = 4;
+// Pings in a row without an answer after which a monitor is avoided.
+constexpr uint32_t kAvoidAfterFailures = 2;
+
+} // namespace
+
+const InstanceRecord*
+MembershipView::Find(const InstanceId& aId) const
+{
+  const auto found =
+    std::ranges::lower_bound(m_records, aId, {}, &InstanceRecord::m_id);
+  const bool present = found != m_records.end() && found->m_id == aId;
+  return present ? &*found : nullptr;
+}
+
+size_t
+LeaseQuorum(size_t aMonitors)
+{
+  return (aMonitors + 1) / 2;
+}
+
+size_t
+DeathQuorum(size_t aMonitors)
+{
+  return aMonitors - LeaseQuorum(aMonitors) + 1;
+}
+
+Membership::Membership(MembershipSettings aSettings,
+                       InstanceRecord aSelf,
+                       absl::BitGenRef aBitGen,
+                       TimePoint aNow)
+  : m_settings(aSettings)
+  , m_self(std::move(aSelf))
+  , m_bitGen(aBitGen)
+  , m_joinedAt(aNow)
+  , m_lastTick(aNow)
+  , m_nextHeartbeat(aNow)
+  , m_nextTick(aNow)
+  , m_partDigests(kDigestParts, 0)
+{
+  m_self.m_state = InstanceState::kJoining;
+  m_self.m_sequence = 1;
+  m_self.m_statusSequence = 1;
+  m_self.m_monitorEpoch = 0;
+  m_self.m_changingMonitors = false;
+  m_self.m_monitors.clear();
+  m_self.m_previousMonitors.clear();
+  ToggleDigest(m_self);
+}
+
+void
+Membership::OnInstanceList(std::span<const ListedInstance> aListed,
+                           TimePoint aNow)
+{
+  m_listReceivedAt = aNow;
+  std::map<InstanceId, ListedInstance> seeds;
+  for (const ListedInstance& listed : aListed) {
+    if (listed.m_id != m_self.m_id) {
+      seeds[listed.m_id] = listed;
+    }
+  }
+  m_seeds = std::move(seeds);
+  ForgetDead(aNow);
+}
+
+std::vector<PingAction>
+Membership::Tick(TimePoint aNow)
+{
+  std::vector<PingAction> actions;
+  LapseIfExpired(aNow);
+  ExcuseOwnPause(aNow);
+  m_lastTick = aNow;
+  if (m_self.m_state != InstanceState::kDead) {
+    SuspectSilent(aNow);
+    JudgeSuspected(aNow);
+    ReviewMonitors(aNow);
+    ActivateIfLeased(aNow);
+  }
+  if (aNow >= m_nextHeartbeat) {
+    Heartbeat(aNow, actions);
+  }
+  PingOwed(actions);
+  ScheduleTick(aNow);
+  return actions;
+}
+
+void
+Membership::Heartbeat(TimePoint aNow, std::vector<PingAction>& aActions)
+{
+  const bool joining = m_self.m_state == InstanceState::kJoining;
+  const Duration interval =
+    joining ? m_settings.m_heartbeat / kJoiningSpeedUp : m_settings.m_heartbeat;
+  m_nextHeartbeat = aNow + interval;
+  ++m_heartbeats;
+  JudgeAbandoned(aNow);
+  ForgetDead(aNow);
+  PingMonitors(aActions);
+  if (joining || m_heartbeats % m_settings.m_exchangeEvery == 0) {
+    PingRandom(aActions);
+  }
+  PingSeeds(aActions);
+}
+
+void
+Membership::ScheduleTick(TimePoint aNow)
+{
+  m_nextTick = m_nextHeartbeat;
+  for (const auto& [id, watch] : m_watches) {
+    const auto peer = m_peers.find(id);
+    if (peer == m_peers.end() ||
+        watch.m_suspectedEpoch >= peer->second.m_record.m_monitorEpoch) {
+      continue;
+    }
+    m_nextTick = std::min(m_nextTick, watch.m_lastHeard + DetectionDelay());
+  }
+  if (m_self.m_state == InstanceState::kActive) {
+    m_nextTick = std::min(m_nextTick, LeaseUntil());
+  }
+  m_nextTick = std::max(m_nextTick, aNow + kShortestTick);
+}
+
+Gossip
+Membership::OnPing(const Gossip& aPing, TimePoint aNow)
+{
+  LapseIfExpired(aNow);
+  TakeGossip(aPing, aNow);
+  const auto peer = m_peers.find(aPing.m_sender.m_id);
+  if (peer == m_peers.end()) {
+    return MakeGossip(nullptr);
+  }
+  HearFrom(peer->second, aPing, aNow);
+  Gossip ack = MakeGossip(&peer->second);
+  if (aPing.m_digest != ack.m_digest) {
+    AddDiffering(ack, aPing.m_partDigests);
+  }
+  m_nextTick = std::min(m_nextTick, NextOwed(aNow));
+  return ack;
+}
+
+void
+Membership::OnAck(const InstanceId& aFrom,
+                  TimePoint aPingSentAt,
+                  const Gossip& aAck,
+                  TimePoint aNow)
+{
+  LapseIfExpired(aNow);
+  const uint64_t digestBefore = Digest();
+  TakeGossip(aAck, aNow);
+  const auto found = m_peers.find(aFrom);
+  if (found == m_peers.end() || aAck.m_sender.m_id != aFrom) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.m_failures = 0;
+  const bool current =
+    aAck.m_ackedIncarnation == m_self.m_incarnation &&
+    aAck.m_sender.m_incarnation == peer.m_record.m_incarnation;
+  if (current) {
+    peer.m_ackedPingAt = std::max(peer.m_ackedPingAt, aPingSentAt);
+    peer.m_knownEpoch = std::max(peer.m_knownEpoch, aAck.m_knownEpoch);
+    peer.m_suspectedEpoch =
+      std::max(peer.m_suspectedEpoch, aAck.m_suspectedEpoch);
+  }
+  if (aAck.m_digest != Digest() && !aAck.m_partDigests.empty()) {
+    const bool progress = digestBefore != Digest();
+    peer.m_partDigests = aAck.m_partDigests;
+    peer.m_pingSoon |= progress || m_self.m_state == InstanceState::kJoining;
+  }
+  ReviewMonitors(aNow);
+  ActivateIfLeased(aNow);
+  m_nextTick = std::min(m_nextTick, NextOwed(aNow));
+}
+
+void
+Membership::OnPingFailed(const InstanceId& aTarget, TimePoint aNow)
+{
+  const auto found = m_peers.find(aTarget);
+  if (found == m_peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  ++peer.m_failures;
+  if (peer.m_failures >= kAvoidAfterFailures) {
+    peer.m_avoidUntil = aNow + m_settings.m_avoidFor;
+  }
+}
+
+void
+Membership::SetSelfState(InstanceState aState, TimePoint aNow)
+{
+  const bool leaving =
+    aState == InstanceState::kLeaving && m_self.m_state != InstanceState::kDead;
+  if (!leaving && aState != InstanceState::kDead) {
+    return;
+  }
+  ChangeSelf([&](InstanceRecord& aSelf) { aSelf.m_state = aState; });
+  MembersChanged();
+  for (auto& [id, peer] : m_peers) {
+    peer.m_pingSoon |=
+      IsMonitorOf(m_self, InstanceRef{ id, peer.m_record.m_incarnation });
+  }
+  m_nextTick = std::min(m_nextTick, NextOwed(aNow));
+}
+
+void
+Membership::SetGeneration(Generation aGeneration)
+{
+  if (m_self.m_generation == aGeneration) {
+    return;
+  }
+  m_self.m_generation = aGeneration;
+  ++m_self.m_statusSequence;
+  m_viewStale = true;
+}
+
+void
+Membership::SetLoad(float aLoad)
+{
+  m_self.m_load = aLoad;
+  ++m_self.m_statusSequence;
+  m_viewStale = true;
+}
+
+bool
+Membership::HoldsLease(TimePoint aNow) const
+{
+  const bool mayHold = m_self.m_state == InstanceState::kActive ||
+                       m_self.m_state == InstanceState::kLeaving;
+  return mayHold && aNow < LeaseUntil();
+}
+
+TimePoint
+Membership::LeaseUntil() const
+{
+  TimePoint pingAt = QuorumPingAt(m_self.m_monitors, m_self.m_monitorEpoch);
+  if (m_self.m_changingMonitors) {
+    // The new monitors wait at least a lease and the margin from the moment
+    // at which they can first have heard of their part.
+    pingAt = std::max(pingAt, m_changeStartedAt);
+    pingAt = std::min(
+      pingAt,
+      QuorumPingAt(m_self.m_previousMonitors, m_self.m_monitorEpoch - 1));
+  }
+  return pingAt == TimePoint::min() ? pingAt : pingAt + m_settings.m_lease;
+}
+
+const MembershipView&
+Membership::View() const
+{
+  if (!m_viewStale) {
+    return m_view;
+  }
+  m_view.m_version = m_viewVersion;
+  m_view.m_records.clear();
+  for (const auto& [id, peer] : m_peers) {
+    m_view.m_records.push_back(peer.m_record);
+  }
+  m_view.m_records.push_back(m_self);
+  std::ranges::sort(m_view.m_records, {}, &InstanceRecord::m_id);
+  m_viewStale = false;
+  return m_view;
+}
+
+Membership::NewestGeneration
+Membership::FindNewestGeneration() const
+{
+  NewestGeneration newest{ m_self.m_generation, InstanceId() };
+  for (const auto& [id, peer] : m_peers) {
+    const bool live = peer.m_record.m_state != InstanceState::kDead;
+    if (live && peer.m_record.m_generation > newest.m_generation) {
+      newest = { peer.m_record.m_generation, id };
+    }
+  }
+  return newest;
+}
+
+void
+Membership::LapseIfExpired(TimePoint aNow)
+{
+  const bool mayHold = m_self.m_state == InstanceState::kActive ||
+                       m_self.m_state == InstanceState::kLeaving;
+  if (mayHold && aNow >= LeaseUntil()) {
+    Reincarnate(m_self.m_incarnation, aNow);
+  }
+}
+
+void
+Membership::Reincarnate(BootId aAbove, TimePoint aNow)
+{
+  ChangeSelf([&](InstanceRecord& aSelf) {
+    aSelf.m_incarnation = std::max(aSelf.m_incarnation, aAbove) + 1;
+    if (aSelf.m_state == InstanceState::kActive) {
+      aSelf.m_state = InstanceState::kJoining;
+    }
+    aSelf.m_monitorEpoch = 0;
+    aSelf.m_changingMonitors = false;
+    aSelf.m_monitors.clear();
+    aSelf.m_previousMonitors.clear();
+  });
+  m_joinedAt = aNow;
+  m_nextHeartbeat = aNow;
+  m_nextTick = aNow;
+  m_watches.clear();
+  for (auto& [id, peer] : m_peers) {
+    ForgetAcks(peer);
+  }
+  MembersChanged();
+}
+
+void
+Membership::ForgetAcks(Peer& aPeer)
+{
+  aPeer.m_ackedPingAt = TimePoint::min();
+  aPeer.m_knownEpoch = 0;
+  aPeer.m_suspectedEpoch = 0;
+}
+
+void
+Membership::ActivateIfLeased(TimePoint aNow)
+{
+  if (m_self.m_state != InstanceState::kJoining) {
+    return;
+  }
+  const bool leased =
+    m_self.m_monitors.empty() ? MayRunAlone(aNow) : aNow < LeaseUntil();
+  if (!leased) {
+    return;
+  }
+  ChangeSelf(
+    [](InstanceRecord& aSelf) { aSelf.m_state = InstanceState::kActive; });
+  m_lastTick = aNow;
+  MembersChanged();
+}
+
+bool
+Membership::MayRunAlone(TimePoint aNow) const
+{
+  const bool waited =
+    aNow - m_joinedAt >= m_settings.m_joinWait && m_listReceivedAt > m_joinedAt;
+  if (!waited) {
+    return false;
+  }
+  const bool knowsLive = std::ranges::any_of(m_peers, [&](const auto& aEntry) {
+    const InstanceRecord& record = aEntry.second.m_record;
+    return record.m_region == m_self.m_region &&
+           record.m_state != InstanceState::kDead;
+  });
+  const bool listed = std::ranges::any_of(m_seeds, [&](const auto& aEntry) {
+    const ListedInstance& seed = aEntry.second;
+    const auto peer = m_peers.find(aEntry.first);
+    const bool ended = seed.m_leaving && peer != m_peers.end() &&
+                       peer->second.m_record.m_state == InstanceState::kDead;
+    return seed.m_region == m_self.m_region && !ended;
+  });
+  return !knowsLive && !listed;
+}
+
+bool
+Membership::IsUsableMonitor(const InstanceRef& aRef, TimePoint aNow) const
+{
+  const auto found = m_peers.find(aRef.m_id);
+  if (found == m_peers.end()) {
+    return false;
+  }
+  const Peer& peer = found->second;
+  const InstanceState state = peer.m_record.m_state;
+  return peer.m_record.m_incarnation == aRef.m_incarnation &&
+         (state == InstanceState::kActive ||
+          state == InstanceState::kJoining) &&
+         aNow >= peer.m_avoidUntil;
+}
+
+std::vector<InstanceRef>
+Membership::ChooseMonitors(TimePoint aNow) const
+{
+  struct Candidate
+  {
+    InstanceRef m_ref;
+    DataCentre m_dataCentre;
+    bool m_current = false;
+    bool m_active = false;
+    uint64_t m_score = 0;
+  };
+  std::vector<Candidate> candidates;
+  std::map<DataCentre, size_t> taken{ { m_self.m_dataCentre, 0 } };
+  for (const auto& [id, peer] : m_peers) {
+    const InstanceRef ref{ id, peer.m_record.m_incarnation };
+    if (peer.m_record.m_region != m_self.m_region ||
+        !IsUsableMonitor(ref, aNow)) {
+      continue;
+    }
+    taken[peer.m_record.m_dataCentre] = 0;
+    candidates.push_back(
+      { .m_ref = ref,
+        .m_dataCentre = peer.m_record.m_dataCentre,
+        .m_current = IsCurrentMonitor(ref),
+        .m_active = peer.m_record.m_state == InstanceState::kActive,
+        .m_score = StableHash(id.View(), StableHash(m_self.m_id.View())) });
+  }
+  std::ranges::sort(candidates, std::greater<>(), [](const Candidate& aOne) {
+    return std::tuple(aOne.m_current, aOne.m_active, aOne.m_score);
+  });
+
+  // How many may lie in one data centre, while there is a choice.
+  const auto quota = [&](const DataCentre& aDataCentre) -> size_t {
+    if (taken.size() >= m_settings.m_monitorCount) {
+      return 1;
+    }
+    const bool own = aDataCentre == m_self.m_dataCentre;
+    return own ? LeaseQuorum(m_settings.m_monitorCount) : 1;
+  };
+  std::vector<InstanceRef> chosen;
+  std::vector<InstanceRef> spare;
+  for (const Candidate& candidate : candidates) {
+    size_t& count = taken[candidate.m_dataCentre];
+    if (count >= quota(candidate.m_dataCentre)) {
+      spare.push_back(candidate.m_ref);
+      continue;
+    }
+    if (chosen.size() < m_settings.m_monitorCount) {
+      ++count;
+      chosen.push_back(candidate.m_ref);
+    }
+  }
+  for (const InstanceRef& ref : spare) {
+    if (chosen.size() < m_settings.m_monitorCount) {
+      chosen.push_back(ref);
+    }
+  }
+  std::ranges::sort(chosen);
+  return chosen;
+}
+
+bool
+Membership::IsCurrentMonitor(const InstanceRef& aRef) const
+{
+  return std::ranges::find(m_self.m_monitors, aRef) != m_self.m_monitors.end();
+}
+
+void
+Membership::ReviewMonitors(TimePoint aNow)
+{
+  if (m_self.m_state == InstanceState::kDead) {
+    return;
+  }
+  if (m_self.m_changingMonitors) {
+    FinishMonitorChange();
+    return;
+  }
+  std::vector<InstanceRef> chosen = ChooseMonitors(aNow);
+  if (chosen.empty() && KnowsLiveInRegion()) {
+    // Nobody usable at the moment: better the old monitors than none.
+    return;
+  }
+  const bool suspected =
+    std::ranges::any_of(m_self.m_monitors, [&](const InstanceRef& aRef) {
+      const auto peer = m_peers.find(aRef.m_id);
+      return peer != m_peers.end() && m_self.m_monitorEpoch > 0 &&
+             peer->second.m_suspectedEpoch >= m_self.m_monitorEpoch;
+    });
+  if (chosen == m_self.m_monitors && !suspected) {
+    return;
+  }
+  StartMonitorChange(std::move(chosen), aNow);
+}
+
+bool
+Membership::KnowsLiveInRegion() const
+{
+  return std::ranges::any_of(m_peers, [&](const auto& aEntry) {
+    const InstanceRecord& record = aEntry.second.m_record;
+    return record.m_region == m_self.m_region &&
+           (record.m_state == InstanceState::kActive ||
+            record.m_state == InstanceState::kJoining);
+  });
+}
+
+void
+Membership::StartMonitorChange(std::vector<InstanceRef> aChosen, TimePoint aNow)
+{
+  const bool leased = HoldsLease(aNow);
+  if (!leased && m_self.m_monitorEpoch > 0) {
+    // Under a fresh incarnation no vote on the old set can matter.
+    Reincarnate(m_self.m_incarnation, aNow);
+  }
+  ChangeSelf([&](InstanceRecord& aSelf) {
+    ++aSelf.m_monitorEpoch;
+    aSelf.m_changingMonitors = leased;
+    if (leased) {
+      aSelf.m_previousMonitors = aSelf.m_monitors;
+    }
+    aSelf.m_monitors = std::move(aChosen);
+  });
+  m_changeStartedAt = aNow;
+  m_nextHeartbeat = std::min(m_nextHeartbeat, aNow + kShortestTick);
+  m_nextTick = std::min(m_nextTick, m_nextHeartbeat);
+}
+
+void
+Membership::FinishMonitorChange()
+{
+  const TimePoint newPingAt =
+    QuorumPingAt(m_self.m_monitors, m_self.m_monitorEpoch);
+  if (newPingAt < m_changeStartedAt ||
+      !HasApproval(m_self.m_previousMonitors)) {
+    return;
+  }
+  ChangeSelf([](InstanceRecord& aSelf) {
+    aSelf.m_changingMonitors = false;
+    aSelf.m_previousMonitors.clear();
+  });
+}
+
+TimePoint
+Membership::QuorumPingAt(std::span<const InstanceRef> aMonitors,
+                         uint32_t aEpoch) const
+{
+  const size_t quorum = LeaseQuorum(aMonitors.size());
+  if (quorum == 0) {
+    return m_lastTick;
+  }
+  std::vector<TimePoint> times;
+  for (const InstanceRef& monitor : aMonitors) {
+    const auto peer = m_peers.find(monitor.m_id);
+    const bool counts =
+      peer != m_peers.end() &&
+      peer->second.m_record.m_incarnation == monitor.m_incarnation &&
+      peer->second.m_suspectedEpoch < aEpoch;
+    if (counts) {
+      times.push_back(peer->second.m_ackedPingAt);
+    }
+  }
+  if (times.size() < quorum) {
+    return TimePoint::min();
+  }
+  std::ranges::sort(times, std::greater<>());
+  return times[quorum - 1];
+}
+
+bool
+Membership::HasApproval(std::span<const InstanceRef> aMonitors) const
+{
+  const auto approvals =
+    std::ranges::count_if(aMonitors, [&](const InstanceRef& aRef) {
+      const auto peer = m_peers.find(aRef.m_id);
+      return peer != m_peers.end() &&
+             peer->second.m_record.m_incarnation == aRef.m_incarnation &&
+             peer->second.m_knownEpoch >= m_self.m_monitorEpoch &&
+             peer->second.m_suspectedEpoch < m_self.m_monitorEpoch - 1;
+    });
+  return static_cast<size_t>(approvals) >= LeaseQuorum(aMonitors.size());
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/membership/spreading.cc
@@ -0,0 +1,427 @@
+// How records, votes and statuses spread: news rides on every message for
+// O(log n) rounds, and views that still differ are compared part by part.
+#include <algorithm>
+#include <bit>
+
+#include "absl/random/distributions.h"
+
+#include "core/base/stable_hash.h"
+#include "core/membership/membership.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr size_t kMaxNewsRecords = 6;
+constexpr size_t kMaxNewsSuspicions = 8;
+constexpr size_t kMaxNewsStatuses = 8;
+constexpr size_t kMaxDifferingRecords = 16;
+constexpr size_t kMaxSeedsPinged = 3;
+constexpr size_t kMaxOwedPings = 4;
+constexpr uint32_t kExtraSpreads = 4;
+constexpr uint32_t kStatusSpreads = 4;
+
+size_t
+PartOf(const InstanceId& aId)
+{
+  return StableHash(aId.View()) % Membership::kDigestParts;
+}
+
+// Returns the keys of up to `aLimit` news that are sent most often still, and
+// counts one sending of each.
+template<typename Key>
+std::vector<Key>
+TakeNews(std::map<Key, uint32_t>& aNews, size_t aLimit)
+{
+  std::vector<std::pair<uint32_t, Key>> byCount;
+  byCount.reserve(aNews.size());
+  for (const auto& [key, count] : aNews) {
+    byCount.emplace_back(count, key);
+  }
+  const size_t limit = std::min(aLimit, byCount.size());
+  std::ranges::partial_sort(byCount, byCount.begin() + limit, std::greater<>());
+  std::vector<Key> keys;
+  for (const auto& [count, key] : std::span(byCount).first(limit)) {
+    keys.push_back(key);
+    if (--aNews[key] == 0) {
+      aNews.erase(key);
+    }
+  }
+  return keys;
+}
+
+} // namespace
+
+uint64_t
+Membership::Digest() const
+{
+  uint64_t digest = 0;
+  for (const uint64_t part : m_partDigests) {
+    digest = MixBits(digest ^ part);
+  }
+  return digest;
+}
+
+void
+Membership::ToggleDigest(const InstanceRecord& aRecord)
+{
+  if (aRecord.m_state == InstanceState::kDead) {
+    return;
+  }
+  const uint64_t hash = StableHash(
+    aRecord.m_id.View(), MixBits(aRecord.m_incarnation) ^ aRecord.m_sequence);
+  m_partDigests[PartOf(aRecord.m_id)] ^= hash;
+}
+
+uint32_t
+Membership::SpreadCount() const
+{
+  return std::bit_width(m_peers.size() + 1) + kExtraSpreads;
+}
+
+void
+Membership::Spread(const InstanceId& aId)
+{
+  m_recordNews[aId] = SpreadCount();
+}
+
+void
+Membership::MembersChanged()
+{
+  ++m_viewVersion;
+  m_viewStale = true;
+}
+
+void
+Membership::ChangeSelf(const std::function<void(InstanceRecord&)>& aChange)
+{
+  ToggleDigest(m_self);
+  aChange(m_self);
+  ++m_self.m_sequence;
+  ToggleDigest(m_self);
+  Spread(m_self.m_id);
+  m_viewStale = true;
+}
+
+const InstanceRecord*
+Membership::FindRecord(const InstanceId& aId) const
+{
+  if (aId == m_self.m_id) {
+    return &m_self;
+  }
+  const auto found = m_peers.find(aId);
+  return found == m_peers.end() ? nullptr : &found->second.m_record;
+}
+
+Gossip
+Membership::MakeGossip(const Peer* aPeer)
+{
+  Gossip gossip{ .m_sender = { m_self.m_id, m_self.m_incarnation },
+                 .m_senderSequence = m_self.m_sequence,
+                 .m_senderState = m_self.m_state,
+                 .m_statusSequence = m_self.m_statusSequence,
+                 .m_generation = m_self.m_generation,
+                 .m_load = m_self.m_load,
+                 .m_digest = Digest() };
+  if (aPeer != nullptr) {
+    const InstanceRecord& record = aPeer->m_record;
+    gossip.m_ackedIncarnation = record.m_incarnation;
+    gossip.m_knownSequence = record.m_sequence;
+    gossip.m_knownEpoch = record.m_monitorEpoch;
+    const auto watch = m_watches.find(record.m_id);
+    if (watch != m_watches.end()) {
+      gossip.m_suspectedEpoch = watch->second.m_suspectedEpoch;
+    }
+  }
+  const bool knowsMe = aPeer != nullptr &&
+                       aPeer->m_ackIncarnation == m_self.m_incarnation &&
+                       aPeer->m_knownSequence >= m_self.m_sequence;
+  if (!knowsMe) {
+    gossip.m_records.push_back(m_self);
+  }
+  // Whoever was declared dead has to know.
+  if (aPeer != nullptr && aPeer->m_record.m_state == InstanceState::kDead) {
+    gossip.m_records.push_back(aPeer->m_record);
+  }
+  AddNews(gossip);
+  return gossip;
+}
+
+void
+Membership::AddNews(Gossip& aGossip)
+{
+  for (const InstanceId& id : TakeNews(m_recordNews, kMaxNewsRecords)) {
+    AddRecord(aGossip, id);
+  }
+  for (const auto& [target, monitor] :
+       TakeNews(m_suspicionNews, kMaxNewsSuspicions)) {
+    const auto votes = m_suspicions.find(target);
+    if (votes != m_suspicions.end() && votes->second.contains(monitor)) {
+      aGossip.m_suspicions.push_back(votes->second.at(monitor));
+    }
+  }
+  for (const InstanceId& id : TakeNews(m_statusNews, kMaxNewsStatuses)) {
+    const InstanceRecord* record = FindRecord(id);
+    if (record != nullptr) {
+      aGossip.m_statuses.push_back(
+        { .m_instance = { id, record->m_incarnation },
+          .m_statusSequence = record->m_statusSequence,
+          .m_generation = record->m_generation,
+          .m_load = record->m_load });
+    }
+  }
+}
+
+void
+Membership::AddRecord(Gossip& aGossip, const InstanceId& aId) const
+{
+  const InstanceRecord* record = FindRecord(aId);
+  const bool present =
+    std::ranges::find(aGossip.m_records, aId, &InstanceRecord::m_id) !=
+    aGossip.m_records.end();
+  if (record != nullptr && !present) {
+    aGossip.m_records.push_back(*record);
+  }
+}
+
+void
+Membership::AddDiffering(Gossip& aGossip, std::span<const uint64_t> aTheirParts)
+{
+  aGossip.m_partDigests = m_partDigests;
+  if (aTheirParts.size() != m_partDigests.size()) {
+    return;
+  }
+  std::vector<InstanceId> differing;
+  const auto consider = [&](const InstanceId& aId) {
+    const size_t part = PartOf(aId);
+    if (m_partDigests[part] != aTheirParts[part]) {
+      differing.push_back(aId);
+    }
+  };
+  consider(m_self.m_id);
+  for (const auto& [id, peer] : m_peers) {
+    consider(id);
+  }
+  // A random start, so that repeated messages cover all of them.
+  if (differing.size() > kMaxDifferingRecords) {
+    const size_t start = absl::Uniform<size_t>(m_bitGen, 0, differing.size());
+    std::ranges::rotate(differing, differing.begin() + start);
+    differing.resize(kMaxDifferingRecords);
+  }
+  for (const InstanceId& id : differing) {
+    AddRecord(aGossip, id);
+  }
+}
+
+void
+Membership::TakeGossip(const Gossip& aGossip, TimePoint aNow)
+{
+  for (const InstanceRecord& record : aGossip.m_records) {
+    TakeRecord(record, aNow);
+  }
+  TakeStatus({ .m_instance = aGossip.m_sender,
+               .m_statusSequence = aGossip.m_statusSequence,
+               .m_generation = aGossip.m_generation,
+               .m_load = aGossip.m_load });
+  for (const StatusUpdate& status : aGossip.m_statuses) {
+    TakeStatus(status);
+  }
+  for (const Suspicion& suspicion : aGossip.m_suspicions) {
+    AddSuspicion(suspicion);
+  }
+  const auto found = m_peers.find(aGossip.m_sender.m_id);
+  if (found != m_peers.end()) {
+    Peer& peer = found->second;
+    peer.m_ackIncarnation = aGossip.m_ackedIncarnation;
+    peer.m_knownSequence = aGossip.m_knownSequence;
+    peer.m_avoidUntil = TimePoint::min();
+  }
+  JudgeSuspected(aNow);
+}
+
+void
+Membership::TakeRecord(const InstanceRecord& aRecord, TimePoint aNow)
+{
+  if (aRecord.m_id == m_self.m_id) {
+    RefuteOwnRecord(aRecord, aNow);
+    return;
+  }
+  const auto found = m_peers.find(aRecord.m_id);
+  if (found == m_peers.end()) {
+    if (aRecord.m_state == InstanceState::kDead) {
+      return;
+    }
+    m_peers[aRecord.m_id] = Peer{ .m_record = aRecord, .m_changedAt = aNow };
+    MembersChanged();
+  } else {
+    if (!IsNewer(aRecord, found->second.m_record)) {
+      return;
+    }
+    ReplaceRecord(found->second, aRecord, aNow);
+  }
+  ToggleDigest(aRecord);
+  Spread(aRecord.m_id);
+  m_viewStale = true;
+  UpdateWatch(aRecord, aNow);
+}
+
+void
+Membership::ReplaceRecord(Peer& aPeer,
+                          const InstanceRecord& aRecord,
+                          TimePoint aNow)
+{
+  const InstanceRecord old = std::move(aPeer.m_record);
+  ToggleDigest(old);
+  aPeer.m_record = aRecord;
+  const bool newRun = old.m_incarnation != aRecord.m_incarnation;
+  if (!newRun && old.m_statusSequence > aRecord.m_statusSequence) {
+    aPeer.m_record.m_statusSequence = old.m_statusSequence;
+    aPeer.m_record.m_generation = old.m_generation;
+    aPeer.m_record.m_load = old.m_load;
+  }
+  if (newRun) {
+    ForgetAcks(aPeer);
+    aPeer.m_failures = 0;
+    aPeer.m_avoidUntil = TimePoint::min();
+  }
+  if (newRun || aRecord.m_state == InstanceState::kDead) {
+    m_suspicions.erase(aRecord.m_id);
+  }
+  if (newRun || old.m_state != aRecord.m_state) {
+    aPeer.m_changedAt = aNow;
+    MembersChanged();
+  }
+}
+
+void
+Membership::RefuteOwnRecord(const InstanceRecord& aRecord, TimePoint aNow)
+{
+  if (m_self.m_state == InstanceState::kDead) {
+    return;
+  }
+  const bool newer = aRecord.m_incarnation > m_self.m_incarnation;
+  const bool dead = aRecord.m_incarnation == m_self.m_incarnation &&
+                    aRecord.m_state == InstanceState::kDead;
+  if (newer || dead) {
+    Reincarnate(aRecord.m_incarnation, aNow);
+  }
+}
+
+void
+Membership::TakeStatus(const StatusUpdate& aStatus)
+{
+  const auto found = m_peers.find(aStatus.m_instance.m_id);
+  if (found == m_peers.end()) {
+    return;
+  }
+  InstanceRecord& record = found->second.m_record;
+  if (record.m_incarnation != aStatus.m_instance.m_incarnation ||
+      record.m_statusSequence >= aStatus.m_statusSequence) {
+    return;
+  }
+  if (record.m_generation != aStatus.m_generation) {
+    m_statusNews[record.m_id] = kStatusSpreads;
+  }
+  record.m_statusSequence = aStatus.m_statusSequence;
+  record.m_generation = aStatus.m_generation;
+  record.m_load = aStatus.m_load;
+  m_viewStale = true;
+}
+
+void
+Membership::PingPeer(const InstanceId& aId,
+                     Peer& aPeer,
+                     std::vector<PingAction>& aActions)
+{
+  const bool already =
+    std::ranges::find(aActions, aId, &PingAction::m_target) != aActions.end();
+  if (already) {
+    return;
+  }
+  PingAction action{ .m_target = aId,
+                     .m_peerAddress = aPeer.m_record.m_peerAddress,
+                     .m_gossip = MakeGossip(&aPeer) };
+  if (!aPeer.m_partDigests.empty()) {
+    AddDiffering(action.m_gossip, aPeer.m_partDigests);
+    aPeer.m_partDigests.clear();
+  }
+  aPeer.m_pingSoon = false;
+  aActions.push_back(std::move(action));
+}
+
+void
+Membership::PingMonitors(std::vector<PingAction>& aActions)
+{
+  for (auto& [id, peer] : m_peers) {
+    const InstanceRef ref{ id, peer.m_record.m_incarnation };
+    if (IsMonitorOf(m_self, ref)) {
+      PingPeer(id, peer, aActions);
+    }
+  }
+}
+
+void
+Membership::PingRandom(std::vector<PingAction>& aActions)
+{
+  std::vector<InstanceId> others;
+  for (const auto& [id, peer] : m_peers) {
+    const InstanceRef ref{ id, peer.m_record.m_incarnation };
+    if (peer.m_record.m_state != InstanceState::kDead &&
+        !IsMonitorOf(m_self, ref)) {
+      others.push_back(id);
+    }
+  }
+  if (others.empty()) {
+    return;
+  }
+  const size_t index = absl::Uniform<size_t>(m_bitGen, 0, others.size());
+  PingPeer(others[index], m_peers.at(others[index]), aActions);
+}
+
+void
+Membership::PingSeeds(std::vector<PingAction>& aActions)
+{
+  std::vector<InstanceId> unmet;
+  for (const auto& [id, seed] : m_seeds) {
+    const auto peer = m_peers.find(id);
+    if (peer == m_peers.end() ||
+        peer->second.m_record.m_state == InstanceState::kDead) {
+      unmet.push_back(id);
+    }
+  }
+  for (size_t count = 0; count < kMaxSeedsPinged && !unmet.empty(); ++count) {
+    const size_t index = absl::Uniform<size_t>(m_bitGen, 0, unmet.size());
+    const InstanceId id = unmet[index];
+    unmet.erase(unmet.begin() + static_cast<std::ptrdiff_t>(index));
+    const auto peer = m_peers.find(id);
+    aActions.push_back({ .m_target = id,
+                         .m_peerAddress = m_seeds.at(id).m_peerAddress,
+                         .m_gossip = MakeGossip(
+                           peer == m_peers.end() ? nullptr : &peer->second) });
+  }
+}
+
+void
+Membership::PingOwed(std::vector<PingAction>& aActions)
+{
+  size_t count = 0;
+  for (auto& [id, peer] : m_peers) {
+    const bool due = peer.m_pingSoon && count < kMaxOwedPings &&
+                     peer.m_record.m_state != InstanceState::kDead;
+    if (due) {
+      PingPeer(id, peer, aActions);
+      ++count;
+    }
+  }
+}
+
+TimePoint
+Membership::NextOwed(TimePoint aNow) const
+{
+  const bool owed = std::ranges::any_of(m_peers, [](const auto& aEntry) {
+    return aEntry.second.m_pingSoon &&
+           aEntry.second.m_record.m_state != InstanceState::kDead;
+  });
+  return owed ? aNow + kShortestTick : m_nextHeartbeat;
+}
+
+} // namespace ebonykeel
