--- a/packages/core/membership/membership.cc
+++ b/packages/core/membership/membership.cc
@@ -235,12 +235,24 @@
   m_viewStale = true;
 }
 
+bool
+Membership::MayHoldLease() const
+{
+  return m_self.m_state == InstanceState::kActive ||
+         m_self.m_state == InstanceState::kLeaving;
+}
+
 bool
 Membership::HoldsLease(TimePoint aNow) const
 {
-  const bool mayHold = m_self.m_state == InstanceState::kActive ||
-                       m_self.m_state == InstanceState::kLeaving;
-  return mayHold && aNow < LeaseUntil();
+  return MayHoldLease() && aNow < LeaseUntil();
+}
+
+Lease
+Membership::CurrentLease() const
+{
+  return { .m_incarnation = m_self.m_incarnation,
+           .m_until = MayHoldLease() ? LeaseUntil() : TimePoint::min() };
 }
 
 TimePoint
@@ -291,9 +303,7 @@
 void
 Membership::LapseIfExpired(TimePoint aNow)
 {
-  const bool mayHold = m_self.m_state == InstanceState::kActive ||
-                       m_self.m_state == InstanceState::kLeaving;
-  if (mayHold && aNow >= LeaseUntil()) {
+  if (MayHoldLease() && aNow >= LeaseUntil()) {
     Reincarnate(m_self.m_incarnation, aNow);
   }
 }
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -113,6 +113,14 @@
   Gossip m_gossip;
 };
 
+// The right to act, and the incarnation to which it belongs.
+struct Lease
+{
+  BootId m_incarnation = 0;
+  // TimePoint::min() when there is none.
+  TimePoint m_until = TimePoint::min();
+};
+
 // The records an instance knows, sorted by id, itself among them.
 struct MembershipView
 {
@@ -180,6 +188,10 @@
   // TimePoint::min(), when none is held.
   [[nodiscard]] TimePoint LeaseUntil() const;
 
+  // Returns the lease as the owner of upstreams checks it before each sending;
+  // it ends at TimePoint::min() while this instance is joining or dead.
+  [[nodiscard]] Lease CurrentLease() const;
+
   // Returns this instance's own record.
   [[nodiscard]] const InstanceRecord& Self() const { return m_self; }
 
@@ -243,6 +255,7 @@
   // Own life and monitors (membership.cc).
   void Heartbeat(TimePoint aNow, std::vector<PingAction>& aActions);
   void ScheduleTick(TimePoint aNow);
+  [[nodiscard]] bool MayHoldLease() const;
   void LapseIfExpired(TimePoint aNow);
   void Reincarnate(BootId aAbove, TimePoint aNow);
   static void ForgetAcks(Peer& aPeer);
--- /dev/null
+++ b/packages/core/ownership/holder.cc
@@ -0,0 +1,591 @@
+#include "core/ownership/holder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+// How long a notice keeps an upstream wanted before the view says the same.
+constexpr Duration kInvitationLifetime = Seconds(5);
+constexpr size_t kMaxContacts = 8;
+
+} // namespace
+
+std::string_view
+HoldStateName(HoldState aState)
+{
+  switch (aState) {
+    case HoldState::kReleased:
+      return "released";
+    case HoldState::kAcquiring:
+      return "acquiring";
+    case HoldState::kRamping:
+      return "ramping";
+    case HoldState::kHeld:
+      return "held";
+  }
+  return "unknown";
+}
+
+std::string_view
+AcquireOutcomeName(AcquireOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AcquireOutcome::kNotHeld:
+      return "not-held";
+    case AcquireOutcome::kReleased:
+      return "released";
+    case AcquireOutcome::kRefused:
+      return "refused";
+  }
+  return "unknown";
+}
+
+Holder::Holder(HolderSettings aSettings, InstanceId aSelf)
+  : m_settings(aSettings)
+  , m_self(std::move(aSelf))
+  , m_owners(std::make_shared<const OwnerMap>())
+{
+}
+
+void
+Holder::OnView(std::shared_ptr<const OwnerMap> aOwners,
+               const MembershipView& aView,
+               const Configuration& aConfiguration,
+               TimePoint aNow)
+{
+  const InstanceRecord* self = aView.Find(m_self);
+  if (self == nullptr) {
+    return;
+  }
+  if (self->m_incarnation != m_incarnation) {
+    DropAll();
+    m_incarnation = self->m_incarnation;
+  }
+  m_active = self->m_state == InstanceState::kActive;
+  m_region = self->m_region;
+  m_peerAddress = self->m_peerAddress;
+  m_viewVersion = aView.m_version;
+  m_records.clear();
+  for (const InstanceRecord& record : aView.m_records) {
+    m_records.emplace(record.m_id, record);
+  }
+  m_generation = aConfiguration.m_generation;
+  const std::shared_ptr<const OwnerMap> former =
+    std::exchange(m_owners, std::move(aOwners));
+  UpdateEntries(*former, aConfiguration, aNow);
+}
+
+void
+Holder::UpdateEntries(const OwnerMap& aFormer,
+                      const Configuration& aConfiguration,
+                      TimePoint aNow)
+{
+  std::set<UpstreamId> configured;
+  for (const ServiceConfig& service : aConfiguration.m_services) {
+    for (const ShardConfig& shard : service.m_shards) {
+      for (const UpstreamConfig& upstream : shard.m_replicas) {
+        configured.insert(upstream.m_id);
+        Entry& entry = m_entries[upstream.m_id];
+        entry.m_slots = service.m_slots;
+        entry.m_longestDeadline = service.m_deadline;
+        const InstanceId& former = aFormer.OwnerOf(upstream.m_id);
+        if (!former.empty() && former != m_owners->OwnerOf(upstream.m_id)) {
+          entry.m_formerOwner = former;
+        }
+        UpdateWanted(upstream.m_id, entry, aNow);
+      }
+    }
+  }
+  for (auto& [id, entry] : m_entries) {
+    if (!configured.contains(id)) {
+      entry.m_held = false;
+      GiveUpAttempt(entry);
+    }
+  }
+}
+
+void
+Holder::UpdateWanted(const UpstreamId& aId, Entry& aEntry, TimePoint aNow)
+{
+  const bool named = m_owners->OwnerOf(aId) == m_self;
+  const bool wanted = m_active && (named || aNow < aEntry.m_invitedUntil);
+  if (wanted == aEntry.m_wanted) {
+    return;
+  }
+  if (!wanted) {
+    GiveUpAttempt(aEntry);
+    return;
+  }
+  aEntry.m_wanted = true;
+  StartAttempt(aEntry, aNow);
+}
+
+void
+Holder::DropAll()
+{
+  for (auto& [id, entry] : m_entries) {
+    entry.m_held = false;
+    entry.m_releasedTo = InstanceRef();
+    GiveUpAttempt(entry);
+  }
+}
+
+void
+Holder::StartAttempt(Entry& aEntry, TimePoint aNow) const
+{
+  ++aEntry.m_attempt;
+  aEntry.m_attemptStartedAt = aNow;
+  aEntry.m_nextAsk = aNow;
+  aEntry.m_answered.clear();
+  aEntry.m_released = false;
+}
+
+void
+Holder::GiveUpAttempt(Entry& aEntry)
+{
+  ++aEntry.m_attempt;
+  aEntry.m_wanted = false;
+  aEntry.m_answered.clear();
+  aEntry.m_released = false;
+}
+
+std::vector<AcquireAction>
+Holder::Tick(TimePoint aNow)
+{
+  Asks asks;
+  for (auto& [id, entry] : m_entries) {
+    UpdateWanted(id, entry, aNow);
+    if (entry.m_held) {
+      PollPredecessor(id, entry, aNow, asks);
+    } else if (entry.m_wanted) {
+      AskOrStart(id, entry, aNow, asks);
+    }
+  }
+  std::vector<AcquireAction> actions;
+  for (auto& [target, action] : asks) {
+    actions.push_back(std::move(action));
+  }
+  return actions;
+}
+
+void
+Holder::AskOrStart(const UpstreamId& aId,
+                   Entry& aEntry,
+                   TimePoint aNow,
+                   Asks& aAsks)
+{
+  ForgetOldContacts(aEntry, aNow);
+  if (aNow - aEntry.m_attemptStartedAt >= m_settings.m_attemptLifetime) {
+    StartAttempt(aEntry, aNow);
+  }
+  const std::vector<Contact> missing = MissingAnswers(aEntry);
+  if (missing.empty()) {
+    Start(aEntry, aNow);
+    PollPredecessor(aId, aEntry, aNow, aAsks);
+    return;
+  }
+  if (aNow < aEntry.m_nextAsk) {
+    return;
+  }
+  aEntry.m_nextAsk = aNow + m_settings.m_askEvery;
+  for (const Contact& contact : missing) {
+    AddAsk(aId, aEntry, contact, aAsks);
+  }
+}
+
+void
+Holder::PollPredecessor(const UpstreamId& aId,
+                        Entry& aEntry,
+                        TimePoint aNow,
+                        Asks& aAsks) const
+{
+  const bool due = aEntry.m_released && aEntry.m_predecessorInFlight > 0 &&
+                   aNow < aEntry.m_rampUntil && aNow >= aEntry.m_nextAsk;
+  const auto record = m_records.find(aEntry.m_releasedBy.m_id);
+  if (!due || record == m_records.end()) {
+    return;
+  }
+  aEntry.m_nextAsk = aNow + m_settings.m_pollEvery;
+  AddAsk(aId,
+         aEntry,
+         { .m_instance = aEntry.m_releasedBy,
+           .m_peerAddress = record->second.m_peerAddress },
+         aAsks);
+}
+
+void
+Holder::AddAsk(const UpstreamId& aId,
+               const Entry& aEntry,
+               const Contact& aTarget,
+               Asks& aAsks) const
+{
+  AcquireAction& action = aAsks[aTarget.m_instance.m_id];
+  action.m_target = aTarget.m_instance.m_id;
+  action.m_peerAddress = aTarget.m_peerAddress;
+  action.m_request.m_requester = { m_self, m_incarnation };
+  action.m_request.m_requesterPeerAddress = m_peerAddress;
+  action.m_request.m_viewVersion = m_viewVersion;
+  action.m_request.m_generation = m_generation;
+  action.m_request.m_items.push_back({ .m_upstream = aId,
+                                       .m_attempt = aEntry.m_attempt,
+                                       .m_epoch = aEntry.m_epoch,
+                                       .m_heldEpoch = aEntry.m_heldEpoch });
+}
+
+bool
+Holder::IsOver(const InstanceRef& aRef) const
+{
+  const auto found = m_records.find(aRef.m_id);
+  if (found == m_records.end()) {
+    return false;
+  }
+  const InstanceRecord& record = found->second;
+  return record.m_incarnation > aRef.m_incarnation ||
+         (record.m_incarnation == aRef.m_incarnation &&
+          record.m_state == InstanceState::kDead);
+}
+
+std::vector<Holder::Contact>
+Holder::MissingAnswers(const Entry& aEntry) const
+{
+  std::vector<Contact> missing;
+  const auto need = [&](const InstanceRef& aRef, const std::string& aAddress) {
+    const bool known =
+      std::ranges::find(missing, aRef, &Contact::m_instance) != missing.end();
+    if (!known && aRef.m_id != m_self && !aEntry.m_answered.contains(aRef) &&
+        !IsOver(aRef)) {
+      missing.push_back({ .m_instance = aRef, .m_peerAddress = aAddress });
+    }
+  };
+  for (const Contact& contact : aEntry.m_contacts) {
+    need(contact.m_instance, contact.m_peerAddress);
+  }
+  if (aEntry.m_released) {
+    return missing;
+  }
+  for (const auto& [id, record] : m_records) {
+    // One that is joining holds nothing, and will ask here before it does.
+    const bool mayHold = record.m_state == InstanceState::kActive ||
+                         record.m_state == InstanceState::kLeaving;
+    const bool concerned =
+      record.m_region == m_region || id == aEntry.m_formerOwner;
+    if (mayHold && concerned) {
+      need({ id, record.m_incarnation }, record.m_peerAddress);
+    }
+  }
+  return missing;
+}
+
+void
+Holder::Start(Entry& aEntry, TimePoint aNow) const
+{
+  aEntry.m_held = true;
+  ++aEntry.m_epoch;
+  aEntry.m_heldEpoch = aEntry.m_epoch;
+  aEntry.m_releasedTo = InstanceRef();
+  aEntry.m_nextAsk = aNow;
+  if (!aEntry.m_released) {
+    aEntry.m_rampSlots = std::min(m_settings.m_rampSlots, aEntry.m_slots);
+    aEntry.m_rampUntil = aNow + aEntry.m_longestDeadline;
+    return;
+  }
+  const uint32_t taken = std::min(aEntry.m_predecessorInFlight, aEntry.m_slots);
+  aEntry.m_rampSlots = aEntry.m_slots - taken;
+  aEntry.m_rampUntil = taken == 0 ? TimePoint::min() : aEntry.m_predecessorEnds;
+}
+
+void
+Holder::Remember(Entry& aEntry, const Contact& aContact)
+{
+  const auto known =
+    std::ranges::find_if(aEntry.m_contacts, [&](const Contact& aKnown) {
+      return aKnown.m_instance.m_id == aContact.m_instance.m_id;
+    });
+  if (known != aEntry.m_contacts.end()) {
+    if (known->m_instance.m_incarnation > aContact.m_instance.m_incarnation) {
+      return;
+    }
+    aEntry.m_contacts.erase(known);
+  }
+  aEntry.m_contacts.push_back(aContact);
+  if (aEntry.m_contacts.size() > kMaxContacts) {
+    aEntry.m_contacts.erase(aEntry.m_contacts.begin());
+  }
+}
+
+void
+Holder::ForgetOldContacts(Entry& aEntry, TimePoint aNow) const
+{
+  std::erase_if(aEntry.m_contacts, [&](const Contact& aContact) {
+    return aNow - aContact.m_seenAt >= m_settings.m_askerLifetime ||
+           IsOver(aContact.m_instance);
+  });
+}
+
+AcquireReply
+Holder::OnAcquire(const AcquireRequest& aRequest, TimePoint aNow)
+{
+  AcquireReply reply{ .m_responder = { m_self, m_incarnation },
+                      .m_requesterIncarnation =
+                        aRequest.m_requester.m_incarnation,
+                      .m_viewVersion = m_viewVersion };
+  for (const AcquireRequestItem& item : aRequest.m_items) {
+    reply.m_items.push_back(Answer(aRequest, item, aNow));
+  }
+  return reply;
+}
+
+AcquireReplyItem
+Holder::Answer(const AcquireRequest& aRequest,
+               const AcquireRequestItem& aItem,
+               TimePoint aNow)
+{
+  Entry& entry = m_entries[aItem.m_upstream];
+  const uint64_t epochBefore = entry.m_epoch;
+  AcquireReplyItem answer{ .m_upstream = aItem.m_upstream,
+                           .m_attempt = aItem.m_attempt,
+                           .m_outcome = Decide(entry, aRequest, aItem) };
+  entry.m_epoch = std::max(entry.m_epoch, aItem.m_epoch);
+  answer.m_epoch = answer.m_outcome == AcquireOutcome::kReleased
+                     ? std::max(epochBefore, aItem.m_epoch)
+                     : entry.m_epoch;
+  answer.m_inFlight = entry.m_inFlight;
+  answer.m_remaining = std::max(Duration{}, entry.m_latestDeadline - aNow);
+  if (entry.m_inFlight == 0) {
+    answer.m_remaining = Duration{};
+  }
+  answer.m_warm = entry.m_warm;
+  ForgetOldContacts(entry, aNow);
+  for (const Contact& contact : entry.m_contacts) {
+    if (contact.m_instance.m_id != aRequest.m_requester.m_id) {
+      answer.m_others.push_back({ .m_instance = contact.m_instance,
+                                  .m_peerAddress = contact.m_peerAddress,
+                                  .m_age = aNow - contact.m_seenAt });
+    }
+  }
+  Remember(entry,
+           { .m_instance = aRequest.m_requester,
+             .m_peerAddress = aRequest.m_requesterPeerAddress,
+             .m_seenAt = aNow });
+  return answer;
+}
+
+AcquireOutcome
+Holder::Decide(Entry& aEntry,
+               const AcquireRequest& aRequest,
+               const AcquireRequestItem& aItem) const
+{
+  const bool mine = m_active && m_owners->OwnerOf(aItem.m_upstream) == m_self;
+  if (mine && (aEntry.m_held || aEntry.m_wanted)) {
+    return AcquireOutcome::kRefused;
+  }
+  GiveUpAttempt(aEntry);
+  if (aEntry.m_held) {
+    aEntry.m_held = false;
+    aEntry.m_releasedTo = aRequest.m_requester;
+    aEntry.m_releasedToEpoch = aEntry.m_heldEpoch;
+    return AcquireOutcome::kReleased;
+  }
+  const bool repeated = aEntry.m_releasedTo == aRequest.m_requester &&
+                        aItem.m_heldEpoch <= aEntry.m_releasedToEpoch;
+  if (repeated) {
+    return AcquireOutcome::kReleased;
+  }
+  aEntry.m_releasedTo = InstanceRef();
+  return AcquireOutcome::kNotHeld;
+}
+
+void
+Holder::OnReply(const AcquireReply& aReply, TimePoint aNow)
+{
+  if (aReply.m_requesterIncarnation != m_incarnation) {
+    return;
+  }
+  for (const AcquireReplyItem& item : aReply.m_items) {
+    TakeAnswer(aReply, item, aNow);
+  }
+}
+
+void
+Holder::TakeAnswer(const AcquireReply& aReply,
+                   const AcquireReplyItem& aItem,
+                   TimePoint aNow)
+{
+  const auto found = m_entries.find(aItem.m_upstream);
+  if (found == m_entries.end() || found->second.m_attempt != aItem.m_attempt) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (entry.m_held) {
+    // An answer of the predecessor about its last requests.
+    if (aReply.m_responder == entry.m_releasedBy) {
+      entry.m_predecessorInFlight = aItem.m_inFlight;
+      const uint32_t taken = std::min(aItem.m_inFlight, entry.m_slots);
+      entry.m_rampSlots = entry.m_slots - taken;
+    }
+    return;
+  }
+  entry.m_epoch = std::max(entry.m_epoch, aItem.m_epoch);
+  for (const OtherAsker& other : aItem.m_others) {
+    const bool known =
+      std::ranges::any_of(entry.m_contacts, [&](const Contact& aContact) {
+        return aContact.m_instance.m_id == other.m_instance.m_id &&
+               aContact.m_instance.m_incarnation >=
+                 other.m_instance.m_incarnation;
+      });
+    if (!known && other.m_instance.m_id != m_self) {
+      Remember(entry,
+               { .m_instance = other.m_instance,
+                 .m_peerAddress = other.m_peerAddress,
+                 .m_seenAt = aNow - other.m_age });
+      entry.m_nextAsk = aNow;
+    }
+  }
+  if (aItem.m_outcome == AcquireOutcome::kRefused) {
+    return;
+  }
+  entry.m_answered.insert(aReply.m_responder);
+  if (aItem.m_outcome == AcquireOutcome::kReleased) {
+    entry.m_released = true;
+    entry.m_releasedBy = aReply.m_responder;
+    entry.m_predecessorInFlight = aItem.m_inFlight;
+    entry.m_predecessorEnds = aNow + aItem.m_remaining;
+    entry.m_warm = aItem.m_warm;
+  }
+  if (entry.m_wanted && MissingAnswers(entry).empty()) {
+    Start(entry, aNow);
+  }
+}
+
+std::vector<HandOverAction>
+Holder::MakeHandOverNotices() const
+{
+  std::map<InstanceId, HandOverAction> notices;
+  for (const auto& [id, entry] : m_entries) {
+    const InstanceId& successor = m_owners->OwnerOf(id);
+    const auto record = m_records.find(successor);
+    if (!entry.m_held || successor == m_self || record == m_records.end()) {
+      continue;
+    }
+    HandOverAction& action = notices[successor];
+    action.m_target = successor;
+    action.m_peerAddress = record->second.m_peerAddress;
+    action.m_notice.m_sender = { m_self, m_incarnation };
+    action.m_notice.m_senderPeerAddress = m_peerAddress;
+    action.m_notice.m_upstreams.push_back(id);
+  }
+  std::vector<HandOverAction> actions;
+  for (auto& [target, action] : notices) {
+    actions.push_back(std::move(action));
+  }
+  return actions;
+}
+
+void
+Holder::OnHandOver(const HandOverNotice& aNotice, TimePoint aNow)
+{
+  for (const UpstreamId& id : aNotice.m_upstreams) {
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+      continue;
+    }
+    Entry& entry = found->second;
+    entry.m_invitedUntil = aNow + kInvitationLifetime;
+    Remember(entry,
+             { .m_instance = aNotice.m_sender,
+               .m_peerAddress = aNotice.m_senderPeerAddress,
+               .m_seenAt = aNow });
+    UpdateWanted(id, entry, aNow);
+  }
+}
+
+uint32_t
+Holder::AllowedSlots(const UpstreamId& aUpstream,
+                     const Lease& aLease,
+                     TimePoint aNow) const
+{
+  const auto found = m_entries.find(aUpstream);
+  if (found == m_entries.end() || !found->second.m_held ||
+      aLease.m_incarnation != m_incarnation || aNow >= aLease.m_until) {
+    return 0;
+  }
+  const Entry& entry = found->second;
+  return aNow < entry.m_rampUntil ? entry.m_rampSlots : entry.m_slots;
+}
+
+void
+Holder::OnSent(const UpstreamId& aUpstream, TimePoint aDeadline)
+{
+  Entry& entry = m_entries[aUpstream];
+  ++entry.m_inFlight;
+  entry.m_latestDeadline = std::max(entry.m_latestDeadline, aDeadline);
+}
+
+void
+Holder::OnFinished(const UpstreamId& aUpstream)
+{
+  const auto found = m_entries.find(aUpstream);
+  if (found != m_entries.end() && found->second.m_inFlight > 0) {
+    --found->second.m_inFlight;
+  }
+}
+
+uint32_t
+Holder::InFlight(const UpstreamId& aUpstream) const
+{
+  const auto found = m_entries.find(aUpstream);
+  return found == m_entries.end() ? 0 : found->second.m_inFlight;
+}
+
+uint64_t
+Holder::EpochOf(const UpstreamId& aUpstream) const
+{
+  const auto found = m_entries.find(aUpstream);
+  return found == m_entries.end() ? 0 : found->second.m_epoch;
+}
+
+HoldState
+Holder::StateOf(const UpstreamId& aUpstream, TimePoint aNow) const
+{
+  const auto found = m_entries.find(aUpstream);
+  if (found == m_entries.end()) {
+    return HoldState::kReleased;
+  }
+  const Entry& entry = found->second;
+  if (entry.m_held) {
+    return aNow < entry.m_rampUntil ? HoldState::kRamping : HoldState::kHeld;
+  }
+  return entry.m_wanted ? HoldState::kAcquiring : HoldState::kReleased;
+}
+
+void
+Holder::SetWarm(const UpstreamId& aUpstream, bool aWarm)
+{
+  m_entries[aUpstream].m_warm = aWarm;
+}
+
+bool
+Holder::WasWarm(const UpstreamId& aUpstream) const
+{
+  const auto found = m_entries.find(aUpstream);
+  return found != m_entries.end() && found->second.m_warm;
+}
+
+TimePoint
+Holder::NextTick() const
+{
+  TimePoint next = TimePoint::max();
+  for (const auto& [id, entry] : m_entries) {
+    const bool polls = entry.m_held && entry.m_released &&
+                       entry.m_predecessorInFlight > 0 &&
+                       entry.m_nextAsk < entry.m_rampUntil;
+    if (polls || (entry.m_wanted && !entry.m_held)) {
+      next = std::min(next, entry.m_nextAsk);
+    }
+  }
+  return next;
+}
+
+} // namespace ebonykeel
