Add the gate of one upstream: slots, cold start, draining and fair queue

Cause: the thin path needs one place that decides when work may go to an upstream. First whole cut without tests; the property tests follow.

--- /dev/null
+++ b/packages/core/upstream/admission_policy.h
@@ -0,0 +1,125 @@
+// How much work an upstream may hold, decided from the answers it gave.
+//
+// `ColdStartRamp` is what the product runs: an upstream that is not known to
+// be warm gets one piece of work, and more only after answers at a settled
+// latency. `IndependentLimit` is the baseline of the bench: always every slot.
+//
+//   ColdStartRamp ramp(2, {}, now);
+//   ramp.OnAnswer(Milliseconds(4), sentAt, now);
+//   if (held < ramp.Limit()) { ... }
+#pragma once
+
+#include <cstdint>
+
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+// Decides the limit of one upstream. Latencies are divided by the cost of the
+// work that they belong to.
+class AdmissionPolicy
+{
+public:
+  virtual ~AdmissionPolicy() = default;
+
+  // Returns the most work that the upstream may hold now; at least 1.
+  [[nodiscard]] virtual uint32_t Limit() const = 0;
+
+  // Returns true when the upstream has earned every slot.
+  [[nodiscard]] virtual bool Warm() const = 0;
+
+  // Returns the latency to expect of an ordinary sub-query.
+  [[nodiscard]] virtual Duration ExpectedLatency() const = 0;
+
+  // Notes a good answer to work that was dispatched at `aDispatchedAt`.
+  virtual void OnAnswer(Duration aLatency,
+                        TimePoint aDispatchedAt,
+                        TimePoint aNow) = 0;
+
+  // Notes work that got no answer in time.
+  virtual void OnTimeout(TimePoint aDispatchedAt, TimePoint aNow) = 0;
+
+  // Notes a sign that the upstream may have become cold.
+  virtual void BecomeCold(TimePoint aNow) = 0;
+
+  // Takes over a limit that a predecessor saw earned by this same run of the
+  // upstream.
+  virtual void Resume(uint32_t aLimit, Duration aExpectedLatency) = 0;
+};
+
+struct ColdStartSettings
+{
+  // Settled answers in a row that earn one more slot; at least 1.
+  uint32_t m_answersPerStep = 8;
+  // An answer is settled up to this multiple of the usual latency; above 1.
+  double m_settledFactor = 2.0;
+  // A warm upstream is cold again after `m_slowAnswers` answers in a row that
+  // took longer than this multiple of the usual latency; above 1.
+  double m_slowFactor = 4.0;
+  uint32_t m_slowAnswers = 3;
+  // Answers after which a cold upstream's new latency is taken as usual.
+  uint32_t m_relearnAnswers = 64;
+  // Expected until an answer was seen.
+  Duration m_initialLatency = Milliseconds(5);
+};
+
+class ColdStartRamp : public AdmissionPolicy
+{
+public:
+  // Starts cold. `aSlots` is the most that the upstream works on at once.
+  ColdStartRamp(uint32_t aSlots,
+                const ColdStartSettings& aSettings,
+                TimePoint aNow);
+
+  [[nodiscard]] uint32_t Limit() const override;
+  [[nodiscard]] bool Warm() const override;
+  [[nodiscard]] Duration ExpectedLatency() const override;
+  void OnAnswer(Duration aLatency,
+                TimePoint aDispatchedAt,
+                TimePoint aNow) override;
+  void OnTimeout(TimePoint aDispatchedAt, TimePoint aNow) override;
+  void BecomeCold(TimePoint aNow) override;
+  void Resume(uint32_t aLimit, Duration aExpectedLatency) override;
+
+private:
+  void OnColdAnswer(Duration aLatency);
+  void OnWarmAnswer(Duration aLatency, TimePoint aNow);
+  void CountSlow(TimePoint aNow);
+
+  const uint32_t m_slots;
+  const ColdStartSettings m_settings;
+  uint32_t m_limit = 1;
+  uint32_t m_settledAnswers = 0;
+  uint32_t m_coldAnswers = 0;
+  uint32_t m_slowAnswers = 0;
+  // Work dispatched earlier proves nothing about the current cold start.
+  TimePoint m_coldSince;
+  // The least latency seen in this cold start; 0 before the first answer.
+  Duration m_leastLatency{ 0 };
+  // The usual latency while warm; 0 while unknown.
+  Duration m_usualLatency{ 0 };
+  Duration m_expectedLatency;
+};
+
+// Always allows every slot. Only for comparison in the bench.
+class IndependentLimit : public AdmissionPolicy
+{
+public:
+  explicit IndependentLimit(uint32_t aSlots);
+
+  [[nodiscard]] uint32_t Limit() const override;
+  [[nodiscard]] bool Warm() const override;
+  [[nodiscard]] Duration ExpectedLatency() const override;
+  void OnAnswer(Duration aLatency,
+                TimePoint aDispatchedAt,
+                TimePoint aNow) override;
+  void OnTimeout(TimePoint aDispatchedAt, TimePoint aNow) override;
+  void BecomeCold(TimePoint aNow) override;
+  void Resume(uint32_t aLimit, Duration aExpectedLatency) override;
+
+private:
+  const uint32_t m_slots;
+  Duration m_expectedLatency = Milliseconds(5);
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/upstream/fair_queue.cc
@@ -0,0 +1,191 @@
+#include "core/upstream/fair_queue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+namespace ebonykeel {
+
+FairQueue::FairQueue(double aQuantum)
+  : m_quantum(aQuantum)
+{
+}
+
+void
+FairQueue::Push(const WorkItem& aItem)
+{
+  CallerQueue& caller = m_callers[aItem.m_caller];
+  if (caller.m_entries.empty()) {
+    caller.m_virtualTime = std::max(caller.m_virtualTime, m_virtualTime);
+  }
+  caller.m_entries.insert(
+    { aItem.m_priority, aItem.m_deadline, aItem.m_id, aItem.m_cost });
+  caller.m_queuedCost += aItem.m_cost;
+  m_callerOf.emplace(aItem.m_id, aItem.m_caller);
+  m_deadlines.insert(aItem.m_deadline);
+}
+
+std::optional<WorkItem>
+FairQueue::Pop()
+{
+  auto caller = NextCaller();
+  if (caller == m_callers.end()) {
+    return std::nullopt;
+  }
+  m_virtualTime = std::max(m_virtualTime, LeastVirtualTime());
+  WorkItem item = TakeEntry(caller, caller->second.m_entries.begin());
+  caller->second.m_virtualTime += item.m_cost;
+  ForgetIdleCallers();
+  return item;
+}
+
+bool
+FairQueue::Remove(WorkId aId)
+{
+  auto found = m_callerOf.find(aId);
+  if (found == m_callerOf.end()) {
+    return false;
+  }
+  auto caller = m_callers.find(found->second);
+  auto entry = std::ranges::find(caller->second.m_entries, aId, &Entry::m_id);
+  (void)TakeEntry(caller, entry);
+  ForgetIdleCallers();
+  return true;
+}
+
+std::vector<WorkItem>
+FairQueue::TakeDueBy(TimePoint aTime)
+{
+  std::vector<WorkItem> due;
+  if (m_deadlines.empty() || *m_deadlines.begin() > aTime) {
+    return due;
+  }
+  for (auto caller = m_callers.begin(); caller != m_callers.end(); ++caller) {
+    auto& entries = caller->second.m_entries;
+    for (auto entry = entries.begin(); entry != entries.end();) {
+      auto current = entry++;
+      if (current->m_deadline <= aTime) {
+        due.push_back(TakeEntry(caller, current));
+      }
+    }
+  }
+  ForgetIdleCallers();
+  return due;
+}
+
+std::vector<WorkItem>
+FairQueue::TakeAll()
+{
+  return TakeDueBy(TimePoint::max());
+}
+
+std::optional<WorkItem>
+FairQueue::EvictFor(const CallerName& aCaller)
+{
+  auto size = [](const auto& aEntry) { return aEntry.second.m_entries.size(); };
+  auto largest = std::ranges::max_element(m_callers, {}, size);
+  if (largest == m_callers.end()) {
+    return std::nullopt;
+  }
+  auto own = m_callers.find(aCaller);
+  size_t ownSize = own == m_callers.end() ? 0 : size(*own);
+  if (size(*largest) <= ownSize + 1) {
+    return std::nullopt;
+  }
+  WorkItem evicted =
+    TakeEntry(largest, std::prev(largest->second.m_entries.end()));
+  ForgetIdleCallers();
+  return evicted;
+}
+
+double
+FairQueue::CostAheadOf(const WorkItem& aItem) const
+{
+  Entry entry{ aItem.m_priority, aItem.m_deadline, aItem.m_id, aItem.m_cost };
+  double virtualTime = m_virtualTime;
+  double own = 0;
+  if (auto caller = m_callers.find(aItem.m_caller); caller != m_callers.end()) {
+    virtualTime = std::max(virtualTime, caller->second.m_virtualTime);
+    for (const Entry& earlier : caller->second.m_entries) {
+      own += earlier < entry ? earlier.m_cost : 0;
+    }
+  }
+  double ahead = own;
+  for (const auto& [name, other] : m_callers) {
+    if (name == aItem.m_caller) {
+      continue;
+    }
+    double share = virtualTime + own + m_quantum - other.m_virtualTime;
+    ahead += std::clamp(share, 0.0, other.m_queuedCost);
+  }
+  return ahead;
+}
+
+std::optional<TimePoint>
+FairQueue::EarliestDeadline() const
+{
+  if (m_deadlines.empty()) {
+    return std::nullopt;
+  }
+  return *m_deadlines.begin();
+}
+
+FairQueue::CallerMap::iterator
+FairQueue::NextCaller()
+{
+  double limit = LeastVirtualTime() + m_quantum;
+  auto best = m_callers.end();
+  for (auto caller = m_callers.begin(); caller != m_callers.end(); ++caller) {
+    const CallerQueue& queue = caller->second;
+    if (queue.m_entries.empty() || queue.m_virtualTime > limit) {
+      continue;
+    }
+    if (best == m_callers.end() ||
+        *queue.m_entries.begin() < *best->second.m_entries.begin()) {
+      best = caller;
+    }
+  }
+  return best;
+}
+
+double
+FairQueue::LeastVirtualTime() const
+{
+  double least = std::numeric_limits<double>::infinity();
+  for (const CallerQueue& queue : m_callers | std::views::values) {
+    if (!queue.m_entries.empty()) {
+      least = std::min(least, queue.m_virtualTime);
+    }
+  }
+  return least;
+}
+
+WorkItem
+FairQueue::TakeEntry(CallerMap::iterator aCaller,
+                     std::set<Entry>::iterator aEntry)
+{
+  WorkItem item{ .m_id = aEntry->m_id,
+                 .m_deadline = aEntry->m_deadline,
+                 .m_priority = aEntry->m_priority,
+                 .m_caller = aCaller->first,
+                 .m_cost = aEntry->m_cost };
+  aCaller->second.m_queuedCost -= item.m_cost;
+  aCaller->second.m_entries.erase(aEntry);
+  m_callerOf.erase(item.m_id);
+  m_deadlines.erase(m_deadlines.find(item.m_deadline));
+  return item;
+}
+
+void
+FairQueue::ForgetIdleCallers()
+{
+  std::erase_if(m_callers, [this](const auto& aEntry) {
+    const CallerQueue& queue = aEntry.second;
+    return queue.m_entries.empty() && queue.m_virtualTime <= m_virtualTime;
+  });
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/upstream/upstream_gate.cc
@@ -0,0 +1,526 @@
+#include "core/upstream/upstream_gate.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+// Returns true when the upstream cannot be working on the work any more.
+bool
+EndsWork(UpstreamResultKind aKind)
+{
+  switch (aKind) {
+    case UpstreamResultKind::kOk:
+    case UpstreamResultKind::kShed:
+    case UpstreamResultKind::kVersionNotHeld:
+    case UpstreamResultKind::kDraining:
+    case UpstreamResultKind::kCancelled:
+    case UpstreamResultKind::kConnectFailed:
+      return true;
+    case UpstreamResultKind::kReset:
+    case UpstreamResultKind::kTimeout:
+    case UpstreamResultKind::kBadAnswer:
+      return false;
+  }
+  return false;
+}
+
+uint8_t
+ClosureBit(Closure aClosure)
+{
+  return static_cast<uint8_t>(1U << static_cast<uint8_t>(aClosure));
+}
+
+} // namespace
+
+UpstreamGate::UpstreamGate(UpstreamId aUpstream,
+                           const UpstreamLimits& aLimits,
+                           const GateSettings& aSettings,
+                           const SendPermit& aPermit,
+                           std::unique_ptr<AdmissionPolicy> aPolicy,
+                           TimePoint aNow)
+  : m_upstream(std::move(aUpstream))
+  , m_limits(aLimits)
+  , m_settings(aSettings)
+  , m_permit(aPermit)
+  , m_policy(std::move(aPolicy))
+  , m_queue(aSettings.m_fairnessQuantum)
+  , m_inheritedUntil(aNow)
+  , m_bootSince(aNow)
+  , m_backoffUntil(aNow)
+  , m_nextProbe(aNow)
+{
+}
+
+void
+UpstreamGate::OnOwnershipGained(const OwnershipStart& aStart, TimePoint aNow)
+{
+  m_policy->BecomeCold(aNow);
+  m_inheritedWork = aStart.m_inheritedWork;
+  m_inheritedUntil = aStart.m_inheritedUntil;
+  m_hint = aStart.m_hint;
+  if (!m_hint) {
+    return;
+  }
+  m_inheritedWork = std::max(m_inheritedWork, m_hint->m_heldWork);
+  m_inheritedUntil = std::max(m_inheritedUntil, aNow + m_hint->m_heldFor);
+}
+
+GateActions
+UpstreamGate::OnPermitChanged(TimePoint aNow)
+{
+  GateActions actions;
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::Enqueue(const WorkItem& aItem, TimePoint aNow)
+{
+  GateActions actions;
+  if (aNow + EstimatedWait(aItem) > aItem.m_deadline) {
+    actions.push_back(GateRefuse{ aItem.m_id, MissingReason::kOverloaded });
+    return actions;
+  }
+  if (m_queue.size() >= m_settings.m_queueLimit) {
+    std::optional<WorkItem> evicted = m_queue.EvictFor(aItem.m_caller);
+    WorkId refused = evicted ? evicted->m_id : aItem.m_id;
+    actions.push_back(GateRefuse{ refused, MissingReason::kOverloaded });
+    if (!evicted) {
+      return actions;
+    }
+  }
+  m_queue.Push(aItem);
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::Cancel(WorkId aWork, TimePoint aNow)
+{
+  GateActions actions;
+  if (m_queue.Remove(aWork)) {
+    return actions;
+  }
+  if (auto sent = m_sent.find(aWork); sent != m_sent.end()) {
+    Abandon(sent, actions);
+  }
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::OnResult(WorkId aWork,
+                       const UpstreamResult& aResult,
+                       TimePoint aNow)
+{
+  GateActions actions;
+  auto sent = m_sent.find(aWork);
+  if (sent == m_sent.end()) {
+    return actions;
+  }
+  SettleConnection(sent->second, aResult.m_connection);
+  NoteBoot(aResult.m_bootId, sent->second.m_dispatchedAt, aNow);
+  NoteResult(sent->second, aResult, aNow);
+  if (EndsWork(aResult.m_kind)) {
+    m_sent.erase(sent);
+  } else {
+    sent->second.m_abandoned = true;
+  }
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::OnProbe(const ProbeResult& aResult, TimePoint aNow)
+{
+  GateActions actions;
+  m_probeSentAt.reset();
+  m_nextProbe = aNow + m_settings.m_probeInterval;
+  if (aResult.m_answered) {
+    bool wasMarked = std::exchange(m_markedDraining, aResult.m_draining);
+    NoteBoot(aResult.m_bootId, aNow, aNow);
+    if (wasMarked && !m_markedDraining) {
+      m_policy->BecomeCold(aNow);
+    }
+  }
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::SetClosed(Closure aClosure, bool aClosed, TimePoint aNow)
+{
+  GateActions actions;
+  uint8_t bit = ClosureBit(aClosure);
+  bool wasClosed = (m_closures & bit) != 0;
+  if (wasClosed == aClosed) {
+    return actions;
+  }
+  m_closures ^= bit;
+  m_policy->BecomeCold(aNow);
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::OnConnectionsClosed(uint32_t aIdle,
+                                  uint32_t aLingering,
+                                  TimePoint aNow)
+{
+  GateActions actions;
+  m_idleConnections -= std::min(aIdle, m_idleConnections);
+  m_lingeringConnections -= std::min(aLingering, m_lingeringConnections);
+  Pump(aNow, actions);
+  return actions;
+}
+
+GateActions
+UpstreamGate::OnTimer(TimePoint aNow)
+{
+  GateActions actions;
+  Pump(aNow, actions);
+  return actions;
+}
+
+std::optional<TimePoint>
+UpstreamGate::NextTimer() const
+{
+  TimePoint next = TimePoint::max();
+  for (const SentWork& sent : m_sent | std::views::values) {
+    TimePoint end = sent.m_abandoned
+                      ? sent.m_deadline + m_settings.m_abandonedMargin
+                      : sent.m_deadline;
+    next = std::min(next, end);
+  }
+  if (auto deadline = m_queue.EarliestDeadline()) {
+    next = std::min(next, *deadline - m_settings.m_refusalMargin);
+    for (TimePoint opening : { m_backoffUntil, m_inheritedUntil }) {
+      next = opening > m_pumpedAt ? std::min(next, opening) : next;
+    }
+  }
+  if (m_owned && m_markedDraining && m_closures == 0) {
+    next = std::min(next,
+                    m_probeSentAt ? *m_probeSentAt + m_settings.m_probeTimeout
+                                  : m_nextProbe);
+  }
+  if (next == TimePoint::max()) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+WarmthHint
+UpstreamGate::Hint(TimePoint aNow) const
+{
+  WarmthHint hint{ .m_bootId = m_bootId,
+                   .m_limit = m_policy->Limit(),
+                   .m_expectedLatency = m_policy->ExpectedLatency(),
+                   .m_heldWork = HeldWork(aNow) };
+  TimePoint last = Inherited(aNow) > 0 ? m_inheritedUntil : aNow;
+  for (const SentWork& sent : m_sent | std::views::values) {
+    last = std::max(last, sent.m_deadline + m_settings.m_abandonedMargin);
+  }
+  hint.m_heldFor = last - aNow;
+  return hint;
+}
+
+uint32_t
+UpstreamGate::HeldWork(TimePoint aNow) const
+{
+  uint32_t probes = m_probeSentAt ? 1 : 0;
+  return static_cast<uint32_t>(m_sent.size()) + Inherited(aNow) + probes;
+}
+
+uint32_t
+UpstreamGate::InFlight() const
+{
+  return static_cast<uint32_t>(std::ranges::count_if(
+    m_sent | std::views::values,
+    [](const SentWork& aSent) { return !aSent.m_abandoned; }));
+}
+
+uint32_t
+UpstreamGate::OpenConnections() const
+{
+  auto busy = std::ranges::count_if(
+    m_sent | std::views::values,
+    [](const SentWork& aSent) { return !aSent.m_connectionSettled; });
+  uint32_t probes = m_probeSentAt ? 1 : 0;
+  return static_cast<uint32_t>(busy) + m_idleConnections +
+         m_lingeringConnections + probes;
+}
+
+uint32_t
+UpstreamGate::Limit() const
+{
+  return std::min(m_policy->Limit(), m_limits.m_slots);
+}
+
+bool
+UpstreamGate::Warm() const
+{
+  return m_policy->Warm();
+}
+
+bool
+UpstreamGate::Closed() const
+{
+  return m_closures != 0 || m_markedDraining;
+}
+
+void
+UpstreamGate::Pump(TimePoint aNow, GateActions& aActions)
+{
+  m_pumpedAt = aNow;
+  AbandonOverdue(aNow, aActions);
+  bool wasOwned =
+    std::exchange(m_owned, m_permit.AllowedSlots(m_upstream, aNow) > 0);
+  if (!m_owned) {
+    RefuseAll(MissingReason::kNoOwner, aActions);
+    CloseIdle(aActions);
+    if (wasOwned) {
+      m_policy->BecomeCold(aNow);
+    }
+    return;
+  }
+  if (Closed()) {
+    RefuseAll(MissingReason::kWithdrawn, aActions);
+    CloseIdle(aActions);
+    ProbeIfDue(aNow, aActions);
+    return;
+  }
+  RefuseHopeless(aNow, aActions);
+  while (!m_queue.empty() && aNow >= m_backoffUntil) {
+    uint32_t allowed =
+      std::min(m_permit.AllowedSlots(m_upstream, aNow), Limit());
+    if (HeldWork(aNow) >= allowed) {
+      return;
+    }
+    if (m_idleConnections == 0 && OpenConnections() >= ConnectionsAllowed()) {
+      return;
+    }
+    DispatchNext(aNow, aActions);
+  }
+}
+
+void
+UpstreamGate::DispatchNext(TimePoint aNow, GateActions& aActions)
+{
+  std::optional<WorkItem> item = m_queue.Pop();
+  if (!item) {
+    return;
+  }
+  bool newConnection = m_idleConnections == 0;
+  m_idleConnections -= newConnection ? 0 : 1;
+  m_sent[item->m_id] = SentWork{ .m_dispatchedAt = aNow,
+                                 .m_deadline = item->m_deadline,
+                                 .m_cost = item->m_cost };
+  aActions.push_back(GateDispatch{ item->m_id, newConnection });
+}
+
+void
+UpstreamGate::RefuseAll(MissingReason aReason, GateActions& aActions)
+{
+  for (const WorkItem& item : m_queue.TakeAll()) {
+    aActions.push_back(GateRefuse{ item.m_id, aReason });
+  }
+}
+
+void
+UpstreamGate::RefuseHopeless(TimePoint aNow, GateActions& aActions)
+{
+  bool backingOff = aNow < m_backoffUntil;
+  TimePoint earliest = backingOff ? m_backoffUntil : aNow;
+  MissingReason reason =
+    backingOff ? m_backoffReason : MissingReason::kDeadline;
+  for (const WorkItem& item :
+       m_queue.TakeDueBy(earliest + m_settings.m_refusalMargin)) {
+    aActions.push_back(GateRefuse{ item.m_id, reason });
+  }
+}
+
+void
+UpstreamGate::CloseIdle(GateActions& aActions)
+{
+  if (m_idleConnections == 0) {
+    return;
+  }
+  // They stay counted until the owner reports them closed.
+  m_lingeringConnections += std::exchange(m_idleConnections, 0);
+  aActions.push_back(GateCloseIdleConnections{});
+}
+
+void
+UpstreamGate::AbandonOverdue(TimePoint aNow, GateActions& aActions)
+{
+  for (auto sent = m_sent.begin(); sent != m_sent.end(); ++sent) {
+    if (!sent->second.m_abandoned && aNow >= sent->second.m_deadline) {
+      m_policy->OnTimeout(sent->second.m_dispatchedAt, aNow);
+      Abandon(sent, aActions);
+    }
+  }
+  auto ended = [&](const auto& aEntry) {
+    const SentWork& sent = aEntry.second;
+    return sent.m_abandoned &&
+           aNow >= sent.m_deadline + m_settings.m_abandonedMargin;
+  };
+  for (const SentWork& sent :
+       m_sent | std::views::filter(ended) | std::views::values) {
+    m_lingeringConnections += sent.m_connectionSettled ? 0 : 1;
+  }
+  std::erase_if(m_sent, ended);
+}
+
+void
+UpstreamGate::ProbeIfDue(TimePoint aNow, GateActions& aActions)
+{
+  if (m_closures != 0) {
+    return;
+  }
+  if (m_probeSentAt && aNow >= *m_probeSentAt + m_settings.m_probeTimeout) {
+    m_probeSentAt.reset();
+    m_nextProbe = aNow + m_settings.m_probeInterval;
+  }
+  if (m_probeSentAt || aNow < m_nextProbe) {
+    return;
+  }
+  if (OpenConnections() >= ConnectionsAllowed()) {
+    m_nextProbe = aNow + m_settings.m_probeInterval;
+    return;
+  }
+  m_probeSentAt = aNow;
+  aActions.push_back(GateProbe{});
+}
+
+void
+UpstreamGate::Abandon(SentMap::iterator aSent, GateActions& aActions)
+{
+  if (std::exchange(aSent->second.m_abandoned, true)) {
+    return;
+  }
+  aActions.push_back(GateCancelInFlight{ aSent->first });
+}
+
+void
+UpstreamGate::SettleConnection(SentWork& aSent, ConnectionFate aFate)
+{
+  if (std::exchange(aSent.m_connectionSettled, true)) {
+    return;
+  }
+  m_idleConnections += aFate == ConnectionFate::kKept ? 1 : 0;
+  m_lingeringConnections += aFate == ConnectionFate::kLingering ? 1 : 0;
+}
+
+void
+UpstreamGate::NoteBoot(BootId aBoot, TimePoint aDispatchedAt, TimePoint aNow)
+{
+  // A late answer may come from an earlier run of the upstream.
+  if (aBoot == 0 || aBoot == m_bootId || aDispatchedAt < m_bootSince) {
+    return;
+  }
+  bool known = m_bootId != 0;
+  m_bootId = aBoot;
+  if (known) {
+    m_bootSince = aNow;
+    m_policy->BecomeCold(aNow);
+  }
+}
+
+void
+UpstreamGate::NoteResult(const SentWork& aSent,
+                         const UpstreamResult& aResult,
+                         TimePoint aNow)
+{
+  if (aResult.m_draining) {
+    MarkDraining(aNow);
+  }
+  // The owner itself closes the connection of abandoned work.
+  if (aSent.m_abandoned && !EndsWork(aResult.m_kind)) {
+    return;
+  }
+  switch (aResult.m_kind) {
+    case UpstreamResultKind::kOk: {
+      m_backoff = Duration{ 0 };
+      if (m_hint && m_hint->m_bootId != 0 && m_hint->m_bootId == m_bootId) {
+        m_policy->Resume(m_hint->m_limit, m_hint->m_expectedLatency);
+      }
+      m_hint.reset();
+      auto latency = static_cast<double>((aNow - aSent.m_dispatchedAt).count());
+      m_policy->OnAnswer(Duration(static_cast<int64_t>(latency / aSent.m_cost)),
+                         aSent.m_dispatchedAt,
+                         aNow);
+      return;
+    }
+    case UpstreamResultKind::kShed:
+      m_policy->BecomeCold(aNow);
+      m_backoffReason = MissingReason::kShed;
+      BackOff(aResult.m_retryAfter, aNow);
+      return;
+    case UpstreamResultKind::kReset:
+    case UpstreamResultKind::kConnectFailed:
+      m_policy->BecomeCold(aNow);
+      m_backoffReason = MissingReason::kUnreachable;
+      BackOff(Duration{ 0 }, aNow);
+      return;
+    case UpstreamResultKind::kDraining:
+      MarkDraining(aNow);
+      return;
+    case UpstreamResultKind::kTimeout:
+      m_policy->OnTimeout(aSent.m_dispatchedAt, aNow);
+      return;
+    case UpstreamResultKind::kVersionNotHeld:
+    case UpstreamResultKind::kCancelled:
+    case UpstreamResultKind::kBadAnswer:
+      return;
+  }
+}
+
+void
+UpstreamGate::BackOff(Duration aAtLeast, TimePoint aNow)
+{
+  m_backoff = std::clamp(
+    m_backoff * 2, m_settings.m_shortestBackoff, m_settings.m_longestBackoff);
+  Duration pause = std::clamp(aAtLeast, m_backoff, m_settings.m_longestBackoff);
+  m_backoffUntil = std::max(m_backoffUntil, aNow + pause);
+}
+
+void
+UpstreamGate::MarkDraining(TimePoint aNow)
+{
+  if (m_markedDraining) {
+    return;
+  }
+  m_markedDraining = true;
+  m_nextProbe = aNow + m_settings.m_probeInterval;
+  m_policy->BecomeCold(aNow);
+}
+
+Duration
+UpstreamGate::EstimatedWait(const WorkItem& aItem) const
+{
+  double ahead = m_queue.CostAheadOf(aItem);
+  if (ahead <= 0) {
+    return Duration{ 0 };
+  }
+  auto expected = static_cast<double>(m_policy->ExpectedLatency().count());
+  return Duration(static_cast<int64_t>(expected * ahead / Limit()));
+}
+
+uint32_t
+UpstreamGate::ConnectionsAllowed() const
+{
+  auto share = static_cast<uint32_t>(m_limits.m_connectionLimit *
+                                     m_settings.m_connectionShare);
+  return std::max(share, 1U);
+}
+
+uint32_t
+UpstreamGate::Inherited(TimePoint aNow) const
+{
+  return aNow < m_inheritedUntil ? m_inheritedWork : 0;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/upstream/upstream_gate.h
@@ -0,0 +1,286 @@
+// Decides when work may be sent to one upstream: the fleet's slots, its
+// connection limit, its cold start and its draining.
+//
+// One instance owns an upstream and runs its gate. The owner carries out the
+// returned actions in order and reports what became of dispatched work:
+//
+//   UpstreamGate gate(id, limits, settings, permit, std::move(policy), now);
+//   gate.OnOwnershipGained({}, now);
+//   for (const GateAction& action : gate.Enqueue(item, now)) { ... }
+//   gate.OnResult(item.m_id, { .m_kind = UpstreamResultKind::kOk }, now);
+//
+// An upstream may still work on what its owner gave up. Such abandoned work
+// holds its slot until the upstream answers, acknowledges the cancellation, or
+// cannot be working any more because the deadline that it was told has passed.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/query/messages.h"
+#include "core/upstream/admission_policy.h"
+#include "core/upstream/fair_queue.h"
+#include "core/upstream/work.h"
+
+namespace ebonykeel {
+
+// Says whether this instance may send work to an upstream. The gate asks right
+// before each dispatch.
+class SendPermit
+{
+public:
+  virtual ~SendPermit() = default;
+
+  // Returns how much work this instance may have at `aUpstream` at `aNow`;
+  // 0 when it does not own the upstream or its lease has lapsed.
+  [[nodiscard]] virtual uint32_t AllowedSlots(const UpstreamId& aUpstream,
+                                              TimePoint aNow) const = 0;
+};
+
+// What one upstream bears, over the whole fleet.
+struct UpstreamLimits
+{
+  // At least 1.
+  uint32_t m_slots = 2;
+  uint32_t m_connectionLimit = 60;
+};
+
+struct GateSettings
+{
+  // Work that waits at most; at least 1.
+  size_t m_queueLimit = 256;
+  // The cost by which one caller may be served ahead of another.
+  double m_fairnessQuantum = 2;
+  // Queued work is refused this long before its deadline.
+  Duration m_refusalMargin = Milliseconds(1);
+  // Abandoned work holds its slot for this long after its deadline, which
+  // covers the transfer and the upstream's own reaction.
+  Duration m_abandonedMargin = Milliseconds(50);
+  // The pause after a shed, a refused connection or a reset. It doubles with
+  // each in a row, up to `m_longestBackoff`.
+  Duration m_shortestBackoff = Milliseconds(10);
+  Duration m_longestBackoff = Seconds(1);
+  // How often a leaving upstream is asked whether it came back.
+  Duration m_probeInterval = Seconds(1);
+  // A probe that takes longer has failed.
+  Duration m_probeTimeout = Milliseconds(500);
+  // The part of the connection limit that one owner uses, so that the
+  // connections of two owners fit during a handover; in (0, 1].
+  double m_connectionShare = 0.5;
+};
+
+// What an owner tells its successor about an upstream.
+struct WarmthHint
+{
+  BootId m_bootId = 0;
+  // The limit that the upstream had earned.
+  uint32_t m_limit = 1;
+  Duration m_expectedLatency{ 0 };
+  // Work that the upstream may still hold, and for how long at most.
+  uint32_t m_heldWork = 0;
+  Duration m_heldFor{ 0 };
+};
+
+// The state in which an owner takes an upstream over.
+struct OwnershipStart
+{
+  // Work that the predecessor may have left at the upstream. It holds slots
+  // until `m_inheritedUntil`.
+  uint32_t m_inheritedWork = 0;
+  TimePoint m_inheritedUntil;
+  // Believed only after an answer names the same boot id.
+  std::optional<WarmthHint> m_hint;
+};
+
+// Send this work now, over an idle connection or over a new one.
+struct GateDispatch
+{
+  WorkId m_work = 0;
+  bool m_newConnection = false;
+};
+
+// Answer this work as not run. No byte of it has left.
+struct GateRefuse
+{
+  WorkId m_work = 0;
+  MissingReason m_reason = MissingReason::kNone;
+};
+
+// Nobody waits any more for this dispatched work: cancel it at the upstream
+// and close its connection if the cancellation is not acknowledged.
+struct GateCancelInFlight
+{
+  WorkId m_work = 0;
+};
+
+// Close every idle connection to the upstream, and report them by
+// `OnConnectionsClosed`.
+struct GateCloseIdleConnections
+{};
+
+// Ask the upstream for its status, which runs no work, and report it by
+// `OnProbe`.
+struct GateProbe
+{};
+
+using GateAction = std::variant<GateDispatch,
+                                GateRefuse,
+                                GateCancelInFlight,
+                                GateCloseIdleConnections,
+                                GateProbe>;
+using GateActions = std::vector<GateAction>;
+
+// What a status request learnt.
+struct ProbeResult
+{
+  bool m_answered = false;
+  // 0 when the answer named none.
+  BootId m_bootId = 0;
+  bool m_draining = false;
+};
+
+// Why an upstream gets no new work.
+enum class Closure : uint8_t
+{
+  // Its data centre is taken out.
+  kWithdrawn,
+  // Operators drain it.
+  kDrained,
+  // The instance list says that it is leaving.
+  kListedLeaving,
+};
+
+// Not thread safe. `aPermit` has to outlive the gate.
+class UpstreamGate
+{
+public:
+  UpstreamGate(UpstreamId aUpstream,
+               const UpstreamLimits& aLimits,
+               const GateSettings& aSettings,
+               const SendPermit& aPermit,
+               std::unique_ptr<AdmissionPolicy> aPolicy,
+               TimePoint aNow);
+
+  // Starts cold. Call it before the permit first allows a dispatch.
+  void OnOwnershipGained(const OwnershipStart& aStart, TimePoint aNow);
+
+  // Tells that the permit may allow another number than before. Without any
+  // allowed slot all queued work is refused and idle connections are closed.
+  [[nodiscard]] GateActions OnPermitChanged(TimePoint aNow);
+
+  // Queues work, or refuses it when its deadline cannot be met.
+  [[nodiscard]] GateActions Enqueue(const WorkItem& aItem, TimePoint aNow);
+
+  // Drops queued work, or cancels it in flight.
+  [[nodiscard]] GateActions Cancel(WorkId aWork, TimePoint aNow);
+
+  // Takes the end of dispatched work. Results of abandoned work count as
+  // well; results of unknown work are ignored.
+  [[nodiscard]] GateActions OnResult(WorkId aWork,
+                                     const UpstreamResult& aResult,
+                                     TimePoint aNow);
+
+  [[nodiscard]] GateActions OnProbe(const ProbeResult& aResult, TimePoint aNow);
+
+  // Sets or lifts one reason for which the upstream gets no new work. It
+  // comes back cold.
+  [[nodiscard]] GateActions SetClosed(Closure aClosure,
+                                      bool aClosed,
+                                      TimePoint aNow);
+
+  // Tells that connections closed which carried no dispatched work:
+  // `aIdle` of the idle ones and `aLingering` of the abandoned ones.
+  [[nodiscard]] GateActions OnConnectionsClosed(uint32_t aIdle,
+                                                uint32_t aLingering,
+                                                TimePoint aNow);
+
+  [[nodiscard]] GateActions OnTimer(TimePoint aNow);
+
+  // Returns when `OnTimer` has to be called, or nothing.
+  [[nodiscard]] std::optional<TimePoint> NextTimer() const;
+
+  // Returns what a successor should know.
+  [[nodiscard]] WarmthHint Hint(TimePoint aNow) const;
+
+  // Work that the upstream may be working on, abandoned work included.
+  [[nodiscard]] uint32_t HeldWork(TimePoint aNow) const;
+  [[nodiscard]] uint32_t InFlight() const;
+  [[nodiscard]] size_t Queued() const { return m_queue.size(); }
+  [[nodiscard]] uint32_t OpenConnections() const;
+  // The most work that the upstream may hold now, before the permit.
+  [[nodiscard]] uint32_t Limit() const;
+  [[nodiscard]] bool Warm() const;
+  [[nodiscard]] bool Closed() const;
+  [[nodiscard]] BootId Boot() const { return m_bootId; }
+
+private:
+  struct SentWork
+  {
+    TimePoint m_dispatchedAt;
+    TimePoint m_deadline;
+    double m_cost = 1;
+    // Nobody waits for it any more.
+    bool m_abandoned = false;
+    // The connection was already accounted for.
+    bool m_connectionSettled = false;
+  };
+  using SentMap = std::map<WorkId, SentWork>;
+
+  void Pump(TimePoint aNow, GateActions& aActions);
+  void DispatchNext(TimePoint aNow, GateActions& aActions);
+  void RefuseAll(MissingReason aReason, GateActions& aActions);
+  void RefuseHopeless(TimePoint aNow, GateActions& aActions);
+  void CloseIdle(GateActions& aActions);
+  void AbandonOverdue(TimePoint aNow, GateActions& aActions);
+  void ProbeIfDue(TimePoint aNow, GateActions& aActions);
+  void Abandon(SentMap::iterator aSent, GateActions& aActions);
+  void SettleConnection(SentWork& aSent, ConnectionFate aFate);
+  void NoteBoot(BootId aBoot, TimePoint aDispatchedAt, TimePoint aNow);
+  void NoteResult(const SentWork& aSent,
+                  const UpstreamResult& aResult,
+                  TimePoint aNow);
+  void BackOff(Duration aAtLeast, TimePoint aNow);
+  void MarkDraining(TimePoint aNow);
+  [[nodiscard]] Duration EstimatedWait(const WorkItem& aItem) const;
+  [[nodiscard]] uint32_t ConnectionsAllowed() const;
+  [[nodiscard]] uint32_t Inherited(TimePoint aNow) const;
+
+  const UpstreamId m_upstream;
+  const UpstreamLimits m_limits;
+  const GateSettings m_settings;
+  const SendPermit& m_permit;
+  const std::unique_ptr<AdmissionPolicy> m_policy;
+
+  FairQueue m_queue;
+  SentMap m_sent;
+  uint32_t m_idleConnections = 0;
+  uint32_t m_lingeringConnections = 0;
+
+  bool m_owned = false;
+  // When the state was last brought up to date.
+  TimePoint m_pumpedAt;
+  uint32_t m_inheritedWork = 0;
+  TimePoint m_inheritedUntil;
+  std::optional<WarmthHint> m_hint;
+
+  BootId m_bootId = 0;
+  TimePoint m_bootSince;
+
+  Duration m_backoff{ 0 };
+  TimePoint m_backoffUntil;
+  MissingReason m_backoffReason = MissingReason::kNone;
+
+  uint8_t m_closures = 0;
+  // The upstream itself said that it is leaving.
+  bool m_markedDraining = false;
+  TimePoint m_nextProbe;
+  std::optional<TimePoint> m_probeSentAt;
+};
+
+} // namespace ebonykeel
