--- /dev/null
+++ b/packages/core/filing/claim.cc
@@ -0,0 +1,180 @@
+#include "core/filing/claim.h"
+
+#include <optional>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "absl/strings/escaping.h"
+#include "nlohmann/json.hpp"
+
+namespace ebonykeel {
+namespace {
+
+using nlohmann::json;
+
+// Raised when the meaning or order of a claim's fields changes.
+constexpr int kFormat = 1;
+// Caller, request, nonce high, nonce low, state, owner, digest, issued at,
+// claimed at, result, whether the result was kept.
+constexpr size_t kFields = 11;
+// Quotes, commas, brackets, four numbers of 20 digits and the state.
+constexpr size_t kFixedBytes = 128;
+
+// Names are kept as ASCII: JSON bears no other bytes than UTF-8.
+std::string
+Escaped(std::string_view aText)
+{
+  return absl::CEscape(absl::string_view(aText.data(), aText.size()));
+}
+
+json
+EncodeClaim(const ClaimKey& aKey, const Claim& aClaim)
+{
+  return json::array({ Escaped(aKey.m_caller.View()),
+                       Escaped(aKey.m_request.View()),
+                       aClaim.m_nonce.m_high,
+                       aClaim.m_nonce.m_low,
+                       static_cast<int>(aClaim.m_state),
+                       Escaped(aClaim.m_owner.View()),
+                       Escaped(aClaim.m_digest),
+                       aClaim.m_issuedAt.time_since_epoch().count(),
+                       aClaim.m_claimedAt.time_since_epoch().count(),
+                       absl::Base64Escape(aClaim.m_result),
+                       aClaim.m_resultKept });
+}
+
+std::optional<std::string>
+ReadText(const json& aField)
+{
+  std::string text;
+  if (!aField.is_string() ||
+      !absl::CUnescape(aField.get_ref<const std::string&>(), &text)) {
+    return std::nullopt;
+  }
+  return text;
+}
+
+std::optional<WallTime>
+ReadTime(const json& aField)
+{
+  if (!aField.is_number_integer()) {
+    return std::nullopt;
+  }
+  return WallTime(std::chrono::milliseconds(aField.get<int64_t>()));
+}
+
+std::optional<ClaimState>
+ReadState(const json& aField)
+{
+  if (!aField.is_number_unsigned() ||
+      aField.get<uint64_t>() > static_cast<uint64_t>(ClaimState::kNotRun)) {
+    return std::nullopt;
+  }
+  return static_cast<ClaimState>(aField.get<int>());
+}
+
+std::optional<std::pair<ClaimKey, Claim>>
+ReadClaim(const json& aFields)
+{
+  if (!aFields.is_array() || aFields.size() != kFields) {
+    return std::nullopt;
+  }
+  auto caller = ReadText(aFields[0]);
+  auto request = ReadText(aFields[1]);
+  auto state = ReadState(aFields[4]);
+  auto owner = ReadText(aFields[5]);
+  auto digest = ReadText(aFields[6]);
+  auto issuedAt = ReadTime(aFields[7]);
+  auto claimedAt = ReadTime(aFields[8]);
+  std::string result;
+  if (!caller || !request || !aFields[2].is_number_unsigned() ||
+      !aFields[3].is_number_unsigned() || !state || !owner || !digest ||
+      !issuedAt || !claimedAt || !aFields[9].is_string() ||
+      !aFields[10].is_boolean() ||
+      !absl::Base64Unescape(aFields[9].get_ref<const std::string&>(),
+                            &result)) {
+    return std::nullopt;
+  }
+  Claim claim{ .m_nonce = { aFields[2].get<uint64_t>(),
+                            aFields[3].get<uint64_t>() },
+               .m_state = *state,
+               .m_owner = InstanceId(std::move(*owner)),
+               .m_digest = std::move(*digest),
+               .m_issuedAt = *issuedAt,
+               .m_claimedAt = *claimedAt,
+               .m_result = std::move(result),
+               .m_resultKept = aFields[10].get<bool>() };
+  return std::pair(
+    ClaimKey{ CallerName(std::move(*caller)), RequestId(std::move(*request)) },
+    std::move(claim));
+}
+
+} // namespace
+
+std::string
+EncodeBucket(const ClaimBucket& aBucket)
+{
+  json claims = json::array();
+  for (const auto& [key, claim] : aBucket) {
+    claims.push_back(EncodeClaim(key, claim));
+  }
+  json document = { { "format", kFormat }, { "claims", std::move(claims) } };
+  return document.dump();
+}
+
+size_t
+EncodedSizeBound(const ClaimKey& aKey, const Claim& aClaim)
+{
+  // Escaping makes at most five bytes of one, as JSON doubles its backslash.
+  size_t names = aKey.m_caller.View().size() + aKey.m_request.View().size() +
+                 aClaim.m_owner.View().size() + aClaim.m_digest.size();
+  return kFixedBytes + (5 * names) + (aClaim.m_result.size() * 4 / 3) + 4;
+}
+
+absl::StatusOr<ClaimBucket>
+DecodeBucket(std::string_view aText)
+{
+  json document = json::parse(aText, nullptr, false);
+  if (!document.is_object() || document.size() != 2) {
+    return absl::InvalidArgumentError("claim bucket is not an object of two");
+  }
+  auto format = document.find("format");
+  auto claims = document.find("claims");
+  if (format == document.end() || *format != kFormat) {
+    return absl::InvalidArgumentError("claim bucket has another format");
+  }
+  if (claims == document.end() || !claims->is_array()) {
+    return absl::InvalidArgumentError("claim bucket has no list of claims");
+  }
+  ClaimBucket bucket;
+  for (const json& fields : *claims) {
+    auto claim = ReadClaim(fields);
+    if (!claim) {
+      return absl::InvalidArgumentError("claim is malformed");
+    }
+    if (!bucket.insert(std::move(*claim)).second) {
+      return absl::InvalidArgumentError("claim stands twice");
+    }
+  }
+  return bucket;
+}
+
+uint32_t
+BucketOf(const ClaimKey& aKey, uint32_t aBuckets)
+{
+  // FNV-1a: claims outlive the process, so the hash may not be seeded.
+  constexpr uint64_t kOffset = 14695981039346656037ULL;
+  constexpr uint64_t kPrime = 1099511628211ULL;
+  uint64_t hash = kOffset;
+  auto add = [&hash](std::string_view aText) {
+    for (char byte : aText) {
+      hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+    }
+    hash = (hash ^ 0xFFU) * kPrime;
+  };
+  add(aKey.m_caller.View());
+  add(aKey.m_request.View());
+  return static_cast<uint32_t>((hash ^ (hash >> 32U)) % aBuckets);
+}
+
+} // namespace ebonykeel
--- a/packages/core/upstream/upstream_gate.cc
+++ b/packages/core/upstream/upstream_gate.cc
@@ -81,13 +81,13 @@
 {
   GateActions actions;
   if (aNow + EstimatedWait(aItem) > aItem.m_deadline) {
-    actions.push_back(GateRefuse{ aItem.m_id, MissingReason::kOverloaded });
+    actions.emplace_back(GateRefuse{ aItem.m_id, MissingReason::kOverloaded });
     return actions;
   }
   if (m_queue.size() >= m_settings.m_queueLimit) {
     std::optional<WorkItem> evicted = m_queue.EvictFor(aItem.m_caller);
     WorkId refused = evicted ? evicted->m_id : aItem.m_id;
-    actions.push_back(GateRefuse{ refused, MissingReason::kOverloaded });
+    actions.emplace_back(GateRefuse{ refused, MissingReason::kOverloaded });
     if (!evicted) {
       return actions;
     }
@@ -318,14 +318,14 @@
   m_sent[item->m_id] = SentWork{ .m_dispatchedAt = aNow,
                                  .m_deadline = item->m_deadline,
                                  .m_cost = item->m_cost };
-  aActions.push_back(GateDispatch{ item->m_id, newConnection });
+  aActions.emplace_back(GateDispatch{ item->m_id, newConnection });
 }
 
 void
 UpstreamGate::RefuseAll(MissingReason aReason, GateActions& aActions)
 {
   for (const WorkItem& item : m_queue.TakeAll()) {
-    aActions.push_back(GateRefuse{ item.m_id, aReason });
+    aActions.emplace_back(GateRefuse{ item.m_id, aReason });
   }
 }
 
@@ -338,7 +338,7 @@
     backingOff ? m_backoffReason : MissingReason::kDeadline;
   for (const WorkItem& item :
        m_queue.TakeDueBy(earliest + m_settings.m_refusalMargin)) {
-    aActions.push_back(GateRefuse{ item.m_id, reason });
+    aActions.emplace_back(GateRefuse{ item.m_id, reason });
   }
 }
 
@@ -350,7 +350,7 @@
   }
   // They stay counted until the owner reports them closed.
   m_lingeringConnections += std::exchange(m_idleConnections, 0);
-  aActions.push_back(GateCloseIdleConnections{});
+  aActions.emplace_back(GateCloseIdleConnections{});
 }
 
 void
@@ -392,7 +392,7 @@
     return;
   }
   m_probeSentAt = aNow;
-  aActions.push_back(GateProbe{});
+  aActions.emplace_back(GateProbe{});
 }
 
 void
@@ -401,7 +401,7 @@
   if (std::exchange(aSent->second.m_abandoned, true)) {
     return;
   }
-  aActions.push_back(GateCancelInFlight{ aSent->first });
+  aActions.emplace_back(GateCancelInFlight{ aSent->first });
 }
 
 void
