Run a query as a machine: pin, choose, hedge, retry, assemble

QueryRun takes typed events with the time and returns typed actions.

Weighed: letting the caller pass pinned configurations in. The run asks the tracker itself instead, since it must be able to ask again when its version is gone.

messages.h grows SubQuery::m_hedge and SubAnswer::m_cold, m_heldVersions.

Not tested yet beyond compiling and lint.

--- /dev/null
+++ b/packages/core/query/internal/service_try.cc
@@ -0,0 +1,88 @@
+#include "core/query/internal/service_try.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace ebonykeel::internal {
+
+bool
+ShardState::Waiting() const
+{
+  return std::ranges::any_of(m_requests, &SubRequest::m_open);
+}
+
+SubRequest*
+ShardState::Find(const std::string& aId)
+{
+  auto found = std::ranges::find(m_requests, aId, &SubRequest::m_id);
+  return found == m_requests.end() ? nullptr : &*found;
+}
+
+std::vector<UpstreamId>
+ShardState::Tried() const
+{
+  std::vector<UpstreamId> tried;
+  std::ranges::transform(
+    m_requests, std::back_inserter(tried), &SubRequest::m_upstream);
+  return tried;
+}
+
+ServiceTry::ServiceTry(ServiceSnapshot aSnapshot)
+  : m_snapshot(std::move(aSnapshot))
+{
+  for (const ShardConfig& shard : m_snapshot.m_service->m_shards) {
+    m_shards.emplace_back().m_shard = &shard;
+  }
+}
+
+uint32_t
+ServiceTry::Answered() const
+{
+  auto answered = std::ranges::count_if(m_shards, [](const ShardState& aShard) {
+    return aShard.m_whole.has_value();
+  });
+  return static_cast<uint32_t>(answered);
+}
+
+ServiceAnswer
+ServiceTry::Assemble(uint32_t aLimit) const
+{
+  ServiceAnswer answer;
+  answer.m_service = m_snapshot.m_service->m_name;
+  answer.m_indexVersion = m_snapshot.Version();
+  answer.m_coverage.m_shards = static_cast<uint32_t>(m_shards.size());
+  answer.m_coverage.m_answered = Answered();
+  std::vector<Hit> hits;
+  for (const ShardState& shard : m_shards) {
+    const auto& used = shard.m_whole ? shard.m_whole : shard.m_partial;
+    if (used) {
+      std::ranges::copy(used->m_hits, std::back_inserter(hits));
+    }
+    if (!shard.m_whole) {
+      bool partial = shard.m_partial.has_value();
+      answer.m_coverage.m_missing.push_back(
+        { shard.m_shard->m_name,
+          partial ? MissingReason::kNone : shard.m_reason,
+          partial });
+    }
+  }
+  answer.m_hits = BestHits(std::move(hits), aLimit);
+  return answer;
+}
+
+std::vector<Hit>
+BestHits(std::vector<Hit> aHits, uint32_t aLimit)
+{
+  auto better = [](const Hit& aLeft, const Hit& aRight) {
+    return std::tie(aRight.m_score, aLeft.m_document) <
+           std::tie(aLeft.m_score, aRight.m_document);
+  };
+  size_t kept = std::min<size_t>(aLimit, aHits.size());
+  auto middle = aHits.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::ranges::partial_sort(aHits, middle, better);
+  aHits.erase(middle, aHits.end());
+  return aHits;
+}
+
+} // namespace ebonykeel::internal
--- a/packages/core/query/messages.h
+++ b/packages/core/query/messages.h
@@ -71,6 +71,9 @@
   IndexVersion m_indexVersion = 0;
   std::string m_text;
   uint32_t m_limit = 10;
+  // A second copy of work that another replica already has. Whoever sends to
+  // the upstream refuses it with `kShed` while that upstream is in cold start.
+  bool m_hedge = false;
 };
 
 // What came back for one sub-query.
@@ -84,6 +87,12 @@
   MissingReason m_reason = MissingReason::kNone;
   // False when the upstream searched only a part of its shard.
   bool m_whole = true;
+  // True while the instance that sends to the upstream holds it to less than
+  // its full slots because of a cold start.
+  bool m_cold = false;
+  // Every index version that the upstream says it holds; empty when it did not
+  // say.
+  std::vector<IndexVersion> m_heldVersions;
   std::vector<Hit> m_hits;
 };
 
--- /dev/null
+++ b/packages/core/query/query_run.cc
@@ -0,0 +1,630 @@
+#include "core/query/query_run.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+// What is kept of the caller's time for the answer's way back.
+constexpr Duration kAnswerReserve = Milliseconds(3);
+// The largest part of the caller's time that is kept, as its divisor.
+constexpr int kAnswerReserveDivisor = 5;
+// A sub-query unanswered for this many hedge delays is taken for lost.
+constexpr int kSilentDelays = 4;
+constexpr Duration kShortestSilence = Milliseconds(20);
+// A sub-query is taken for lost after at most this part of the time left.
+constexpr int kSilenceDivisor = 3;
+// A restart on another snapshot needs this part of the query's time.
+constexpr int kRestartDivisor = 4;
+// Sub-queries sent for one shard on one snapshot.
+constexpr size_t kMostRequests = 4;
+// The wait before a replica that failed is asked again; doubles each time.
+constexpr Duration kRetryBackoff = Milliseconds(4);
+
+TimePoint
+AnswerBy(const QueryRequest& aRequest)
+{
+  Duration total = aRequest.m_deadline - aRequest.m_arrival;
+  return aRequest.m_deadline -
+         std::min(kAnswerReserve, total / kAnswerReserveDivisor);
+}
+
+// Whether work refused for this reason never reached an upstream, so that
+// sending it elsewhere adds no load.
+bool
+MovesWithoutLoad(MissingReason aReason)
+{
+  return aReason == MissingReason::kWithdrawn ||
+         aReason == MissingReason::kVersionNotHeld ||
+         aReason == MissingReason::kNoOwner;
+}
+
+void
+Earlier(std::optional<TimePoint>& aNext, std::optional<TimePoint> aOther)
+{
+  if (aOther && (!aNext || *aOther < *aNext)) {
+    aNext = aOther;
+  }
+}
+
+} // namespace
+
+bool
+QueryAnswer::Whole() const
+{
+  return m_unknownServices.empty() &&
+         std::ranges::all_of(m_services, [](const ServiceAnswer& aService) {
+           return aService.m_coverage.Whole();
+         });
+}
+
+QueryRun::QueryRun(QueryRequest aRequest,
+                   const QueryDependencies& aDependencies,
+                   SubQueryIds aIds)
+  : m_request(std::move(aRequest))
+  , m_dependencies(aDependencies)
+  , m_ids(std::move(aIds))
+  , m_answerBy(AnswerBy(m_request))
+{
+}
+
+std::vector<QueryAction>
+QueryRun::Start(TimePoint aNow)
+{
+  Actions actions;
+  for (const ServiceName& service : m_request.m_services) {
+    AddPart(service, aNow);
+  }
+  if (aNow < m_answerBy) {
+    for (size_t part = 0; part < m_parts.size(); ++part) {
+      SendFirst(part, aNow, actions);
+    }
+  }
+  SettleParts(aNow, actions);
+  return actions;
+}
+
+void
+QueryRun::AddPart(const ServiceName& aService, TimePoint aNow)
+{
+  std::optional<ServiceSnapshot> pinned =
+    m_dependencies.m_snapshots.Pin(aService, aNow);
+  if (!pinned) {
+    m_unknownServices.push_back(aService);
+    return;
+  }
+  const ServiceConfig& config = *pinned->m_service;
+  TimePoint target =
+    std::min(m_request.m_arrival + config.m_target.m_latency, m_answerBy);
+  m_parts.push_back(
+    { .m_try = ServiceTry(*pinned),
+      .m_preference = m_request.m_preference.value_or(config.m_preference),
+      .m_latencyTarget = target });
+}
+
+void
+QueryRun::SendFirst(size_t aPart, TimePoint aNow, Actions& aActions)
+{
+  ServicePart& part = m_parts[aPart];
+  uint32_t sent = 0;
+  for (size_t index = 0; index < part.m_try.m_shards.size(); ++index) {
+    ShardState& shard = part.m_try.m_shards[index];
+    ReplicaChoice choice =
+      ChooseReplica(part, shard, Attempt::kFirst, false, aNow);
+    if (choice.m_replica == nullptr) {
+      shard.m_givenUp = true;
+      shard.m_reason = choice.m_reason;
+      continue;
+    }
+    Send({ aPart, index }, *choice.m_replica, Attempt::kFirst, aNow, aActions);
+    ++sent;
+  }
+  m_dependencies.m_hedges.OnFirstAttempts(sent);
+  m_dependencies.m_retries.Earn(sent);
+}
+
+void
+QueryRun::Send(Position aPosition,
+               const UpstreamConfig& aReplica,
+               Attempt aAttempt,
+               TimePoint aNow,
+               Actions& aActions)
+{
+  ServicePart& part = m_parts[aPosition.m_part];
+  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
+  const ServiceName& service = part.m_try.m_snapshot.m_service->m_name;
+  SubQuery subQuery{ .m_id = m_ids.Next(),
+                     .m_service = service,
+                     .m_shard = shard.m_shard->m_name,
+                     .m_upstream = aReplica.m_id,
+                     .m_indexVersion = part.m_try.m_snapshot.Version(),
+                     .m_text = m_request.m_text,
+                     .m_limit = m_request.m_limit,
+                     .m_hedge = aAttempt == Attempt::kHedge };
+  shard.m_requests.push_back({ .m_id = subQuery.m_id,
+                               .m_upstream = aReplica.m_id,
+                               .m_attempt = aAttempt,
+                               .m_sentAt = aNow,
+                               .m_silentAt = aNow + SilentAfter(part, aNow) });
+  aPosition.m_restarted = part.m_abandoned.has_value();
+  m_positions.emplace(subQuery.m_id, aPosition);
+  m_dependencies.m_selector.OnSent(aReplica.m_id);
+  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
+  shard.m_hedgeAt.reset();
+  if (delay) {
+    shard.m_hedgeAt = aNow + *delay;
+  }
+  CountSent(aAttempt);
+  aActions.emplace_back(SendSubQuery{ .m_subQuery = std::move(subQuery),
+                                      .m_attempt = aAttempt,
+                                      .m_remaining = m_answerBy - aNow });
+}
+
+void
+QueryRun::CountSent(Attempt aAttempt)
+{
+  m_counts.m_first += aAttempt == Attempt::kFirst ? 1 : 0;
+  m_counts.m_hedges += aAttempt == Attempt::kHedge ? 1 : 0;
+  m_counts.m_retries += aAttempt == Attempt::kRetry ? 1 : 0;
+}
+
+std::vector<QueryAction>
+QueryRun::OnSubAnswer(const SubAnswer& aAnswer, TimePoint aNow)
+{
+  Actions actions;
+  auto found = m_positions.find(aAnswer.m_id);
+  if (found == m_positions.end()) {
+    ++m_counts.m_ignoredUnknown;
+    return actions;
+  }
+  Position position = found->second;
+  ServicePart& part = m_parts[position.m_part];
+  bool current = position.m_restarted == part.m_abandoned.has_value();
+  if (m_finished || !current) {
+    ++m_counts.m_ignoredLate;
+    return actions;
+  }
+  ShardState& shard = part.m_try.m_shards[position.m_shard];
+  SubRequest* request = shard.Find(aAnswer.m_id);
+  if (request == nullptr || !request->m_open) {
+    ++m_counts.m_ignoredLate;
+    return actions;
+  }
+  request->m_open = false;
+  bool crossed = aAnswer.m_reason == MissingReason::kNone &&
+                 (aAnswer.m_upstream != request->m_upstream ||
+                  aAnswer.m_shard != shard.m_shard->m_name ||
+                  aAnswer.m_indexVersion != part.m_try.m_snapshot.Version());
+  if (crossed) {
+    ++m_counts.m_ignoredCrossed;
+    SubAnswer bad{ .m_id = aAnswer.m_id,
+                   .m_reason = MissingReason::kBadAnswer };
+    Learn(part, *request, bad, aNow);
+    Fail(position, MissingReason::kBadAnswer, aNow, actions);
+  } else {
+    Learn(part, *request, aAnswer, aNow);
+    Take(position, aAnswer, aNow, actions);
+  }
+  SettleParts(aNow, actions);
+  return actions;
+}
+
+void
+QueryRun::Learn(const ServicePart& aPart,
+                const SubRequest& aRequest,
+                const SubAnswer& aAnswer,
+                TimePoint aNow)
+{
+  const ServiceSnapshot& snapshot = aPart.m_try.m_snapshot;
+  Duration latency = aNow - aRequest.m_sentAt;
+  m_dependencies.m_selector.OnSubAnswer(
+    aRequest.m_upstream, aAnswer, latency, aNow);
+  m_dependencies.m_snapshots.OnSubAnswer(
+    aRequest.m_upstream, snapshot.Version(), aAnswer, aNow);
+  bool measured = aAnswer.m_reason == MissingReason::kNone &&
+                  aRequest.m_attempt == Attempt::kFirst;
+  if (measured) {
+    m_dependencies.m_hedges.OnLatency(snapshot.m_service->m_name, latency);
+  }
+}
+
+void
+QueryRun::Take(Position aPosition,
+               const SubAnswer& aAnswer,
+               TimePoint aNow,
+               Actions& aActions)
+{
+  ShardState& shard =
+    m_parts[aPosition.m_part].m_try.m_shards[aPosition.m_shard];
+  if (aAnswer.m_reason != MissingReason::kNone) {
+    Fail(aPosition, aAnswer.m_reason, aNow, aActions);
+    return;
+  }
+  if (!aAnswer.m_whole) {
+    if (!shard.m_partial) {
+      shard.m_partial = aAnswer;
+    }
+    Fail(aPosition, MissingReason::kNone, aNow, aActions);
+    return;
+  }
+  shard.m_whole = aAnswer;
+  CancelOpen(m_parts[aPosition.m_part], shard, aNow, aActions);
+}
+
+void
+QueryRun::Fail(Position aPosition,
+               MissingReason aReason,
+               TimePoint aNow,
+               Actions& aActions)
+{
+  ShardState& shard =
+    m_parts[aPosition.m_part].m_try.m_shards[aPosition.m_shard];
+  shard.m_reason = aReason;
+  if (!shard.Waiting()) {
+    Recover(aPosition, aNow, aActions);
+  }
+}
+
+// Sends the shard to another replica, or to the same one after a pause, or
+// gives it up.
+void
+QueryRun::Recover(Position aPosition, TimePoint aNow, Actions& aActions)
+{
+  ServicePart& part = m_parts[aPosition.m_part];
+  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
+  shard.m_retryAt.reset();
+  if (shard.m_requests.size() >= kMostRequests) {
+    shard.m_givenUp = true;
+    return;
+  }
+  ReplicaChoice choice =
+    ChooseReplica(part, shard, Attempt::kRetry, false, aNow);
+  if (choice.m_replica != nullptr) {
+    bool allowed =
+      MovesWithoutLoad(shard.m_reason) || m_dependencies.m_retries.TryTake();
+    if (allowed) {
+      Send(aPosition, *choice.m_replica, Attempt::kRetry, aNow, aActions);
+    } else {
+      shard.m_givenUp = true;
+    }
+    return;
+  }
+  if (choice.m_reason == MissingReason::kVersionNotHeld &&
+      Restart(aPosition.m_part, aNow, aActions)) {
+    return;
+  }
+  RetryLater(part, shard, choice.m_reason, aNow);
+}
+
+void
+QueryRun::RetryLater(ServicePart& aPart,
+                     ShardState& aShard,
+                     MissingReason aReason,
+                     TimePoint aNow)
+{
+  Duration pause = kRetryBackoff * (1 << (aShard.m_requests.size() - 1));
+  ReplicaChoice again =
+    ChooseReplica(aPart, aShard, Attempt::kRetry, true, aNow);
+  bool late = aNow + pause >= m_answerBy;
+  if (again.m_replica == nullptr || late) {
+    bool better = aShard.m_reason == MissingReason::kNone ||
+                  aReason != MissingReason::kUnreachable;
+    aShard.m_reason = better ? aReason : aShard.m_reason;
+    aShard.m_givenUp = true;
+    return;
+  }
+  aShard.m_retryAt = aNow + pause;
+}
+
+bool
+QueryRun::Restart(size_t aPart, TimePoint aNow, Actions& aActions)
+{
+  ServicePart& part = m_parts[aPart];
+  Duration total = m_answerBy - m_request.m_arrival;
+  if (part.m_abandoned || m_answerBy - aNow < total / kRestartDivisor) {
+    return false;
+  }
+  std::optional<ServiceSnapshot> other =
+    m_dependencies.m_snapshots.PinOther(part.m_try.m_snapshot, aNow);
+  if (!other) {
+    return false;
+  }
+  for (ShardState& shard : part.m_try.m_shards) {
+    CancelOpen(part, shard, aNow, aActions);
+  }
+  part.m_abandoned = std::exchange(part.m_try, ServiceTry(*other));
+  ++m_counts.m_restarts;
+  SendFirst(aPart, aNow, aActions);
+  return true;
+}
+
+void
+QueryRun::CancelOpen(const ServicePart& aPart,
+                     ShardState& aShard,
+                     TimePoint aNow,
+                     Actions& aActions)
+{
+  for (SubRequest& request : aShard.m_requests) {
+    if (!request.m_open) {
+      continue;
+    }
+    request.m_open = false;
+    Duration elapsed = aNow - request.m_sentAt;
+    m_dependencies.m_selector.OnAbandoned(request.m_upstream, elapsed, aNow);
+    if (request.m_attempt == Attempt::kFirst) {
+      m_dependencies.m_hedges.OnLatency(
+        aPart.m_try.m_snapshot.m_service->m_name, elapsed);
+    }
+    aActions.emplace_back(CancelSubQuery{ request.m_id, request.m_upstream });
+  }
+}
+
+ReplicaChoice
+QueryRun::ChooseReplica(const ServicePart& aPart,
+                        const ShardState& aShard,
+                        Attempt aAttempt,
+                        bool aAgain,
+                        TimePoint aNow)
+{
+  std::vector<UpstreamId> excluded;
+  if (!aAgain) {
+    excluded = aShard.Tried();
+  }
+  IndexVersion version = aPart.m_try.m_snapshot.Version();
+  size_t behind = 0;
+  size_t allowed = 0;
+  for (const UpstreamConfig& replica : aShard.m_shard->m_replicas) {
+    if (!m_dependencies.m_selector.Allows(replica)) {
+      continue;
+    }
+    ++allowed;
+    if (!m_dependencies.m_snapshots.MayHold(replica.m_id, version, aNow)) {
+      ++behind;
+      excluded.push_back(replica.m_id);
+    }
+  }
+  if (allowed > 0 && behind == allowed) {
+    return { nullptr, MissingReason::kVersionNotHeld };
+  }
+  return m_dependencies.m_selector.Choose(
+    *aShard.m_shard, excluded, aAttempt, aNow);
+}
+
+Duration
+QueryRun::SilentAfter(const ServicePart& aPart, TimePoint aNow) const
+{
+  Duration longest = (m_answerBy - aNow) / kSilenceDivisor;
+  const ServiceName& service = aPart.m_try.m_snapshot.m_service->m_name;
+  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
+  if (!delay) {
+    return longest;
+  }
+  return std::min(longest, std::max(*delay * kSilentDelays, kShortestSilence));
+}
+
+std::vector<QueryAction>
+QueryRun::OnTimer(TimePoint aNow)
+{
+  Actions actions;
+  if (m_finished) {
+    return actions;
+  }
+  if (aNow < m_answerBy) {
+    CheckShardTimers(aNow, actions);
+    SendHedges(aNow, actions);
+  }
+  SettleParts(aNow, actions);
+  return actions;
+}
+
+// Sends retries whose pause is over, and retries for what fell silent.
+void
+QueryRun::CheckShardTimers(TimePoint aNow, Actions& aActions)
+{
+  for (size_t part = 0; part < m_parts.size(); ++part) {
+    if (m_parts[part].m_done) {
+      continue;
+    }
+    for (size_t index = 0; index < m_parts[part].m_try.m_shards.size();
+         ++index) {
+      CheckShardTimer({ part, index }, aNow, aActions);
+    }
+  }
+}
+
+void
+QueryRun::CheckShardTimer(Position aPosition, TimePoint aNow, Actions& aActions)
+{
+  ServicePart& part = m_parts[aPosition.m_part];
+  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
+  if (shard.Settled()) {
+    return;
+  }
+  if (shard.m_retryAt && *shard.m_retryAt <= aNow) {
+    RetrySame(aPosition, aNow, aActions);
+    return;
+  }
+  bool fellSilent = false;
+  for (SubRequest& request : shard.m_requests) {
+    bool due =
+      request.m_open && !request.m_silent && request.m_silentAt <= aNow;
+    if (due) {
+      request.m_silent = true;
+      fellSilent = true;
+      m_dependencies.m_selector.OnSilent(request.m_upstream, aNow);
+    }
+  }
+  bool allSilent = std::ranges::all_of(shard.m_requests, [](const auto& aOne) {
+    return !aOne.m_open || aOne.m_silent;
+  });
+  if (fellSilent && allSilent && shard.m_requests.size() < kMostRequests) {
+    ReplicaChoice choice =
+      ChooseReplica(part, shard, Attempt::kRetry, false, aNow);
+    if (choice.m_replica != nullptr && m_dependencies.m_retries.TryTake()) {
+      Send(aPosition, *choice.m_replica, Attempt::kRetry, aNow, aActions);
+    }
+  }
+}
+
+void
+QueryRun::RetrySame(Position aPosition, TimePoint aNow, Actions& aActions)
+{
+  ServicePart& part = m_parts[aPosition.m_part];
+  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
+  shard.m_retryAt.reset();
+  ReplicaChoice choice =
+    ChooseReplica(part, shard, Attempt::kRetry, true, aNow);
+  if (choice.m_replica != nullptr && m_dependencies.m_retries.TryTake()) {
+    Send(aPosition, *choice.m_replica, Attempt::kRetry, aNow, aActions);
+    return;
+  }
+  shard.m_givenUp = true;
+}
+
+// Hedges the shards that are overdue, if they are so few that stragglers and
+// not a general slowness must be the cause.
+void
+QueryRun::SendHedges(TimePoint aNow, Actions& aActions)
+{
+  std::vector<Position> overdue;
+  for (size_t part = 0; part < m_parts.size(); ++part) {
+    if (m_parts[part].m_done) {
+      continue;
+    }
+    const std::vector<ShardState>& shards = m_parts[part].m_try.m_shards;
+    for (size_t index = 0; index < shards.size(); ++index) {
+      const ShardState& shard = shards[index];
+      bool due = !shard.Settled() && shard.Waiting() && shard.m_hedgeAt &&
+                 *shard.m_hedgeAt <= aNow;
+      if (due) {
+        overdue.push_back({ part, index });
+      }
+    }
+  }
+  HedgePolicy& hedges = m_dependencies.m_hedges;
+  bool general = overdue.size() > hedges.QueryCap(Shards());
+  for (Position position : overdue) {
+    ServicePart& part = m_parts[position.m_part];
+    ShardState& shard = part.m_try.m_shards[position.m_shard];
+    shard.m_hedgeAt.reset();
+    if (general) {
+      Postpone(part, shard, aNow);
+      continue;
+    }
+    if (shard.m_requests.size() >= kMostRequests) {
+      continue;
+    }
+    ReplicaChoice choice =
+      ChooseReplica(part, shard, Attempt::kHedge, false, aNow);
+    if (choice.m_replica != nullptr &&
+        hedges.TryTake(m_counts.m_hedges, Shards())) {
+      Send(position, *choice.m_replica, Attempt::kHedge, aNow, aActions);
+    }
+  }
+}
+
+void
+QueryRun::Postpone(const ServicePart& aPart, ShardState& aShard, TimePoint aNow)
+{
+  const ServiceName& service = aPart.m_try.m_snapshot.m_service->m_name;
+  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
+  if (delay) {
+    aShard.m_hedgeAt = aNow + *delay;
+  }
+}
+
+bool
+QueryRun::PartDone(const ServicePart& aPart, TimePoint aNow) const
+{
+  if (aNow >= m_answerBy) {
+    return true;
+  }
+  const std::vector<ShardState>& shards = aPart.m_try.m_shards;
+  if (std::ranges::all_of(shards, &ShardState::Settled)) {
+    return true;
+  }
+  if (aPart.m_preference != Preference::kLatency ||
+      aNow < aPart.m_latencyTarget) {
+    return false;
+  }
+  double wanted = aPart.m_try.m_snapshot.m_service->m_sufficientCoverage *
+                  static_cast<double>(shards.size());
+  return aPart.m_try.Answered() >= wanted;
+}
+
+void
+QueryRun::SettleParts(TimePoint aNow, Actions& aActions)
+{
+  for (ServicePart& part : m_parts) {
+    if (part.m_done || !PartDone(part, aNow)) {
+      continue;
+    }
+    part.m_done = true;
+    for (ShardState& shard : part.m_try.m_shards) {
+      CancelOpen(part, shard, aNow, aActions);
+    }
+  }
+  if (!m_finished && std::ranges::all_of(m_parts, &ServicePart::m_done)) {
+    m_finished = true;
+    aActions.emplace_back(Finish{ Assemble() });
+  }
+}
+
+std::optional<TimePoint>
+QueryRun::NextTimer() const
+{
+  if (m_finished) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> next = m_answerBy;
+  for (const ServicePart& part : m_parts) {
+    if (part.m_done) {
+      continue;
+    }
+    if (part.m_preference == Preference::kLatency) {
+      Earlier(next, part.m_latencyTarget);
+    }
+    for (const ShardState& shard : part.m_try.m_shards) {
+      if (shard.Settled()) {
+        continue;
+      }
+      Earlier(next, shard.m_hedgeAt);
+      Earlier(next, shard.m_retryAt);
+      for (const SubRequest& request : shard.m_requests) {
+        if (request.m_open && !request.m_silent) {
+          Earlier(next, request.m_silentAt);
+        }
+      }
+    }
+  }
+  return next;
+}
+
+uint32_t
+QueryRun::Shards() const
+{
+  return std::accumulate(
+    m_parts.begin(), m_parts.end(), 0U, [](uint32_t aSum, const auto& aPart) {
+      return aSum + static_cast<uint32_t>(aPart.m_try.m_shards.size());
+    });
+}
+
+QueryAnswer
+QueryRun::Assemble() const
+{
+  QueryAnswer answer{ .m_requestId = m_request.m_requestId,
+                      .m_caller = m_request.m_caller,
+                      .m_unknownServices = m_unknownServices };
+  for (const ServicePart& part : m_parts) {
+    bool earlierCoversMore =
+      part.m_abandoned && part.m_abandoned->Answered() > part.m_try.Answered();
+    const ServiceTry& best = earlierCoversMore ? *part.m_abandoned : part.m_try;
+    answer.m_services.push_back(best.Assemble(m_request.m_limit));
+  }
+  answer.m_outcome = m_counts.m_first > 0 ? Outcome::kRan : Outcome::kNotRun;
+  return answer;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/query/query_run.h
@@ -0,0 +1,231 @@
+// One query from its start to its answer, as the instance that took it sees
+// it: which sub-queries to send, what to believe of the answers, when to stop.
+//
+// The run never waits and never reads a clock. Each call takes what happened
+// and the time, and returns what to do, in order. The last action is always
+// one `Finish`; afterwards every call returns nothing.
+//
+//   QueryRun run(request, { snapshots, selector, hedges, retries }, ids);
+//   Perform(run.Start(now));
+//   ... on a sub-answer:   Perform(run.OnSubAnswer(answer, now));
+//   ... at NextTimer():    Perform(run.OnTimer(now));
+//
+// Snapshots. Each service is pinned to one snapshot at the start. When all the
+// allowed replicas of a shard say that they do not hold the pinned version,
+// and a quarter of the query's time is left, the service starts again from the
+// beginning on the tracker's other snapshot, once. The two tries are never
+// mixed: the answer takes the try that covers more, the later one if equal.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/config/configuration.h"
+#include "core/query/hedge_policy.h"
+#include "core/query/internal/service_try.h"
+#include "core/query/messages.h"
+#include "core/query/replica_selector.h"
+#include "core/query/retry_budget.h"
+#include "core/query/snapshot_tracker.h"
+#include "core/query/sub_query_id.h"
+
+namespace ebonykeel {
+
+// What a caller asks.
+struct QueryRequest
+{
+  RequestId m_requestId;
+  CallerName m_caller;
+  // The services to search, each once.
+  std::vector<ServiceName> m_services;
+  std::string m_text;
+  // The most hits of each service.
+  uint32_t m_limit = 10;
+  // When the request reached this instance.
+  TimePoint m_arrival;
+  // When the caller must have the answer.
+  TimePoint m_deadline;
+  // Overrides what the services prefer.
+  std::optional<Preference> m_preference;
+};
+
+// What a caller gets.
+struct QueryAnswer
+{
+  RequestId m_requestId;
+  CallerName m_caller;
+  // In the order of the request.
+  std::vector<ServiceAnswer> m_services;
+  // Services of the request that the configuration in force does not have.
+  std::vector<ServiceName> m_unknownServices;
+  // `kNotRun` when no sub-query was ever sent.
+  Outcome m_outcome = Outcome::kNotRun;
+
+  // Returns whether every shard of every service was searched.
+  [[nodiscard]] bool Whole() const;
+};
+
+// Send `m_subQuery` to the instance that may send work to its upstream.
+struct SendSubQuery
+{
+  SubQuery m_subQuery;
+  Attempt m_attempt = Attempt::kFirst;
+  // How long from now an answer is still of use.
+  Duration m_remaining{ 0 };
+};
+
+// Nobody waits for this sub-query any longer.
+struct CancelSubQuery
+{
+  std::string m_id;
+  UpstreamId m_upstream;
+};
+
+// Give this answer to the caller.
+struct Finish
+{
+  QueryAnswer m_answer;
+};
+
+using QueryAction = std::variant<SendSubQuery, CancelSubQuery, Finish>;
+
+// What a run counted. An answer that is counted as ignored changed nothing in
+// the answer to the caller.
+struct QueryCounts
+{
+  uint32_t m_first = 0;
+  uint32_t m_hedges = 0;
+  uint32_t m_retries = 0;
+  uint32_t m_restarts = 0;
+  // Answered after the query or the sub-query was over, or a second time.
+  uint32_t m_ignoredLate = 0;
+  // With an id that this query never gave out.
+  uint32_t m_ignoredUnknown = 0;
+  // For another shard, upstream or index version than was asked.
+  uint32_t m_ignoredCrossed = 0;
+};
+
+// What runs of one instance share. All must outlive the run.
+struct QueryDependencies
+{
+  SnapshotTracker& m_snapshots;
+  ReplicaSelector& m_selector;
+  HedgePolicy& m_hedges;
+  RetryBudget& m_retries;
+};
+
+class QueryRun
+{
+public:
+  QueryRun(QueryRequest aRequest,
+           const QueryDependencies& aDependencies,
+           SubQueryIds aIds);
+
+  // Pins the snapshots and sends the first sub-queries. Called once, first.
+  [[nodiscard]] std::vector<QueryAction> Start(TimePoint aNow);
+
+  // Takes one answer, whatever its id.
+  [[nodiscard]] std::vector<QueryAction> OnSubAnswer(const SubAnswer& aAnswer,
+                                                     TimePoint aNow);
+
+  // Does what is due at `aNow`; may be called at any time.
+  [[nodiscard]] std::vector<QueryAction> OnTimer(TimePoint aNow);
+
+  // Returns when `OnTimer` has to be called next; nothing once finished.
+  [[nodiscard]] std::optional<TimePoint> NextTimer() const;
+
+  [[nodiscard]] bool Finished() const { return m_finished; }
+  [[nodiscard]] const QueryCounts& Counts() const { return m_counts; }
+  [[nodiscard]] const QueryRequest& Request() const { return m_request; }
+
+private:
+  using Actions = std::vector<QueryAction>;
+  using ServiceTry = internal::ServiceTry;
+  using ShardState = internal::ShardState;
+  using SubRequest = internal::SubRequest;
+
+  // One service of the query: the try in progress, and the one given up.
+  struct ServicePart
+  {
+    ServiceTry m_try;
+    std::optional<ServiceTry> m_abandoned;
+    Preference m_preference = Preference::kCoverage;
+    TimePoint m_latencyTarget;
+    bool m_done = false;
+  };
+  // Where a sub-query belongs.
+  struct Position
+  {
+    size_t m_part = 0;
+    size_t m_shard = 0;
+    // Whether the service had been started again when it was sent.
+    bool m_restarted = false;
+  };
+
+  void AddPart(const ServiceName& aService, TimePoint aNow);
+  void SendFirst(size_t aPart, TimePoint aNow, Actions& aActions);
+  void Send(Position aPosition,
+            const UpstreamConfig& aReplica,
+            Attempt aAttempt,
+            TimePoint aNow,
+            Actions& aActions);
+  void CountSent(Attempt aAttempt);
+  void Learn(const ServicePart& aPart,
+             const SubRequest& aRequest,
+             const SubAnswer& aAnswer,
+             TimePoint aNow);
+  void Take(Position aPosition,
+            const SubAnswer& aAnswer,
+            TimePoint aNow,
+            Actions& aActions);
+  void Fail(Position aPosition,
+            MissingReason aReason,
+            TimePoint aNow,
+            Actions& aActions);
+  void Recover(Position aPosition, TimePoint aNow, Actions& aActions);
+  void RetryLater(ServicePart& aPart,
+                  ShardState& aShard,
+                  MissingReason aReason,
+                  TimePoint aNow);
+  void RetrySame(Position aPosition, TimePoint aNow, Actions& aActions);
+  [[nodiscard]] bool Restart(size_t aPart, TimePoint aNow, Actions& aActions);
+  void CancelOpen(const ServicePart& aPart,
+                  ShardState& aShard,
+                  TimePoint aNow,
+                  Actions& aActions);
+  void CheckShardTimers(TimePoint aNow, Actions& aActions);
+  void CheckShardTimer(Position aPosition, TimePoint aNow, Actions& aActions);
+  void SendHedges(TimePoint aNow, Actions& aActions);
+  void Postpone(const ServicePart& aPart, ShardState& aShard, TimePoint aNow);
+  void SettleParts(TimePoint aNow, Actions& aActions);
+  [[nodiscard]] ReplicaChoice ChooseReplica(const ServicePart& aPart,
+                                            const ShardState& aShard,
+                                            Attempt aAttempt,
+                                            bool aAgain,
+                                            TimePoint aNow);
+  [[nodiscard]] Duration SilentAfter(const ServicePart& aPart,
+                                     TimePoint aNow) const;
+  [[nodiscard]] bool PartDone(const ServicePart& aPart, TimePoint aNow) const;
+  [[nodiscard]] uint32_t Shards() const;
+  [[nodiscard]] QueryAnswer Assemble() const;
+
+  QueryRequest m_request;
+  QueryDependencies m_dependencies;
+  SubQueryIds m_ids;
+  TimePoint m_answerBy;
+  std::vector<ServicePart> m_parts;
+  std::vector<ServiceName> m_unknownServices;
+  absl::flat_hash_map<std::string, Position> m_positions;
+  QueryCounts m_counts;
+  bool m_finished = false;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/query/snapshot_tracker.cc
@@ -0,0 +1,198 @@
+#include "core/query/snapshot_tracker.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace ebonykeel {
+namespace {
+
+// How long an upstream is taken not to hold a version after it said so.
+constexpr Duration kNotHeldFor = Seconds(1);
+// Index versions remembered for each upstream.
+constexpr size_t kMostVersions = 8;
+
+bool
+SameShards(const ServiceConfig& aLeft, const ServiceConfig& aRight)
+{
+  return std::ranges::equal(aLeft.m_shards,
+                            aRight.m_shards,
+                            {},
+                            &ShardConfig::m_name,
+                            &ShardConfig::m_name);
+}
+
+bool
+SameSnapshot(const ServiceConfig& aLeft, const ServiceConfig& aRight)
+{
+  return aLeft.m_indexVersion == aRight.m_indexVersion &&
+         SameShards(aLeft, aRight);
+}
+
+ServiceSnapshot
+SnapshotOf(const ConfigurationPtr& aConfiguration,
+           const ServiceConfig& aService)
+{
+  return { aConfiguration->m_generation,
+           std::shared_ptr<const ServiceConfig>(aConfiguration, &aService) };
+}
+
+} // namespace
+
+void
+SnapshotTracker::OnConfiguration(const ConfigurationPtr& aConfiguration)
+{
+  bool stale = m_inForce != nullptr &&
+               aConfiguration->m_generation < m_inForce->m_generation;
+  if (stale) {
+    return;
+  }
+  m_inForce = aConfiguration;
+  absl::flat_hash_map<ServiceName, Snapshots> services;
+  for (const ServiceConfig& service : aConfiguration->m_services) {
+    Snapshots next{ SnapshotOf(aConfiguration, service), std::nullopt };
+    auto before = m_services.find(service.m_name);
+    if (before != m_services.end()) {
+      const Snapshots& last = before->second;
+      bool same = SameSnapshot(service, *last.m_newest.m_service);
+      next.m_earlier = same ? last.m_earlier : std::optional(last.m_newest);
+    }
+    services.emplace(service.m_name, std::move(next));
+  }
+  m_services = std::move(services);
+}
+
+std::optional<ServiceSnapshot>
+SnapshotTracker::Pin(const ServiceName& aService, TimePoint aNow) const
+{
+  auto found = m_services.find(aService);
+  if (found == m_services.end()) {
+    return std::nullopt;
+  }
+  const Snapshots& snapshots = found->second;
+  bool fallBack = !Complete(snapshots.m_newest, aNow) &&
+                  snapshots.m_earlier.has_value() &&
+                  Complete(*snapshots.m_earlier, aNow);
+  return fallBack ? snapshots.m_earlier : snapshots.m_newest;
+}
+
+std::optional<ServiceSnapshot>
+SnapshotTracker::PinOther(const ServiceSnapshot& aGone, TimePoint aNow) const
+{
+  auto found = m_services.find(aGone.m_service->m_name);
+  if (found == m_services.end()) {
+    return std::nullopt;
+  }
+  const Snapshots& snapshots = found->second;
+  auto usable = [&](const ServiceSnapshot& aSnapshot) {
+    return !SameSnapshot(*aSnapshot.m_service, *aGone.m_service) &&
+           Complete(aSnapshot, aNow);
+  };
+  if (usable(snapshots.m_newest)) {
+    return snapshots.m_newest;
+  }
+  if (snapshots.m_earlier.has_value() && usable(*snapshots.m_earlier)) {
+    return snapshots.m_earlier;
+  }
+  return std::nullopt;
+}
+
+void
+SnapshotTracker::OnSubAnswer(const UpstreamId& aUpstream,
+                             IndexVersion aVersion,
+                             const SubAnswer& aAnswer,
+                             TimePoint aNow)
+{
+  bool held = aAnswer.m_reason == MissingReason::kNone;
+  bool gone = aAnswer.m_reason == MissingReason::kVersionNotHeld;
+  if (!held && !gone && aAnswer.m_heldVersions.empty()) {
+    return;
+  }
+  Versions& versions = m_held[aUpstream];
+  bool listed = !aAnswer.m_heldVersions.empty();
+  if (listed || versions.m_known.size() >= kMostVersions) {
+    versions.m_known.clear();
+  }
+  if (listed) {
+    versions.m_listedAt = aNow;
+  }
+  for (IndexVersion version : aAnswer.m_heldVersions) {
+    versions.m_known[version] = { true, aNow };
+  }
+  if (held || gone) {
+    versions.m_known[aVersion] = { held, aNow };
+  }
+}
+
+bool
+SnapshotTracker::MayHold(const UpstreamId& aUpstream,
+                         IndexVersion aVersion,
+                         TimePoint aNow) const
+{
+  auto upstream = m_held.find(aUpstream);
+  if (upstream == m_held.end()) {
+    return true;
+  }
+  const Versions& versions = upstream->second;
+  auto known = versions.m_known.find(aVersion);
+  if (known != versions.m_known.end()) {
+    const Knowledge& knowledge = known->second;
+    return knowledge.m_held || aNow - knowledge.m_learntAt >= kNotHeldFor;
+  }
+  return !versions.m_listedAt.has_value() ||
+         aNow - *versions.m_listedAt >= kNotHeldFor;
+}
+
+std::vector<UpstreamConfig>
+SnapshotTracker::UsableUpstreams() const
+{
+  std::map<std::string_view, const UpstreamConfig*> byId;
+  auto collect = [&](const ServiceSnapshot& aSnapshot) {
+    for (const ShardConfig& shard : aSnapshot.m_service->m_shards) {
+      for (const UpstreamConfig& replica : shard.m_replicas) {
+        byId.try_emplace(replica.m_id.View(), &replica);
+      }
+    }
+  };
+  for (const auto& [name, snapshots] : m_services) {
+    collect(snapshots.m_newest);
+  }
+  for (const auto& [name, snapshots] : m_services) {
+    if (snapshots.m_earlier.has_value()) {
+      collect(*snapshots.m_earlier);
+    }
+  }
+  std::vector<UpstreamConfig> upstreams;
+  upstreams.reserve(byId.size());
+  for (const auto& [id, upstream] : byId) {
+    upstreams.push_back(*upstream);
+  }
+  return upstreams;
+}
+
+bool
+SnapshotTracker::Complete(const ServiceSnapshot& aSnapshot,
+                          TimePoint aNow) const
+{
+  IndexVersion version = aSnapshot.Version();
+  auto allows = [&](const UpstreamConfig& aReplica) {
+    return Allows(aReplica);
+  };
+  auto mayServe = [&](const UpstreamConfig& aReplica) {
+    return Allows(aReplica) && MayHold(aReplica.m_id, version, aNow);
+  };
+  auto hasReplica = [&](const ShardConfig& aShard) {
+    return std::ranges::any_of(aShard.m_replicas, mayServe) ||
+           std::ranges::none_of(aShard.m_replicas, allows);
+  };
+  return std::ranges::all_of(aSnapshot.m_service->m_shards, hasReplica);
+}
+
+bool
+SnapshotTracker::Allows(const UpstreamConfig& aReplica) const
+{
+  return !m_inForce->m_drainedUpstreams.contains(aReplica.m_id) &&
+         !m_inForce->m_withdrawnDataCentres.contains(aReplica.m_dataCentre);
+}
+
+} // namespace ebonykeel
