Make the gate and the claims clean for clang-tidy

Cause: clang 14 does not compile libstdc++'s view adaptors and reports the rewritten operator<=> as a null pointer. Loops over maps and explicit operator< take their place.

--- a/packages/core/base/ids.h
+++ b/packages/core/base/ids.h
@@ -38,6 +38,10 @@
   [[nodiscard]] bool empty() const { return m_text.empty(); }
 
   friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend bool operator<(const StrongId& aLeft, const StrongId& aRight)
+  {
+    return aLeft.m_text < aRight.m_text;
+  }
   friend bool operator==(const StrongId&, const StrongId&) = default;
 
   template<typename H>
--- a/packages/core/filing/claim.h
+++ b/packages/core/filing/claim.h
@@ -9,11 +9,11 @@
 #pragma once
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "absl/status/statusor.h"
 
@@ -38,7 +38,11 @@
   CallerName m_caller;
   RequestId m_request;
 
-  friend auto operator<=>(const ClaimKey&, const ClaimKey&) = default;
+  friend bool operator<(const ClaimKey& aLeft, const ClaimKey& aRight)
+  {
+    return std::tie(aLeft.m_caller, aLeft.m_request) <
+           std::tie(aRight.m_caller, aRight.m_request);
+  }
   friend bool operator==(const ClaimKey&, const ClaimKey&) = default;
 };
 
--- a/packages/core/filing/claim_batcher.cc
+++ b/packages/core/filing/claim_batcher.cc
@@ -1,8 +1,6 @@
 #include "core/filing/claim_batcher.h"
 
 #include <algorithm>
-#include <numeric>
-#include <ranges>
 #include <utility>
 
 #include "absl/random/distributions.h"
@@ -106,7 +104,7 @@
 ClaimBatcher::OnTimer(const EventTime& aAt)
 {
   BatcherActions actions;
-  for (Bucket& bucket : m_buckets | std::views::values) {
+  for (auto& [number, bucket] : m_buckets) {
     bool overdue =
       bucket.m_call != 0 &&
       aAt.m_monotonic >= bucket.m_calledAt + m_settings.m_callTimeout;
@@ -127,7 +125,7 @@
 ClaimBatcher::NextTimer() const
 {
   TimePoint next = TimePoint::max();
-  for (const Bucket& bucket : m_buckets | std::views::values) {
+  for (const auto& [number, bucket] : m_buckets) {
     if (bucket.m_call != 0) {
       next = std::min(next, bucket.m_calledAt + m_settings.m_callTimeout);
     } else if (!bucket.m_operations.empty()) {
@@ -146,7 +144,7 @@
 ClaimBatcher::Pending() const
 {
   size_t pending = 0;
-  for (const Bucket& bucket : m_buckets | std::views::values) {
+  for (const auto& [number, bucket] : m_buckets) {
     pending += bucket.m_operations.size();
   }
   return pending;
--- a/packages/core/upstream/fair_queue.cc
+++ b/packages/core/upstream/fair_queue.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
-#include <ranges>
-#include <tuple>
 #include <utility>
 
 namespace ebonykeel {
@@ -155,7 +153,7 @@
 FairQueue::LeastVirtualTime() const
 {
   double least = std::numeric_limits<double>::infinity();
-  for (const CallerQueue& queue : m_callers | std::views::values) {
+  for (const auto& [name, queue] : m_callers) {
     if (!queue.m_entries.empty()) {
       least = std::min(least, queue.m_virtualTime);
     }
--- a/packages/core/upstream/fair_queue.h
+++ b/packages/core/upstream/fair_queue.h
@@ -11,11 +11,11 @@
 //   std::optional<WorkItem> next = queue.Pop();
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "core/upstream/work.h"
@@ -64,19 +64,10 @@
     WorkId m_id;
     double m_cost;
 
-    friend auto operator<=>(const Entry& aLeft, const Entry& aRight)
+    friend bool operator<(const Entry& aLeft, const Entry& aRight)
     {
-      if (auto order = aLeft.m_priority <=> aRight.m_priority; order != 0) {
-        return order;
-      }
-      if (auto order = aLeft.m_deadline <=> aRight.m_deadline; order != 0) {
-        return order;
-      }
-      return aLeft.m_id <=> aRight.m_id;
-    }
-    friend bool operator==(const Entry& aLeft, const Entry& aRight)
-    {
-      return aLeft.m_id == aRight.m_id;
+      return std::tie(aLeft.m_priority, aLeft.m_deadline, aLeft.m_id) <
+             std::tie(aRight.m_priority, aRight.m_deadline, aRight.m_id);
     }
   };
 
--- a/packages/core/upstream/upstream_gate.cc
+++ b/packages/core/upstream/upstream_gate.cc
@@ -1,7 +1,6 @@
 #include "core/upstream/upstream_gate.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace ebonykeel {
@@ -189,7 +188,7 @@
 UpstreamGate::NextTimer() const
 {
   TimePoint next = TimePoint::max();
-  for (const SentWork& sent : m_sent | std::views::values) {
+  for (const auto& [id, sent] : m_sent) {
     TimePoint end = sent.m_abandoned
                       ? sent.m_deadline + m_settings.m_abandonedMargin
                       : sent.m_deadline;
@@ -220,7 +219,7 @@
                    .m_expectedLatency = m_policy->ExpectedLatency(),
                    .m_heldWork = HeldWork(aNow) };
   TimePoint last = Inherited(aNow) > 0 ? m_inheritedUntil : aNow;
-  for (const SentWork& sent : m_sent | std::views::values) {
+  for (const auto& [id, sent] : m_sent) {
     last = std::max(last, sent.m_deadline + m_settings.m_abandonedMargin);
   }
   hint.m_heldFor = last - aNow;
@@ -238,16 +237,15 @@
 UpstreamGate::InFlight() const
 {
   return static_cast<uint32_t>(std::ranges::count_if(
-    m_sent | std::views::values,
-    [](const SentWork& aSent) { return !aSent.m_abandoned; }));
+    m_sent, [](const auto& aEntry) { return !aEntry.second.m_abandoned; }));
 }
 
 uint32_t
 UpstreamGate::OpenConnections() const
 {
-  auto busy = std::ranges::count_if(
-    m_sent | std::views::values,
-    [](const SentWork& aSent) { return !aSent.m_connectionSettled; });
+  auto busy = std::ranges::count_if(m_sent, [](const auto& aEntry) {
+    return !aEntry.second.m_connectionSettled;
+  });
   uint32_t probes = m_probeSentAt ? 1 : 0;
   return static_cast<uint32_t>(busy) + m_idleConnections +
          m_lingeringConnections + probes;
@@ -367,9 +365,9 @@
     return sent.m_abandoned &&
            aNow >= sent.m_deadline + m_settings.m_abandonedMargin;
   };
-  for (const SentWork& sent :
-       m_sent | std::views::filter(ended) | std::views::values) {
-    m_lingeringConnections += sent.m_connectionSettled ? 0 : 1;
+  for (const auto& entry : m_sent) {
+    bool lingers = ended(entry) && !entry.second.m_connectionSettled;
+    m_lingeringConnections += lingers ? 1 : 0;
   }
   std::erase_if(m_sent, ended);
 }
