--- /dev/null
+++ b/packages/node/api/admin_api.cc
@@ -0,0 +1,374 @@
+#include "node/api/admin_api.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <openssl/crypto.h>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "core/config/service_file.h"
+#include "node/api/api_error.h"
+#include "runtime/log/events.h"
+
+namespace ebonykeel {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kMaxHistoryEntries = 50;
+
+Json
+FindingsJson(std::span<const Finding> aFindings)
+{
+  Json findings = Json::array();
+  for (const Finding& finding : aFindings) {
+    findings.push_back({ { "file", finding.m_place.m_file },
+                         { "line", finding.m_place.m_line },
+                         { "column", finding.m_place.m_column },
+                         { "key", finding.m_key },
+                         { "problem", finding.m_problem },
+                         { "allowed", finding.m_allowed } });
+  }
+  return findings;
+}
+
+HttpResponse
+RefusedChange(const ChangeAnswer& aAnswer)
+{
+  std::string_view code = "invalid";
+  int status = 400;
+  if (aAnswer.m_result.m_refusal == ChangeRefusal::kNoChange) {
+    code = "no_change";
+    status = 409;
+  } else if (aAnswer.m_result.m_refusal == ChangeRefusal::kNotFound) {
+    code = "not_found";
+    status = 404;
+  }
+  return ErrorResponse(
+    { .m_status = status,
+      .m_code = code,
+      .m_message = FormatFindings(aAnswer.m_result.m_findings),
+      .m_details = { { "findings", FindingsJson(aAnswer.m_result.m_findings) },
+                     { "generation", aAnswer.m_generation } } });
+}
+
+HttpResponse
+UnacceptedChange(const ChangeAnswer& aAnswer)
+{
+  switch (aAnswer.m_outcome) {
+    case ChangeOutcome::kConflict:
+      return ErrorResponse(
+        { .m_status = 409,
+          .m_code = "conflict",
+          .m_message = "another change was accepted first",
+          .m_details = { { "generation", aAnswer.m_generation } } });
+    case ChangeOutcome::kUnknown:
+      return ErrorResponse(
+        { .m_status = 504,
+          .m_code = "unknown",
+          .m_message = "the store did not answer; look at the history before "
+                       "trying again",
+          .m_outcome = Outcome::kUnknown });
+    default:
+      return ErrorResponse({ .m_status = 503,
+                             .m_code = "store_unavailable",
+                             .m_message = "the platform's store cannot be "
+                                          "reached; nothing was changed" });
+  }
+}
+
+std::pair<std::string, std::string>
+SplitLast(std::string_view aPath)
+{
+  size_t slash = aPath.rfind('/');
+  if (slash == std::string_view::npos) {
+    return { std::string(aPath), "" };
+  }
+  return { std::string(aPath.substr(0, slash)),
+           std::string(aPath.substr(slash + 1)) };
+}
+
+HttpResponse
+NotFound()
+{
+  return ErrorResponse(
+    { .m_status = 404, .m_code = "not_found", .m_message = "no such path" });
+}
+
+Json
+ParseObject(const std::string& aText)
+{
+  Json body = Json::parse(aText, nullptr, false);
+  return body.is_object() ? body : Json::object();
+}
+
+std::string
+TextOf(const Json& aBody, const char* aKey)
+{
+  auto found = aBody.find(aKey);
+  return found != aBody.end() && found->is_string() ? found->get<std::string>()
+                                                    : std::string();
+}
+
+// Reads the files of a publication; findings of all of them are collected.
+Publication
+ReadPublication(const Json& aBody, Findings& aFindings)
+{
+  Publication publication;
+  auto services = aBody.find("services");
+  if (services == aBody.end() || !services->is_array()) {
+    aFindings.push_back({ .m_key = "services",
+                          .m_problem = "is missing",
+                          .m_allowed = "a list of files" });
+    return publication;
+  }
+  for (const Json& entry : *services) {
+    std::string file = entry.is_object() ? TextOf(entry, "file") : "";
+    std::string text = entry.is_object() ? TextOf(entry, "text") : "";
+    ServiceFileResult result = ParseServiceFile(text, file);
+    std::ranges::move(result.m_findings, std::back_inserter(aFindings));
+    if (result.m_service) {
+      publication.m_services.push_back({ file, *std::move(result.m_service) });
+    }
+  }
+  return publication;
+}
+
+} // namespace
+
+AdminApi::AdminApi(ConfigurationService& aConfiguration,
+                   MembershipService& aMembership,
+                   StatusPage& aStatus,
+                   std::string aToken,
+                   absl::BitGenRef aRandom)
+  : m_configuration(aConfiguration)
+  , m_membership(aMembership)
+  , m_status(aStatus)
+  , m_token(std::move(aToken))
+  , m_random(aRandom)
+{
+}
+
+kj::Promise<HttpResponse>
+AdminApi::Handle(HttpRequest aRequest)
+{
+  if (!Authorized(aRequest)) {
+    LogEvent(Event::kAdminRefused, { { "path", aRequest.m_path } });
+    return ErrorResponse({ .m_status = 401,
+                           .m_code = "unauthorized",
+                           .m_message = "a valid bearer token is needed" });
+  }
+  constexpr std::string_view kDataCentres = "/v1/admin/data-centres/";
+  constexpr std::string_view kUpstreams = "/v1/admin/upstreams/";
+  std::string_view path = aRequest.m_path;
+  bool get = aRequest.m_method == "GET";
+  bool post = aRequest.m_method == "POST";
+  if (get && path == "/v1/admin/configuration") {
+    return HttpResponse{ .m_body = m_configuration.Body() };
+  }
+  if (get && path == "/v1/admin/status") {
+    return JsonResponse(m_status.Status());
+  }
+  if (get && path == "/v1/admin/history") {
+    return History(aRequest);
+  }
+  if (aRequest.m_method == "PUT" && path == "/v1/admin/services") {
+    return Publish(aRequest);
+  }
+  if (post && path == "/v1/admin/rollback") {
+    return RollBack(aRequest);
+  }
+  if (post && path.starts_with(kDataCentres)) {
+    return ChangeDataCentre(aRequest, path.substr(kDataCentres.size()));
+  }
+  if (post && path.starts_with(kUpstreams)) {
+    return ChangeUpstream(aRequest, path.substr(kUpstreams.size()));
+  }
+  return NotFound();
+}
+
+bool
+AdminApi::Authorized(const HttpRequest& aRequest) const
+{
+  if (m_token.empty()) {
+    return true;
+  }
+  std::string expected = absl::StrCat("Bearer ", m_token);
+  std::string_view given =
+    FindHeader(aRequest.m_headers, "authorization").value_or("");
+  return given.size() == expected.size() &&
+         CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+kj::Promise<HttpResponse>
+AdminApi::Publish(const HttpRequest& aRequest)
+{
+  Json body = ParseObject(aRequest.m_body);
+  Findings findings;
+  Publication publication = ReadPublication(body, findings);
+  if (!findings.empty()) {
+    return RefusedChange({ .m_result = { .m_refusal = ChangeRefusal::kInvalid,
+                                         .m_findings = std::move(findings) } });
+  }
+  for (const InstanceRecord& record : m_membership.View().m_records) {
+    publication.m_knownDataCentres.insert(record.m_dataCentre);
+  }
+  if (body.value("any_data_centre", Json(false)) == Json(true)) {
+    publication.m_knownDataCentres.clear();
+  }
+  ChangeNote note = MakeNote(body, "");
+  Generation base = 0;
+  if (body.contains("base_generation") &&
+      body["base_generation"].is_number_unsigned()) {
+    base = body["base_generation"].get<Generation>();
+  }
+  return Apply(
+    [publication, note, base](const Configuration& aCurrent) {
+      if (base != 0 && aCurrent.m_generation != base) {
+        Finding finding{ .m_key = "base_generation",
+                         .m_problem = absl::StrCat("is ",
+                                                   base,
+                                                   ", but generation ",
+                                                   aCurrent.m_generation,
+                                                   " was accepted since") };
+        return ChangeResult{ .m_refusal = ChangeRefusal::kInvalid,
+                             .m_findings = { std::move(finding) } };
+      }
+      return PublishServices(aCurrent, publication, note);
+    },
+    note);
+}
+
+kj::Promise<HttpResponse>
+AdminApi::ChangeDataCentre(const HttpRequest& aRequest, std::string_view aRest)
+{
+  auto [name, verb] = SplitLast(aRest);
+  if (verb != "out" && verb != "in") {
+    return NotFound();
+  }
+  Withdrawal withdrawal = verb == "out" ? Withdrawal::kOut : Withdrawal::kIn;
+  ChangeNote note = MakeNote(ParseObject(aRequest.m_body), "");
+  return Apply(
+    [dataCentre = DataCentre(name), withdrawal, note](
+      const Configuration& aCurrent) {
+      return SetDataCentre(aCurrent, dataCentre, withdrawal, note);
+    },
+    note);
+}
+
+kj::Promise<HttpResponse>
+AdminApi::ChangeUpstream(const HttpRequest& aRequest, std::string_view aRest)
+{
+  auto [name, verb] = SplitLast(aRest);
+  if (verb != "drain" && verb != "restore") {
+    return NotFound();
+  }
+  Withdrawal withdrawal = verb == "drain" ? Withdrawal::kOut : Withdrawal::kIn;
+  ChangeNote note = MakeNote(ParseObject(aRequest.m_body), "");
+  return Apply(
+    [upstream = UpstreamId(name), withdrawal, note](
+      const Configuration& aCurrent) {
+      return SetUpstreamDrained(aCurrent, upstream, withdrawal, note);
+    },
+    note);
+}
+
+kj::Promise<HttpResponse>
+AdminApi::RollBack(const HttpRequest& aRequest)
+{
+  Json body = ParseObject(aRequest.m_body);
+  auto generation = body.find("generation");
+  if (generation == body.end() || !generation->is_number_unsigned()) {
+    return ErrorResponse(
+      { .m_code = "bad_request", .m_message = "generation is needed" });
+  }
+  ChangeNote note = MakeNote(body, "");
+  return m_configuration.ReadHistory(generation->get<Generation>())
+    .then([this, note](ConfigurationPtr aOld) -> kj::Promise<HttpResponse> {
+      if (aOld == nullptr) {
+        return ErrorResponse(
+          { .m_status = 404,
+            .m_code = "not_found",
+            .m_message = "that generation is not in the history" });
+      }
+      return Apply(
+        [aOld, note](const Configuration& aCurrent) {
+          return Rollback(aCurrent, *aOld, note);
+        },
+        note);
+    });
+}
+
+kj::Promise<HttpResponse>
+AdminApi::History(const HttpRequest& aRequest)
+{
+  size_t count = 10;
+  std::string text = QueryParameter(aRequest.m_query, "count").value_or("10");
+  if (!absl::SimpleAtoi(text, &count)) {
+    return ErrorResponse(
+      { .m_code = "bad_request", .m_message = "count is not a number" });
+  }
+  ConfigurationPtr inForce = m_configuration.InForce();
+  Generation newest = inForce == nullptr ? 0 : inForce->m_generation;
+  return HistoryBefore(
+    newest, std::min(count, kMaxHistoryEntries), Json::array());
+}
+
+kj::Promise<HttpResponse>
+AdminApi::HistoryBefore(Generation aGeneration, size_t aCount, Json aEntries)
+{
+  if (aGeneration == 0 || aCount == 0) {
+    return JsonResponse({ { "history", std::move(aEntries) } });
+  }
+  return m_configuration.ReadHistory(aGeneration)
+    .then([this, aGeneration, aCount, entries = std::move(aEntries)](
+            ConfigurationPtr aOld) mutable {
+      Json entry{ { "generation", aGeneration }, { "kept", aOld != nullptr } };
+      if (aOld != nullptr) {
+        entry["author"] = aOld->m_author;
+        entry["summary"] = aOld->m_summary;
+        entry["change_id"] = aOld->m_changeId;
+      }
+      entries.push_back(std::move(entry));
+      return HistoryBefore(aGeneration - 1, aCount - 1, std::move(entries));
+    });
+}
+
+ChangeNote
+AdminApi::MakeNote(const Json& aBody, std::string aSummary)
+{
+  ChangeNote note{ .m_author = TextOf(aBody, "author"),
+                   .m_changeId = TextOf(aBody, "change_id"),
+                   .m_summary = std::move(aSummary) };
+  if (note.m_author.empty()) {
+    note.m_author = "unnamed";
+  }
+  if (note.m_changeId.empty()) {
+    note.m_changeId = absl::StrCat(
+      absl::Hex(absl::Uniform<uint64_t>(m_random), absl::kZeroPad16),
+      absl::Hex(absl::Uniform<uint64_t>(m_random), absl::kZeroPad16));
+  }
+  return note;
+}
+
+kj::Promise<HttpResponse>
+AdminApi::Apply(ChangeFunction aChange, const ChangeNote& aNote)
+{
+  return m_configuration.Change(std::move(aChange), aNote.m_changeId)
+    .then([this](ChangeAnswer&& aAnswer) {
+      if (aAnswer.m_outcome == ChangeOutcome::kRefused) {
+        return RefusedChange(aAnswer);
+      }
+      if (aAnswer.m_outcome != ChangeOutcome::kAccepted) {
+        return UnacceptedChange(aAnswer);
+      }
+      return JsonResponse(
+        { { "accepted", true },
+          { "generation", aAnswer.m_generation },
+          { "in_force", m_status.InForce(aAnswer.m_generation) } });
+    });
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/api/admin_api.h
@@ -0,0 +1,54 @@
+// What operators ask over HTTP: publish, history, data centres, upstreams,
+// status.
+#pragma once
+
+#include <string>
+
+#include "absl/random/bit_gen_ref.h"
+#include "core/config/configuration_change.h"
+#include "node/api/status_page.h"
+#include "node/cluster/membership_service.h"
+#include "node/configuration/configuration_service.h"
+#include "runtime/http/server.h"
+
+namespace ebonykeel {
+
+// All references must outlive it.
+class AdminApi final : public HttpHandler
+{
+public:
+  // `aToken` is the bearer token that every request needs; empty for none.
+  AdminApi(ConfigurationService& aConfiguration,
+           MembershipService& aMembership,
+           StatusPage& aStatus,
+           std::string aToken,
+           absl::BitGenRef aRandom);
+
+  kj::Promise<HttpResponse> Handle(HttpRequest aRequest) override;
+
+private:
+  [[nodiscard]] bool Authorized(const HttpRequest& aRequest) const;
+  [[nodiscard]] kj::Promise<HttpResponse> Publish(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse> ChangeDataCentre(
+    const HttpRequest& aRequest,
+    std::string_view aRest);
+  [[nodiscard]] kj::Promise<HttpResponse> ChangeUpstream(
+    const HttpRequest& aRequest,
+    std::string_view aRest);
+  [[nodiscard]] kj::Promise<HttpResponse> RollBack(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse> History(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse>
+  HistoryBefore(Generation aGeneration, size_t aCount, nlohmann::json aEntries);
+  [[nodiscard]] ChangeNote MakeNote(const nlohmann::json& aBody,
+                                    std::string aSummary);
+  [[nodiscard]] kj::Promise<HttpResponse> Apply(ChangeFunction aChange,
+                                                const ChangeNote& aNote);
+
+  ConfigurationService& m_configuration;
+  MembershipService& m_membership;
+  StatusPage& m_status;
+  std::string m_token;
+  absl::BitGenRef m_random;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/api/public_api.cc
@@ -0,0 +1,378 @@
+#include "node/api/public_api.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <kj/debug.h>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "core/routing/routing.h"
+#include "node/api/api_error.h"
+#include "runtime/log/events.h"
+
+namespace ebonykeel {
+namespace {
+
+using Json = nlohmann::json;
+
+HttpResponse
+BadRequest(const HttpRequest& aRequest, const absl::Status& aStatus)
+{
+  LogEvent(Event::kBadRequest,
+           { { "path", aRequest.m_path }, { "code", "bad_request" } });
+  return ErrorResponse(
+    { .m_code = "bad_request", .m_message = std::string(aStatus.message()) });
+}
+
+Json
+CoverageJson(const Coverage& aCoverage)
+{
+  Json missing = Json::array();
+  for (const MissingShard& shard : aCoverage.m_missing) {
+    missing.push_back({ { "shard", shard.m_shard.Text() },
+                        { "reason", MissingReasonName(shard.m_reason) },
+                        { "partial", shard.m_partial } });
+  }
+  return { { "shards", aCoverage.m_shards },
+           { "answered", aCoverage.m_answered },
+           { "missing", std::move(missing) } };
+}
+
+Json
+ServiceJson(const ServiceAnswer& aAnswer)
+{
+  Json hits = Json::array();
+  for (const Hit& hit : aAnswer.m_hits) {
+    hits.push_back({ { "document", hit.m_document },
+                     { "score", hit.m_score },
+                     { "text", hit.m_text } });
+  }
+  return { { "service", aAnswer.m_service.Text() },
+           { "index_version", aAnswer.m_indexVersion },
+           { "coverage", CoverageJson(aAnswer.m_coverage) },
+           { "hits", std::move(hits) } };
+}
+
+HttpResponse
+QueryResponse(const QueryAnswer& aAnswer)
+{
+  Json services = Json::array();
+  for (const ServiceAnswer& service : aAnswer.m_services) {
+    services.push_back(ServiceJson(service));
+  }
+  HttpResponse response =
+    JsonResponse({ { "request_id", aAnswer.m_requestId.Text() },
+                   { "services", std::move(services) },
+                   { "whole", aAnswer.Whole() },
+                   { "outcome", OutcomeName(aAnswer.m_outcome) } });
+  response.m_headers.push_back({ "x-request-id", aAnswer.m_requestId.Text() });
+  return response;
+}
+
+void
+LogPartial(const QueryAnswer& aAnswer)
+{
+  for (const ServiceAnswer& service : aAnswer.m_services) {
+    if (service.m_coverage.m_missing.empty()) {
+      continue;
+    }
+    const MissingShard& first = service.m_coverage.m_missing.front();
+    LogEvent(Event::kQueryPartial,
+             { { "request", aAnswer.m_requestId.Text() },
+               { "caller", aAnswer.m_caller.Text() },
+               { "service", service.m_service.Text() },
+               { "missing", absl::StrCat(service.m_coverage.m_missing.size()) },
+               { "reason", std::string(MissingReasonName(first.m_reason)) } });
+  }
+}
+
+int
+FilingStatus(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::kRan:
+      return 200;
+    case Outcome::kNotRun:
+      return 503;
+    case Outcome::kUnknown:
+      return 504;
+  }
+  return 500;
+}
+
+HttpResponse
+FilingResponse(const RequestId& aRequest, const FilingAnswer& aAnswer)
+{
+  Json body{ { "request_id", aRequest.Text() },
+             { "outcome", OutcomeName(aAnswer.m_outcome) },
+             { "repeated", aAnswer.m_repeated } };
+  if (aAnswer.m_outcome == Outcome::kRan) {
+    body["result"] = aAnswer.m_result;
+    body["result_kept"] = aAnswer.m_resultKept;
+  } else {
+    body["code"] = FilingReasonName(aAnswer.m_reason);
+    body["message"] = absl::StrCat("the filing is ",
+                                   std::string(OutcomeName(aAnswer.m_outcome)));
+    body["refusal"] = MissingReasonName(aAnswer.m_refusal);
+  }
+  HttpResponse response = JsonResponse(body);
+  response.m_status = FilingStatus(aAnswer.m_outcome);
+  response.m_headers.push_back(
+    { "x-outcome", std::string(OutcomeName(aAnswer.m_outcome)) });
+  return response;
+}
+
+Json
+AddressesJson(const RoutingAnswer& aAnswer)
+{
+  Json addresses = Json::array();
+  for (const RoutedAddress& address : aAnswer.m_addresses) {
+    addresses.push_back({ { "instance", address.m_instance.Text() },
+                          { "address", address.m_publicAddress },
+                          { "data_centre", address.m_dataCentre.Text() } });
+  }
+  return addresses;
+}
+
+// Names the services of a query; every one of the group if it names a group.
+std::vector<ServiceName>
+ResolveServices(const Configuration& aConfiguration, const QueryBody& aBody)
+{
+  if (!aBody.m_services.empty()) {
+    return aBody.m_services;
+  }
+  std::vector<ServiceName> services;
+  for (const ServiceConfig& service : aConfiguration.m_services) {
+    if (service.m_group == aBody.m_group) {
+      services.push_back(service.m_name);
+    }
+  }
+  return services;
+}
+
+Duration
+LongestDeadline(const Configuration& aConfiguration,
+                std::span<const ServiceName> aServices)
+{
+  Duration longest{ 0 };
+  for (const ServiceName& name : aServices) {
+    const ServiceConfig* service = aConfiguration.FindService(name);
+    if (service != nullptr) {
+      longest = std::max(longest, service->m_deadline);
+    }
+  }
+  return longest;
+}
+
+} // namespace
+
+PublicApi::PublicApi(Loop& aLoop,
+                     MembershipService& aMembership,
+                     SnapshotTracker& aSnapshots,
+                     QueryService& aQueries,
+                     FilingService& aFilings,
+                     StatusPage& aStatus,
+                     absl::BitGenRef aRandom)
+  : m_loop(aLoop)
+  , m_membership(aMembership)
+  , m_snapshots(aSnapshots)
+  , m_queries(aQueries)
+  , m_filings(aFilings)
+  , m_status(aStatus)
+  , m_random(aRandom)
+{
+}
+
+kj::Promise<HttpResponse>
+PublicApi::Handle(HttpRequest aRequest)
+{
+  if (aRequest.m_method == "GET" && aRequest.m_path == "/v1/instances") {
+    return Instances(aRequest);
+  }
+  if (aRequest.m_method == "POST" && aRequest.m_path == "/v1/query") {
+    ++m_inFlight;
+    return Query(aRequest).attach(kj::defer([this]() { --m_inFlight; }));
+  }
+  if (aRequest.m_method == "POST" && aRequest.m_path == "/v1/file") {
+    ++m_inFlight;
+    return File(aRequest).attach(kj::defer([this]() { --m_inFlight; }));
+  }
+  if (aRequest.m_method == "GET" && aRequest.m_path == "/v1/status") {
+    return JsonResponse(m_status.Status());
+  }
+  if (aRequest.m_method == "GET" && aRequest.m_path == "/metrics") {
+    return HttpResponse{ .m_contentType = "text/plain; version=0.0.4",
+                         .m_body = m_status.Metrics() };
+  }
+  return ErrorResponse(
+    { .m_status = 404, .m_code = "not_found", .m_message = "no such path" });
+}
+
+HttpResponse
+PublicApi::Instances(const HttpRequest& aRequest)
+{
+  std::optional<std::string> target =
+    QueryParameter(aRequest.m_query, "service");
+  if (!target) {
+    target = QueryParameter(aRequest.m_query, "group");
+  }
+  if (!target || target->empty()) {
+    return ErrorResponse(
+      { .m_code = "bad_request", .m_message = "service or group is needed" });
+  }
+  std::string dataCentre =
+    QueryParameter(aRequest.m_query, "data_centre").value_or("");
+  size_t count = kDefaultAddressCount;
+  std::string countText =
+    QueryParameter(aRequest.m_query, "count").value_or("");
+  if (!countText.empty() && !absl::SimpleAtoi(countText, &count)) {
+    return ErrorResponse(
+      { .m_code = "bad_request", .m_message = "count is not a number" });
+  }
+  RoutingAnswer answer = Route(*target,
+                               DataCentre(dataCentre),
+                               std::clamp<size_t>(count, 1, kMaxAddressCount));
+  if (answer.m_status != RoutingStatus::kFound) {
+    bool unknown = answer.m_status == RoutingStatus::kUnknownTarget;
+    return ErrorResponse({ .m_status = unknown ? 404 : 503,
+                           .m_code = RoutingStatusName(answer.m_status),
+                           .m_message = "no address can be named" });
+  }
+  return JsonResponse({ { "addresses", AddressesJson(answer) },
+                        { "lifetime_ms", ToMilliseconds(answer.m_lifetime) },
+                        { "generation", answer.m_generation } });
+}
+
+kj::Promise<HttpResponse>
+PublicApi::Query(const HttpRequest& aRequest)
+{
+  TimePoint arrival = m_loop.Clock().Now();
+  absl::StatusOr<QueryBody> body = ReadQueryBody(aRequest.m_body);
+  if (!body.ok()) {
+    return BadRequest(aRequest, body.status());
+  }
+  const std::string& target = body->m_services.empty()
+                                ? body->m_group.Text()
+                                : body->m_services.front().Text();
+  if (std::optional<HttpResponse> refusal = Refusal(target)) {
+    return std::move(*refusal);
+  }
+  const Configuration& configuration = *m_snapshots.InForce();
+  std::vector<ServiceName> services = ResolveServices(configuration, *body);
+  auto unknown =
+    std::ranges::find_if(services, [&configuration](const ServiceName& aName) {
+      return configuration.FindService(aName) == nullptr;
+    });
+  if (services.empty() || unknown != services.end()) {
+    return ErrorResponse({ .m_status = 404,
+                           .m_code = "unknown_service",
+                           .m_message = services.empty() ? body->m_group.Text()
+                                                         : unknown->Text() });
+  }
+  Duration longest = LongestDeadline(configuration, services);
+  Duration allowed = std::min(body->m_deadline.value_or(longest), longest);
+  QueryRequest request{ .m_requestId = body->m_requestId,
+                        .m_caller = body->m_caller,
+                        .m_services = std::move(services),
+                        .m_text = body->m_query,
+                        .m_limit = body->m_limit,
+                        .m_arrival = arrival,
+                        .m_deadline = arrival + allowed };
+  return m_queries.Run(std::move(request)).then([](QueryAnswer&& aAnswer) {
+    LogPartial(aAnswer);
+    return QueryResponse(aAnswer);
+  });
+}
+
+kj::Promise<HttpResponse>
+PublicApi::File(const HttpRequest& aRequest)
+{
+  TimePoint arrival = m_loop.Clock().Now();
+  absl::StatusOr<FilingBody> body = ReadFilingBody(aRequest.m_body);
+  if (!body.ok()) {
+    return BadRequest(aRequest, body.status());
+  }
+  if (std::optional<HttpResponse> refusal = Refusal(body->m_service.Text())) {
+    return std::move(*refusal);
+  }
+  const ServiceConfig* service =
+    m_snapshots.InForce()->FindService(body->m_service);
+  if (service == nullptr) {
+    return ErrorResponse({ .m_status = 404,
+                           .m_code = "unknown_service",
+                           .m_message = body->m_service.Text() });
+  }
+  if (std::ranges::find(service->m_onceOperations, body->m_operation) ==
+      service->m_onceOperations.end()) {
+    return ErrorResponse({ .m_status = 404,
+                           .m_code = "unknown_operation",
+                           .m_message = body->m_operation });
+  }
+  Duration allowed = std::min(body->m_deadline.value_or(service->m_deadline),
+                              service->m_deadline);
+  FilingInput input{ .m_service = body->m_service,
+                     .m_operation = body->m_operation,
+                     .m_caller = body->m_caller,
+                     .m_requestId = body->m_requestId,
+                     .m_key = body->m_key,
+                     .m_payload = body->m_payload,
+                     .m_issuedAt = WallTime(
+                       std::chrono::milliseconds(body->m_issuedAtMilliseconds)),
+                     .m_deadline = arrival + allowed };
+  return m_filings.Run(std::move(input))
+    .then([id = body->m_requestId](FilingAnswer&& aAnswer) {
+      return FilingResponse(id, aAnswer);
+    });
+}
+
+RoutingAnswer
+PublicApi::Route(const std::string& aTarget,
+                 const DataCentre& aDataCentre,
+                 size_t aCount)
+{
+  if (m_snapshots.InForce() == nullptr) {
+    return { .m_status = RoutingStatus::kNoConfiguration };
+  }
+  const MembershipView& view = m_membership.View();
+  std::vector<RoutingCandidate> candidates;
+  candidates.reserve(view.m_records.size());
+  for (const InstanceRecord& record : view.m_records) {
+    candidates.push_back({ &record, m_membership.IsSuspected(record.m_id) });
+  }
+  return ChooseAddresses({ .m_target = aTarget,
+                           .m_callerDataCentre = aDataCentre,
+                           .m_count = aCount },
+                         *m_snapshots.InForce(),
+                         candidates,
+                         m_random);
+}
+
+std::optional<HttpResponse>
+PublicApi::Refusal(const std::string& aTarget)
+{
+  if (m_snapshots.InForce() == nullptr) {
+    return ErrorResponse({ .m_status = 503,
+                           .m_code = "no_configuration",
+                           .m_message = "no configuration is in force here" });
+  }
+  bool withdrawn = Withdrawn();
+  if (!m_refusing && !withdrawn) {
+    return std::nullopt;
+  }
+  RoutingAnswer others = Route(aTarget, {}, kDefaultAddressCount);
+  return ErrorResponse(
+    { .m_status = 503,
+      .m_code = withdrawn ? "data_centre_out" : "leaving",
+      .m_message = "this instance takes no new work; use another",
+      .m_details = { { "addresses", AddressesJson(others) } } });
+}
+
+bool
+PublicApi::Withdrawn() const
+{
+  return m_snapshots.InForce()->m_withdrawnDataCentres.contains(
+    m_membership.Self().m_dataCentre);
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/api/public_api.h
@@ -0,0 +1,62 @@
+// What callers ask over HTTP: which addresses to use, queries and filings.
+#pragma once
+
+#include <string>
+
+#include "absl/random/bit_gen_ref.h"
+#include "core/admission/admission.h"
+#include "core/query/snapshot_tracker.h"
+#include "core/routing/routing.h"
+#include "node/api/request_reader.h"
+#include "node/api/status_page.h"
+#include "node/cluster/membership_service.h"
+#include "node/filing/filing_service.h"
+#include "node/query/query_service.h"
+#include "runtime/http/server.h"
+
+namespace ebonykeel {
+
+// Takes `GET /v1/instances`, `POST /v1/query`, `POST /v1/file`, and
+// `GET /v1/status` and `GET /metrics`. All references must outlive it.
+class PublicApi final : public HttpHandler
+{
+public:
+  PublicApi(Loop& aLoop,
+            MembershipService& aMembership,
+            SnapshotTracker& aSnapshots,
+            QueryService& aQueries,
+            FilingService& aFilings,
+            StatusPage& aStatus,
+            absl::BitGenRef aRandom);
+
+  kj::Promise<HttpResponse> Handle(HttpRequest aRequest) override;
+
+  // From now on queries and filings are refused as not run, with other
+  // addresses to use.
+  void RefuseNewWork() { m_refusing = true; }
+  // Requests that are worked on.
+  [[nodiscard]] size_t InFlight() const { return m_inFlight; }
+
+private:
+  [[nodiscard]] HttpResponse Instances(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse> Query(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse> File(const HttpRequest& aRequest);
+  [[nodiscard]] RoutingAnswer Route(const std::string& aTarget,
+                                    const DataCentre& aDataCentre,
+                                    size_t aCount);
+  // Returns why no new work is taken here, or nothing.
+  [[nodiscard]] std::optional<HttpResponse> Refusal(const std::string& aTarget);
+  [[nodiscard]] bool Withdrawn() const;
+
+  Loop& m_loop;
+  MembershipService& m_membership;
+  SnapshotTracker& m_snapshots;
+  QueryService& m_queries;
+  FilingService& m_filings;
+  StatusPage& m_status;
+  absl::BitGenRef m_random;
+  bool m_refusing = false;
+  size_t m_inFlight = 0;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/api/request_reader_test.cc
@@ -0,0 +1,53 @@
+#include "node/api/request_reader.h"
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+DOCTEST_TEST_CASE("a query body is read")
+{
+  auto body = ReadQueryBody(
+    R"({"group":"desk","query":"knots","request_id":"r1","caller":"c",)"
+    R"("deadline_ms":50,"limit":3})");
+  DOCTEST_REQUIRE(body.ok());
+  DOCTEST_CHECK(body->m_group == GroupName("desk"));
+  DOCTEST_CHECK(body->m_deadline == Milliseconds(50));
+  DOCTEST_CHECK(body->m_limit == 3);
+}
+
+DOCTEST_TEST_CASE("every problem of a body is reported at once")
+{
+  auto body = ReadQueryBody(R"({"qery":"x","limit":0,"deadline_ms":"soon"})");
+  DOCTEST_REQUIRE(!body.ok());
+  std::string message(body.status().message());
+  for (const char* expected : { "qery: unknown key",
+                                "exactly one of them",
+                                "query: missing",
+                                "limit: must be",
+                                "deadline_ms: must be",
+                                "request_id: missing",
+                                "caller: missing" }) {
+    DOCTEST_CAPTURE(expected);
+    DOCTEST_CHECK(message.find(expected) != std::string::npos);
+  }
+}
+
+DOCTEST_TEST_CASE("what is not JSON is refused")
+{
+  DOCTEST_CHECK(!ReadQueryBody("{").ok());
+  DOCTEST_CHECK(!ReadQueryBody("[1]").ok());
+  DOCTEST_CHECK(!ReadFilingBody("").ok());
+}
+
+DOCTEST_TEST_CASE("a filing needs its id, caller and time of issue")
+{
+  auto body = ReadFilingBody(R"({"service":"s","operation":"file"})");
+  DOCTEST_REQUIRE(!body.ok());
+  std::string message(body.status().message());
+  DOCTEST_CHECK(message.find("request_id: missing") != std::string::npos);
+  DOCTEST_CHECK(message.find("issued_at_ms: missing") != std::string::npos);
+}
+
+} // namespace
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/api/status_page.h
@@ -0,0 +1,46 @@
+// The state of one instance as JSON and as Prometheus text.
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "core/base/ids.h"
+#include "node/cluster/membership_service.h"
+#include "node/cluster/ownership_service.h"
+#include "node/configuration/configuration_service.h"
+#include "node/filing/filing_service.h"
+#include "node/query/query_service.h"
+#include "node/upstream/upstream_service.h"
+#include "runtime/store/http_store.h"
+
+namespace ebonykeel {
+
+// What the page reads. All references must outlive it.
+struct StatusSources
+{
+  MembershipService& m_membership;
+  OwnershipService& m_ownership;
+  ConfigurationService& m_configuration;
+  UpstreamService& m_upstreams;
+  QueryService& m_queries;
+  FilingService& m_filings;
+  const HttpObjectStore& m_store;
+};
+
+class StatusPage
+{
+public:
+  explicit StatusPage(const StatusSources& aSources);
+
+  [[nodiscard]] nlohmann::json Status() const;
+  // On how many live instances `aGeneration` or a later one is in force, and
+  // on which it is not, as far as this instance has heard.
+  [[nodiscard]] nlohmann::json InForce(Generation aGeneration) const;
+  [[nodiscard]] std::string Metrics() const;
+
+private:
+  StatusSources m_sources;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/cluster/membership_service.h
@@ -0,0 +1,85 @@
+// Runs the membership machine of this instance: its timer, its pings to other
+// instances and its reads of the platform's instance list.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "absl/random/bit_gen_ref.h"
+#include "core/membership/membership.h"
+#include "runtime/loop/alarm.h"
+#include "runtime/peer/links.h"
+#include "runtime/store/object_store.h"
+
+namespace ebonykeel {
+
+struct MembershipServiceOptions
+{
+  MembershipSettings m_membership;
+  // The bound of one ping.
+  Duration m_pingTimeout = Seconds(1);
+  // Between two reads of the instance list while no other instance is known.
+  Duration m_listWhileAlone = Seconds(2);
+  // Between two reads otherwise.
+  Duration m_listOtherwise = Seconds(60);
+};
+
+// Told of changes on the loop's thread.
+class MembershipObserver
+{
+public:
+  virtual ~MembershipObserver() = default;
+  // The view has a new version, or the lease was gained or lost.
+  virtual void OnMembershipChanged() = 0;
+  // Another instance told of a generation above the one in force here.
+  virtual void OnNewerGeneration(Generation aGeneration,
+                                 const std::string& aPeerAddress) = 0;
+};
+
+// All references must outlive the service.
+class MembershipService final : private kj::TaskSet::ErrorHandler
+{
+public:
+  MembershipService(Loop& aLoop,
+                    PeerLinks& aLinks,
+                    ObjectStore& aStore,
+                    const MembershipServiceOptions& aOptions,
+                    InstanceRecord aSelf,
+                    absl::BitGenRef aRandom);
+
+  void Start(MembershipObserver& aObserver);
+
+  [[nodiscard]] Gossip OnPing(const Gossip& aPing);
+  void SetState(InstanceState aState);
+  void SetGeneration(Generation aGeneration);
+  void SetLoad(float aLoad);
+
+  [[nodiscard]] const MembershipView& View() const;
+  [[nodiscard]] const InstanceRecord& Self() const;
+  [[nodiscard]] Lease CurrentLease() const;
+  [[nodiscard]] bool HoldsLease() const;
+  [[nodiscard]] bool IsSuspected(const InstanceId& aId) const;
+  // Returns the record of an instance that is not dead, or null.
+  [[nodiscard]] const InstanceRecord* FindLive(const InstanceId& aId) const;
+
+private:
+  void taskFailed(kj::Exception&& aException) override;
+  void Tick();
+  void SendPing(PingAction aAction);
+  void AfterInput();
+  kj::Promise<void> ReadListForever();
+  [[nodiscard]] bool KnowsOthers() const;
+
+  Loop& m_loop;
+  PeerLinks& m_links;
+  ObjectStore& m_store;
+  MembershipServiceOptions m_options;
+  Membership m_membership;
+  MembershipObserver* m_observer = nullptr;
+  Alarm m_alarm;
+  uint64_t m_reportedVersion = 0;
+  bool m_reportedLease = false;
+  kj::TaskSet m_tasks;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/cluster/ownership_service.cc
@@ -0,0 +1,192 @@
+#include "node/cluster/ownership_service.h"
+
+#include <utility>
+
+#include <kj/debug.h>
+
+#include "absl/strings/str_cat.h"
+#include "node/wire/convert.h"
+#include "runtime/log/events.h"
+
+namespace ebonykeel {
+
+OwnershipService::OwnershipService(Loop& aLoop,
+                                   PeerLinks& aLinks,
+                                   MembershipService& aMembership,
+                                   const OwnershipServiceOptions& aOptions)
+  : m_loop(aLoop)
+  , m_links(aLinks)
+  , m_membership(aMembership)
+  , m_options(aOptions)
+  , m_holder(aOptions.m_holder, aMembership.Self().m_id)
+  , m_owners(std::make_shared<OwnerMap>())
+  , m_alarm(aLoop.Clock(), [this]() { Tick(); })
+  , m_tasks(*this)
+{
+}
+
+void
+OwnershipService::Start(OwnershipObserver& aObserver)
+{
+  m_observer = &aObserver;
+}
+
+void
+OwnershipService::Update(ConfigurationPtr aConfiguration)
+{
+  if (aConfiguration == nullptr) {
+    return;
+  }
+  m_configuration = std::move(aConfiguration);
+  const MembershipView& view = m_membership.View();
+  m_owners =
+    std::make_shared<OwnerMap>(BuildOwnerMap(*m_configuration, view.m_records));
+  m_holder.OnView(m_owners, view, *m_configuration, m_loop.Clock().Now());
+  LogEvent(Event::kOwnershipChanged,
+           { { "owned", absl::StrCat(Named().size()) },
+             { "view", absl::StrCat(view.m_version) },
+             { "generation", absl::StrCat(m_configuration->m_generation) } });
+  Tick();
+}
+
+const InstanceRecord*
+OwnershipService::OwnerOf(const UpstreamId& aUpstream) const
+{
+  return m_membership.FindLive(m_owners->OwnerOf(aUpstream));
+}
+
+bool
+OwnershipService::Owns(const UpstreamId& aUpstream) const
+{
+  return m_owners->OwnerOf(aUpstream) == m_membership.Self().m_id;
+}
+
+std::span<const UpstreamId>
+OwnershipService::Named() const
+{
+  return m_owners->OwnedBy(m_membership.Self().m_id);
+}
+
+uint32_t
+OwnershipService::AllowedSlots(const UpstreamId& aUpstream,
+                               TimePoint aNow) const
+{
+  return m_holder.AllowedSlots(aUpstream, m_membership.CurrentLease(), aNow);
+}
+
+bool
+OwnershipService::WasWarm(const UpstreamId& aUpstream) const
+{
+  return m_holder.WasWarm(aUpstream);
+}
+
+void
+OwnershipService::OnSent(const UpstreamId& aUpstream, TimePoint aDeadline)
+{
+  m_holder.OnSent(aUpstream, aDeadline);
+}
+
+void
+OwnershipService::OnFinished(const UpstreamId& aUpstream)
+{
+  m_holder.OnFinished(aUpstream);
+}
+
+void
+OwnershipService::SetWarm(const UpstreamId& aUpstream, bool aWarm)
+{
+  m_holder.SetWarm(aUpstream, aWarm);
+}
+
+AcquireReply
+OwnershipService::OnAcquire(const AcquireRequest& aRequest)
+{
+  AcquireReply reply = m_holder.OnAcquire(aRequest, m_loop.Clock().Now());
+  Arm();
+  if (m_observer != nullptr) {
+    m_loop.RunLater([this]() { m_observer->OnOwnershipChanged(); });
+  }
+  return reply;
+}
+
+void
+OwnershipService::OnHandOver(const HandOverNotice& aNotice)
+{
+  m_holder.OnHandOver(aNotice, m_loop.Clock().Now());
+  Tick();
+}
+
+void
+OwnershipService::HandOverAll()
+{
+  for (HandOverAction& action : m_holder.MakeHandOverNotices()) {
+    m_tasks.add(
+      m_links.Connect(action.m_peerAddress)
+        .then([notice = std::move(action.m_notice)](wire::Peer::Client aPeer) {
+          auto request = aPeer.handOverRequest();
+          WriteHandOver(notice, request.initNotice());
+          return request.send().ignoreResult();
+        })
+        .catch_([](kj::Exception&& /* aException */) {
+          // The successor asks by itself once its view names it.
+        }));
+  }
+}
+
+void
+OwnershipService::taskFailed(kj::Exception&& aException)
+{
+  KJ_LOG(ERROR, "ownership task failed", aException);
+}
+
+void
+OwnershipService::Tick()
+{
+  for (AcquireAction& action : m_holder.Tick(m_loop.Clock().Now())) {
+    Ask(std::move(action));
+  }
+  Arm();
+  if (m_observer != nullptr) {
+    m_observer->OnOwnershipChanged();
+  }
+}
+
+void
+OwnershipService::Ask(AcquireAction aAction)
+{
+  std::string address = aAction.m_peerAddress;
+  auto call = m_links.Connect(address).then(
+    [question = std::move(aAction.m_request)](wire::Peer::Client aPeer) {
+      auto request = aPeer.acquireRequest();
+      WriteAcquireRequest(question, request.initRequest());
+      return request.send().then(
+        [](capnp::Response<wire::Peer::AcquireResults>&& aResults) {
+          return ReadAcquireReply(aResults.getReply());
+        });
+    });
+  m_tasks.add(m_loop.Clock()
+                .Timer()
+                .timeoutAfter(m_options.m_askTimeout.count() * kj::NANOSECONDS,
+                              kj::mv(call))
+                .then(
+                  [this](AcquireReply&& aReply) {
+                    m_holder.OnReply(aReply, m_loop.Clock().Now());
+                    Tick();
+                  },
+                  [this, address](kj::Exception&& /* aException */) {
+                    m_links.Drop(address);
+                  }));
+}
+
+void
+OwnershipService::Arm()
+{
+  TimePoint next = m_holder.NextTick();
+  if (next == TimePoint::max()) {
+    m_alarm.Set(std::nullopt);
+    return;
+  }
+  m_alarm.Set(next);
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/filing/filing_service.cc
@@ -0,0 +1,399 @@
+#include "node/filing/filing_service.h"
+
+#include <utility>
+
+#include <kj/debug.h>
+#include <openssl/sha.h>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "core/base/stable_hash.h"
+#include "node/wire/convert.h"
+#include "runtime/log/events.h"
+
+namespace ebonykeel {
+namespace {
+
+// A reply of the owner may come this much after the deadline.
+constexpr Duration kReplyGrace = Milliseconds(50);
+
+WallTime
+WallNow()
+{
+  return WallTime(std::chrono::milliseconds(absl::ToUnixMillis(absl::Now())));
+}
+
+// A digest of all that makes two requests the same.
+std::string
+DigestOf(const FilingInput& aInput)
+{
+  std::string text = absl::StrCat(aInput.m_service.Text(),
+                                  std::string(1, '\0'),
+                                  aInput.m_operation,
+                                  std::string(1, '\0'),
+                                  aInput.m_key,
+                                  std::string(1, '\0'),
+                                  aInput.m_payload);
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(
+    reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest);
+  return absl::BytesToHexString(absl::string_view(
+    reinterpret_cast<const char*>(digest), SHA256_DIGEST_LENGTH / 2));
+}
+
+StoreReplyKind
+ToReplyKind(StoreReadOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StoreReadOutcome::kFound:
+      return StoreReplyKind::kOk;
+    case StoreReadOutcome::kNotFound:
+      return StoreReplyKind::kNotFound;
+    case StoreReadOutcome::kUnchanged:
+    case StoreReadOutcome::kFailed:
+      return StoreReplyKind::kNoReply;
+  }
+  return StoreReplyKind::kNoReply;
+}
+
+StoreReplyKind
+ToReplyKind(StoreWriteOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StoreWriteOutcome::kWritten:
+      return StoreReplyKind::kOk;
+    case StoreWriteOutcome::kConflict:
+      return StoreReplyKind::kConflict;
+    case StoreWriteOutcome::kRefused:
+    case StoreWriteOutcome::kUnknown:
+      return StoreReplyKind::kNoReply;
+  }
+  return StoreReplyKind::kNoReply;
+}
+
+} // namespace
+
+struct FilingService::ActiveFiling
+{
+  ActiveFiling(FilingInput aInput,
+               const FilingRequest& aRequest,
+               const FilingSettings& aSettings,
+               const DispatchGuard& aGuard)
+    : m_input(std::move(aInput))
+    , m_ticket(aRequest.m_ticket)
+    , m_run(aRequest, aSettings, aGuard)
+  {
+  }
+
+  FilingInput m_input;
+  ClaimTicket m_ticket;
+  FilingRun m_run;
+  kj::Own<kj::PromiseFulfiller<FilingAnswer>> m_fulfiller;
+  std::unique_ptr<Alarm> m_alarm;
+};
+
+FilingService::FilingService(Loop& aLoop,
+                             PeerLinks& aLinks,
+                             ObjectStore& aStore,
+                             OwnershipService& aOwnership,
+                             UpstreamService& aUpstreams,
+                             SnapshotTracker& aSnapshots,
+                             ReplicaSelector& aSelector,
+                             InstanceId aSelf,
+                             absl::BitGenRef aRandom)
+  : m_loop(aLoop)
+  , m_links(aLinks)
+  , m_store(aStore)
+  , m_ownership(aOwnership)
+  , m_upstreams(aUpstreams)
+  , m_snapshots(aSnapshots)
+  , m_selector(aSelector)
+  , m_random(aRandom)
+  , m_batcher({}, std::move(aSelf), aRandom)
+  , m_batcherAlarm(aLoop.Clock(),
+                   [this]() { PerformBatcher(m_batcher.OnTimer(At())); })
+  , m_tasks(*this)
+{
+}
+
+FilingService::~FilingService() = default;
+
+kj::Promise<FilingAnswer>
+FilingService::Run(FilingInput aInput)
+{
+  FilingRequest request{
+    .m_ticket = ++m_lastTicket,
+    .m_key = { aInput.m_caller, aInput.m_requestId },
+    .m_nonce = { absl::Uniform<uint64_t>(m_random, 1, UINT64_MAX),
+                 absl::Uniform<uint64_t>(m_random, 1, UINT64_MAX) },
+    .m_digest = DigestOf(aInput),
+    .m_issuedAt = aInput.m_issuedAt,
+    .m_deadline = aInput.m_deadline
+  };
+  auto filing = std::make_unique<ActiveFiling>(
+    std::move(aInput), request, m_settings, *this);
+  ActiveFiling& started = *filing;
+  ClaimTicket ticket = request.m_ticket;
+  started.m_alarm = std::make_unique<Alarm>(m_loop.Clock(), [this, ticket]() {
+    if (ActiveFiling* found = Find(ticket)) {
+      PerformFiling(*found, found->m_run.OnTimer(At()));
+    }
+  });
+  auto paf = kj::newPromiseAndFulfiller<FilingAnswer>();
+  started.m_fulfiller = kj::mv(paf.fulfiller);
+  m_active.emplace(ticket, std::move(filing));
+  PerformFiling(started, started.m_run.Start(At()));
+  return kj::mv(paf.promise);
+}
+
+bool
+FilingService::MayDispatch(TimePoint /* aNow */) const
+{
+  // The owner of the upstream checks its own lease; the claim alone decides
+  // who may dispatch.
+  return m_snapshots.InForce() != nullptr;
+}
+
+void
+FilingService::taskFailed(kj::Exception&& aException)
+{
+  KJ_LOG(ERROR, "filing task failed", aException);
+}
+
+EventTime
+FilingService::At() const
+{
+  return { m_loop.Clock().Now(), WallNow() };
+}
+
+void
+FilingService::PerformFiling(ActiveFiling& aFiling, FilingActions aActions)
+{
+  ClaimTicket ticket = aFiling.m_ticket;
+  for (FilingAction& action : aActions) {
+    if (auto* claim = std::get_if<FilingClaim>(&action)) {
+      PerformBatcher(m_batcher.Acquire(claim->m_request, At()));
+    } else if (auto* giveUp = std::get_if<FilingGiveUpClaim>(&action)) {
+      PerformBatcher(m_batcher.GiveUp(giveUp->m_key, giveUp->m_ticket, At()));
+    } else if (auto* dispatch = std::get_if<FilingDispatch>(&action)) {
+      Dispatch(aFiling, dispatch->m_notAfter);
+    } else if (auto* record = std::get_if<FilingRecord>(&action)) {
+      PerformBatcher(m_batcher.Record(record->m_request, At()));
+    } else if (auto* finish = std::get_if<FilingFinish>(&action)) {
+      Answer(aFiling, std::move(finish->m_answer));
+    }
+  }
+  EndIfOver(ticket);
+}
+
+void
+FilingService::PerformBatcher(BatcherActions aActions)
+{
+  for (BatcherAction& action : aActions) {
+    if (auto* read = std::get_if<BatcherRead>(&action)) {
+      m_tasks.add(m_store.Read(read->m_key)
+                    .then([this, call = read->m_call](StoreRead&& aRead) {
+                      OnStoreReply({ .m_call = call,
+                                     .m_kind = ToReplyKind(aRead.m_outcome),
+                                     .m_version = aRead.m_version,
+                                     .m_value = std::move(aRead.m_value) });
+                    }));
+    } else if (auto* write = std::get_if<BatcherWrite>(&action)) {
+      m_tasks.add(
+        m_store.Write(write->m_key, write->m_ifVersion, write->m_value)
+          .then([this, call = write->m_call](StoreWrite&& aWrite) {
+            OnStoreReply({ .m_call = call,
+                           .m_kind = ToReplyKind(aWrite.m_outcome),
+                           .m_version = aWrite.m_version });
+          }));
+    } else if (auto* claimed = std::get_if<BatcherClaimDone>(&action)) {
+      // The run may be on the call stack.
+      m_loop.RunLater([this, done = std::move(*claimed)]() {
+        if (ActiveFiling* filing = Find(done.m_ticket)) {
+          PerformFiling(*filing, filing->m_run.OnClaim(done.m_reply, At()));
+        }
+      });
+    } else if (auto* recorded = std::get_if<BatcherRecordDone>(&action)) {
+      m_loop.RunLater([this, done = *recorded]() {
+        if (ActiveFiling* filing = Find(done.m_ticket)) {
+          PerformFiling(*filing,
+                        filing->m_run.OnRecorded(done.m_recorded, At()));
+        }
+      });
+    }
+  }
+  m_batcherAlarm.Set(m_batcher.NextTimer());
+}
+
+void
+FilingService::Dispatch(ActiveFiling& aFiling, TimePoint aNotAfter)
+{
+  const FilingInput& input = aFiling.m_input;
+  std::optional<Target> target = ChooseTarget(input);
+  ClaimTicket ticket = aFiling.m_ticket;
+  auto finish = [this, ticket](DispatchResult&& aResult) {
+    if (ActiveFiling* filing = Find(ticket)) {
+      PerformFiling(*filing, filing->m_run.OnDispatched(aResult, At()));
+    }
+  };
+  if (!target) {
+    m_loop.RunLater([finish]() {
+      finish({ .m_outcome = Outcome::kNotRun,
+               .m_reason = MissingReason::kWithdrawn });
+    });
+    return;
+  }
+  OnceRequest request{ .m_service = input.m_service,
+                       .m_operation = input.m_operation,
+                       .m_caller = input.m_caller,
+                       .m_requestId = input.m_requestId,
+                       .m_payload = input.m_payload,
+                       .m_shard = target->m_shard,
+                       .m_upstream = target->m_upstream };
+  m_tasks.add(SendToOwner(std::move(request), aNotAfter).then(finish));
+}
+
+kj::Promise<DispatchResult>
+FilingService::SendToOwner(OnceRequest aRequest, TimePoint aNotAfter)
+{
+  if (m_ownership.Owns(aRequest.m_upstream)) {
+    return SubmitOnce(m_upstreams, std::move(aRequest), aNotAfter);
+  }
+  const InstanceRecord* owner = m_ownership.OwnerOf(aRequest.m_upstream);
+  if (owner == nullptr) {
+    return DispatchResult{ .m_outcome = Outcome::kNotRun,
+                           .m_reason = MissingReason::kNoOwner };
+  }
+  return SendToPeer(owner->m_peerAddress, std::move(aRequest), aNotAfter);
+}
+
+kj::Promise<DispatchResult>
+FilingService::SendToPeer(const std::string& aAddress,
+                          OnceRequest aRequest,
+                          TimePoint aNotAfter)
+{
+  // Set right before the call leaves; until then nothing can have run.
+  auto sent = kj::heap<bool>(false);
+  bool& sentRef = *sent;
+  auto call = m_links.Connect(aAddress).then(
+    [this, &sentRef, aNotAfter, request = std::move(aRequest)](
+      wire::Peer::Client aPeer) -> kj::Promise<DispatchResult> {
+      Duration remaining = aNotAfter - m_loop.Clock().Now();
+      if (remaining <= Duration::zero()) {
+        return DispatchResult{ .m_outcome = Outcome::kNotRun,
+                               .m_reason = MissingReason::kDeadline };
+      }
+      auto message = aPeer.fileRequest();
+      auto body = message.initRequest();
+      body.setService(ToText(request.m_service.Text()));
+      body.setOperation(ToText(request.m_operation));
+      body.setCaller(ToText(request.m_caller.Text()));
+      body.setRequestId(ToText(request.m_requestId.Text()));
+      body.setPayload(ToText(request.m_payload));
+      body.setShard(ToText(request.m_shard.Text()));
+      body.setUpstream(ToText(request.m_upstream.Text()));
+      body.setRemaining(ToMicroseconds(remaining));
+      sentRef = true;
+      return message.send().then(
+        [](capnp::Response<wire::Peer::FileResults>&& aResults) {
+          auto reply = aResults.getReply();
+          return DispatchResult{ .m_outcome = ReadOutcome(reply.getOutcome()),
+                                 .m_reason =
+                                   ReadMissingReason(reply.getReason()),
+                                 .m_result =
+                                   std::string(ToView(reply.getResult())) };
+        });
+    });
+  TimePoint bound = aNotAfter + kReplyGrace;
+  return m_loop.Clock()
+    .Timer()
+    .timeoutAfter((bound - m_loop.Clock().Now()).count() * kj::NANOSECONDS,
+                  kj::mv(call))
+    .catch_([this, &sentRef, aAddress](kj::Exception&& aException) {
+      LogEvent(Event::kPeerFailed,
+               { { "address", aAddress },
+                 { "call", "file" },
+                 { "reason", aException.getDescription().cStr() } });
+      m_links.Drop(aAddress);
+      return DispatchResult{ .m_outcome =
+                               sentRef ? Outcome::kUnknown : Outcome::kNotRun,
+                             .m_reason = MissingReason::kUnreachable };
+    })
+    .attach(kj::mv(sent));
+}
+
+std::optional<FilingService::Target>
+FilingService::ChooseTarget(const FilingInput& aInput)
+{
+  ConfigurationPtr configuration = m_snapshots.InForce();
+  const ServiceConfig* service = configuration->FindService(aInput.m_service);
+  if (service == nullptr || service->m_shards.empty()) {
+    return std::nullopt;
+  }
+  const ShardConfig& shard =
+    service->m_shards[StableHash(aInput.m_key) % service->m_shards.size()];
+  ReplicaChoice choice =
+    m_selector.Choose(shard, {}, Attempt::kFirst, m_loop.Clock().Now());
+  if (choice.m_replica == nullptr) {
+    return std::nullopt;
+  }
+  return Target{ shard.m_name, choice.m_replica->m_id };
+}
+
+void
+FilingService::Answer(ActiveFiling& aFiling, FilingAnswer aAnswer)
+{
+  switch (aAnswer.m_outcome) {
+    case Outcome::kRan:
+      ++(aAnswer.m_repeated ? m_totals.m_repeated : m_totals.m_ran);
+      break;
+    case Outcome::kNotRun:
+      ++m_totals.m_notRun;
+      break;
+    case Outcome::kUnknown:
+      ++m_totals.m_unknown;
+      break;
+  }
+  if (aAnswer.m_outcome != Outcome::kRan) {
+    LogEvent(aAnswer.m_outcome == Outcome::kUnknown ? Event::kFilingUnknown
+                                                    : Event::kFilingRefused,
+             { { "request", aFiling.m_input.m_requestId.Text() },
+               { "caller", aFiling.m_input.m_caller.Text() },
+               { "reason", std::string(FilingReasonName(aAnswer.m_reason)) } });
+  }
+  aFiling.m_fulfiller->fulfill(std::move(aAnswer));
+}
+
+void
+FilingService::OnStoreReply(StoreReply aReply)
+{
+  PerformBatcher(m_batcher.OnStoreReply(aReply, At()));
+}
+
+void
+FilingService::EndIfOver(ClaimTicket aTicket)
+{
+  auto found = m_active.find(aTicket);
+  if (found == m_active.end()) {
+    return;
+  }
+  if (!found->second->m_run.Ended()) {
+    found->second->m_alarm->Set(found->second->m_run.NextTimer());
+    return;
+  }
+  // The filing's alarm may be on the call stack.
+  auto ended = kj::heap(std::move(found->second));
+  m_active.erase(found);
+  m_loop.RunLater([ended = kj::mv(ended)]() mutable { ended = nullptr; });
+}
+
+FilingService::ActiveFiling*
+FilingService::Find(ClaimTicket aTicket)
+{
+  auto found = m_active.find(aTicket);
+  return found == m_active.end() ? nullptr : found->second.get();
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/filing/filing_service.h
@@ -0,0 +1,117 @@
+// Runs the requests that must run at most once and that callers sent to this
+// instance.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <kj/async.h>
+
+#include "absl/random/bit_gen_ref.h"
+#include "core/filing/claim_batcher.h"
+#include "core/filing/filing_run.h"
+#include "core/query/replica_selector.h"
+#include "core/query/snapshot_tracker.h"
+#include "node/cluster/membership_service.h"
+#include "node/cluster/ownership_service.h"
+#include "node/upstream/upstream_protocol.h"
+#include "node/upstream/upstream_service.h"
+#include "runtime/loop/alarm.h"
+#include "runtime/peer/links.h"
+#include "runtime/store/object_store.h"
+
+namespace ebonykeel {
+
+// What a caller files. The service and the operation were checked against the
+// configuration.
+struct FilingInput
+{
+  ServiceName m_service;
+  std::string m_operation;
+  CallerName m_caller;
+  RequestId m_requestId;
+  // Chooses the shard.
+  std::string m_key;
+  std::string m_payload;
+  WallTime m_issuedAt;
+  TimePoint m_deadline;
+};
+
+struct FilingTotals
+{
+  uint64_t m_ran = 0;
+  uint64_t m_repeated = 0;
+  uint64_t m_notRun = 0;
+  uint64_t m_unknown = 0;
+};
+
+// All references must outlive the service.
+class FilingService final
+  : private DispatchGuard
+  , private kj::TaskSet::ErrorHandler
+{
+public:
+  FilingService(Loop& aLoop,
+                PeerLinks& aLinks,
+                ObjectStore& aStore,
+                OwnershipService& aOwnership,
+                UpstreamService& aUpstreams,
+                SnapshotTracker& aSnapshots,
+                ReplicaSelector& aSelector,
+                InstanceId aSelf,
+                absl::BitGenRef aRandom);
+  ~FilingService();
+
+  [[nodiscard]] kj::Promise<FilingAnswer> Run(FilingInput aInput);
+
+  [[nodiscard]] const FilingTotals& Totals() const { return m_totals; }
+  // Filings whose answer or record is still open.
+  [[nodiscard]] size_t Active() const { return m_active.size(); }
+
+private:
+  struct ActiveFiling;
+
+  // Where a filing goes.
+  struct Target
+  {
+    ShardName m_shard;
+    UpstreamId m_upstream;
+  };
+
+  [[nodiscard]] bool MayDispatch(TimePoint aNow) const override;
+  void taskFailed(kj::Exception&& aException) override;
+  [[nodiscard]] EventTime At() const;
+  void PerformFiling(ActiveFiling& aFiling, FilingActions aActions);
+  void PerformBatcher(BatcherActions aActions);
+  void Dispatch(ActiveFiling& aFiling, TimePoint aNotAfter);
+  [[nodiscard]] kj::Promise<DispatchResult> SendToOwner(OnceRequest aRequest,
+                                                        TimePoint aNotAfter);
+  [[nodiscard]] kj::Promise<DispatchResult> SendToPeer(
+    const std::string& aAddress,
+    OnceRequest aRequest,
+    TimePoint aNotAfter);
+  [[nodiscard]] std::optional<Target> ChooseTarget(const FilingInput& aInput);
+  void Answer(ActiveFiling& aFiling, FilingAnswer aAnswer);
+  void OnStoreReply(StoreReply aReply);
+  void EndIfOver(ClaimTicket aTicket);
+  ActiveFiling* Find(ClaimTicket aTicket);
+
+  Loop& m_loop;
+  PeerLinks& m_links;
+  ObjectStore& m_store;
+  OwnershipService& m_ownership;
+  UpstreamService& m_upstreams;
+  SnapshotTracker& m_snapshots;
+  ReplicaSelector& m_selector;
+  absl::BitGenRef m_random;
+  ClaimBatcher m_batcher;
+  FilingSettings m_settings;
+  ClaimTicket m_lastTicket = 0;
+  std::map<ClaimTicket, std::unique_ptr<ActiveFiling>> m_active;
+  FilingTotals m_totals;
+  Alarm m_batcherAlarm;
+  kj::TaskSet m_tasks;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/filing/once_task.h
@@ -0,0 +1,39 @@
+// A request that must run at most once, as work for an upstream.
+#pragma once
+
+#include <string>
+
+#include <kj/async.h>
+
+#include "core/filing/filing_run.h"
+#include "node/upstream/upstream_protocol.h"
+#include "node/upstream/upstream_service.h"
+
+namespace ebonykeel {
+
+// Fulfils its promise with what became of the request.
+class OnceTask final : public UpstreamTask
+{
+public:
+  OnceTask(OnceRequest aRequest,
+           kj::Own<kj::PromiseFulfiller<DispatchResult>> aFulfiller);
+
+  [[nodiscard]] const std::string& RequestId() const override;
+  [[nodiscard]] HttpRequest MakeRequest(Duration aRemaining) const override;
+  void OnRefused(MissingReason aReason) override;
+  UpstreamResult OnReply(const HttpReply& aReply, bool aCold) override;
+
+private:
+  OnceRequest m_request;
+  std::string m_name;
+  kj::Own<kj::PromiseFulfiller<DispatchResult>> m_fulfiller;
+};
+
+// Submits `aRequest` to the gate of its upstream and resolves with what became
+// of it.
+[[nodiscard]] kj::Promise<DispatchResult>
+SubmitOnce(UpstreamService& aUpstreams,
+           OnceRequest aRequest,
+           TimePoint aDeadline);
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/node.cc
@@ -0,0 +1,325 @@
+#include "node/node.h"
+
+#include <utility>
+
+#include <kj/debug.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "node/api/api_error.h"
+#include "runtime/log/events.h"
+
+namespace ebonykeel {
+namespace {
+
+// What a stop waits beyond the routing lifetime, for the news to spread.
+constexpr Duration kSpreadMargin = Milliseconds(1500);
+// How often a stop looks whether work is still in flight.
+constexpr Duration kIdlePoll = Milliseconds(20);
+
+MembershipServiceOptions
+MembershipOptions(const NodeSettings& aSettings)
+{
+  MembershipServiceOptions options;
+  options.m_membership.m_heartbeat = aSettings.m_timers.m_heartbeat;
+  options.m_membership.m_lease = aSettings.m_timers.m_lease;
+  options.m_membership.m_margin = aSettings.m_timers.m_leaseMargin;
+  options.m_pingTimeout = aSettings.m_timers.m_peerTimeout;
+  options.m_listWhileAlone = aSettings.m_timers.m_instanceList;
+  return options;
+}
+
+Endpoint
+ToEndpoint(const Address& aAddress)
+{
+  return { aAddress.m_host, aAddress.m_port };
+}
+
+HttpResponse
+NotReady()
+{
+  return ErrorResponse({ .m_status = 503,
+                         .m_code = "starting",
+                         .m_message = "this instance is starting" });
+}
+
+} // namespace
+
+LatePeer::LatePeer()
+  : m_pair(kj::newPromiseAndFulfiller<wire::Peer::Client>())
+  , m_client(kj::mv(m_pair.promise))
+{
+}
+
+void
+LatePeer::Set(wire::Peer::Client aPeer)
+{
+  m_pair.fulfiller->fulfill(kj::mv(aPeer));
+}
+
+class Node::LateHandler final : public HttpHandler
+{
+public:
+  void Set(HttpHandler& aHandler) { m_handler = &aHandler; }
+
+  kj::Promise<HttpResponse> Handle(HttpRequest aRequest) override
+  {
+    if (m_handler == nullptr) {
+      return NotReady();
+    }
+    return m_handler->Handle(std::move(aRequest));
+  }
+
+private:
+  HttpHandler* m_handler = nullptr;
+};
+
+struct Node::Parts
+{
+  Parts(Loop& aLoop,
+        const NodeSettings& aSettings,
+        const std::string& aAdminToken,
+        InstanceRecord aSelf,
+        absl::BitGen& aRandom)
+    : m_client(aLoop,
+               { .m_maxBodyBytes = aSettings.m_limits.m_upstreamAnswerBytes,
+                 .m_idleTimeout = aSettings.m_timers.m_idleConnection })
+    , m_store(
+        m_client,
+        { .m_store = ToEndpoint(aSettings.m_platform.m_store),
+          .m_instanceList = ToEndpoint(aSettings.m_platform.m_instanceList),
+          .m_timeout = aSettings.m_timers.m_storeTimeout })
+    , m_links(aLoop)
+    , m_membership(aLoop,
+                   m_links,
+                   m_store,
+                   MembershipOptions(aSettings),
+                   aSelf,
+                   aRandom)
+    , m_ownership(aLoop,
+                  m_links,
+                  m_membership,
+                  { .m_askTimeout = aSettings.m_timers.m_peerTimeout })
+    , m_upstreams(aLoop, m_client, m_ownership, {})
+    , m_configuration(aLoop,
+                      m_links,
+                      m_store,
+                      m_membership,
+                      { .m_watch = aSettings.m_timers.m_storeWatch,
+                        .m_fetchTimeout = aSettings.m_timers.m_peerTimeout })
+    , m_selector({ .m_ownDataCentre = aSettings.m_dataCentre }, aRandom)
+    , m_hedges({})
+    , m_queries(aLoop,
+                m_links,
+                m_ownership,
+                m_upstreams,
+                m_snapshots,
+                m_selector,
+                m_hedges,
+                absl::Uniform<BootId>(aRandom, 1, UINT64_MAX))
+    , m_filings(aLoop,
+                m_links,
+                m_store,
+                m_ownership,
+                m_upstreams,
+                m_snapshots,
+                m_selector,
+                aSelf.m_id,
+                aRandom)
+    , m_status({ m_membership,
+                 m_ownership,
+                 m_configuration,
+                 m_upstreams,
+                 m_queries,
+                 m_filings,
+                 m_store })
+    , m_publicApi(aLoop,
+                  m_membership,
+                  m_snapshots,
+                  m_queries,
+                  m_filings,
+                  m_status,
+                  aRandom)
+    , m_adminApi(m_configuration, m_membership, m_status, aAdminToken, aRandom)
+  {
+  }
+
+  H2oHttpClient m_client;
+  HttpObjectStore m_store;
+  PeerLinks m_links;
+  MembershipService m_membership;
+  OwnershipService m_ownership;
+  UpstreamService m_upstreams;
+  ConfigurationService m_configuration;
+  SnapshotTracker m_snapshots;
+  AdaptiveSelector m_selector;
+  QuantileHedging m_hedges;
+  QueryService m_queries;
+  FilingService m_filings;
+  StatusPage m_status;
+  PublicApi m_publicApi;
+  AdminApi m_adminApi;
+};
+
+Node::Node(Loop& aLoop, NodeSettings aSettings, std::string aAdminToken)
+  : m_loop(aLoop)
+  , m_settings(std::move(aSettings))
+  , m_adminToken(std::move(aAdminToken))
+  , m_publicHandler(std::make_unique<LateHandler>())
+  , m_adminHandler(std::make_unique<LateHandler>())
+{
+}
+
+Node::~Node() = default;
+
+absl::Status
+Node::Start()
+{
+  absl::Status status = Listen();
+  if (!status.ok()) {
+    return status;
+  }
+  std::string host = m_settings.m_listen.m_advertiseHost;
+  auto advertise = [&host](const Address& aListen, uint16_t aPort) {
+    return absl::StrCat(host.empty() ? aListen.m_host : host, ":", aPort);
+  };
+  // The peer address is bound last but has to be announced first.
+  InstanceRecord self{
+    .m_id = m_settings.m_id,
+    .m_incarnation = static_cast<BootId>(absl::ToUnixMillis(absl::Now())),
+    .m_publicAddress =
+      advertise(m_settings.m_listen.m_public, m_ports.m_public),
+    .m_adminAddress = advertise(m_settings.m_listen.m_admin, m_ports.m_admin),
+    .m_peerAddress = advertise(m_settings.m_listen.m_peer, m_ports.m_peer),
+    .m_dataCentre = m_settings.m_dataCentre,
+    .m_region = m_settings.m_region
+  };
+  m_parts = std::make_unique<Parts>(
+    m_loop, m_settings, m_adminToken, std::move(self), m_random);
+  m_peerHandler.Set(kj::heap<PeerService>(m_loop,
+                                          m_parts->m_membership,
+                                          m_parts->m_ownership,
+                                          m_parts->m_configuration,
+                                          m_parts->m_upstreams));
+  m_publicHandler->Set(m_parts->m_publicApi);
+  m_adminHandler->Set(m_parts->m_adminApi);
+  m_parts->m_ownership.Start(*this);
+  m_parts->m_membership.Start(*this);
+  m_parts->m_configuration.Start(*this);
+  LogEvent(Event::kNodeStarted,
+           { { "id", m_settings.m_id.Text() },
+             { "data_centre", m_settings.m_dataCentre.Text() },
+             { "public", absl::StrCat(m_ports.m_public) },
+             { "admin", absl::StrCat(m_ports.m_admin) },
+             { "peer", absl::StrCat(m_ports.m_peer) } });
+  return absl::OkStatus();
+}
+
+kj::Promise<void>
+Node::Stop()
+{
+  LogEvent(Event::kNodeStopping, { { "id", m_settings.m_id.Text() } });
+  m_parts->m_membership.SetState(InstanceState::kLeaving);
+  m_parts->m_ownership.HandOverAll();
+  TimePoint bound = m_loop.Clock().Now() +
+                    m_settings.m_timers.m_routingLifetime + kSpreadMargin +
+                    m_settings.m_timers.m_drain;
+  return m_loop.Clock()
+    .After(m_settings.m_timers.m_routingLifetime + kSpreadMargin)
+    .then([this, bound]() {
+      m_parts->m_publicApi.RefuseNewWork();
+      m_publicServer->BeginShutdown();
+      return WaitUntilIdle(bound);
+    })
+    .then([this]() {
+      m_parts->m_membership.SetState(InstanceState::kDead);
+      // One turn for the last pings to leave.
+      return m_loop.Clock().After(kIdlePoll);
+    })
+    .then([this]() {
+      LogEvent(
+        Event::kNodeStopped,
+        { { "id", m_settings.m_id.Text() },
+          { "in_flight", absl::StrCat(m_parts->m_publicApi.InFlight()) } });
+    });
+}
+
+void
+Node::OnMembershipChanged()
+{
+  m_parts->m_ownership.Update(m_parts->m_configuration.InForce());
+}
+
+void
+Node::OnNewerGeneration(Generation aGeneration, const std::string& aPeerAddress)
+{
+  m_parts->m_configuration.OnOffer(aGeneration, aPeerAddress);
+}
+
+void
+Node::OnOwnershipChanged()
+{
+  m_parts->m_upstreams.OnOwnershipChanged();
+}
+
+void
+Node::OnConfigurationInForce(const ConfigurationPtr& aConfiguration)
+{
+  m_parts->m_snapshots.OnConfiguration(aConfiguration);
+  m_parts->m_selector.OnConfiguration(aConfiguration);
+  m_parts->m_ownership.Update(aConfiguration);
+  m_parts->m_upstreams.OnConfiguration(aConfiguration,
+                                       m_parts->m_snapshots.UsableUpstreams());
+}
+
+absl::Status
+Node::Listen()
+{
+  HttpServerOptions options{ .m_maxBodyBytes =
+                               m_settings.m_limits.m_requestBytes };
+  auto publicServer =
+    HttpServer::Listen(m_loop,
+                       ToEndpoint(m_settings.m_listen.m_public),
+                       options,
+                       *m_publicHandler);
+  if (!publicServer.ok()) {
+    return publicServer.status();
+  }
+  m_publicServer = *std::move(publicServer);
+  // Publications carry many service files.
+  options.m_maxBodyBytes = size_t{ 16 } << 20;
+  auto adminServer = HttpServer::Listen(
+    m_loop, ToEndpoint(m_settings.m_listen.m_admin), options, *m_adminHandler);
+  if (!adminServer.ok()) {
+    return adminServer.status();
+  }
+  m_adminServer = *std::move(adminServer);
+  m_ports.m_public = m_publicServer->Port();
+  m_ports.m_admin = m_adminServer->Port();
+  KJ_IF_MAYBE (exception, kj::runCatchingExceptions([this]() {
+                 m_peerServer = std::make_unique<PeerServer>(
+                   m_loop,
+                   m_peerHandler.Client(),
+                   m_settings.m_listen.m_peer.m_host,
+                   m_settings.m_listen.m_peer.m_port);
+               })) {
+    return absl::UnavailableError(exception->getDescription().cStr());
+  }
+  m_ports.m_peer = m_peerServer->Port();
+  return absl::OkStatus();
+}
+
+kj::Promise<void>
+Node::WaitUntilIdle(TimePoint aBound)
+{
+  bool idle = m_parts->m_publicApi.InFlight() == 0 &&
+              m_parts->m_filings.Active() == 0 &&
+              m_parts->m_upstreams.InFlight() == 0;
+  if (idle || m_loop.Clock().Now() >= aBound) {
+    return kj::READY_NOW;
+  }
+  return m_loop.Clock().After(kIdlePoll).then(
+    [this, aBound]() { return WaitUntilIdle(aBound); });
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/node.h
@@ -0,0 +1,99 @@
+// One instance: everything that `ebonykeeld` runs, put together.
+#pragma once
+
+#include <memory>
+
+#include <kj/async.h>
+
+#include "absl/random/random.h"
+#include "absl/status/statusor.h"
+#include "core/config/node_settings.h"
+#include "core/query/hedge_policy.h"
+#include "core/query/replica_selector.h"
+#include "core/query/snapshot_tracker.h"
+#include "node/api/admin_api.h"
+#include "node/api/public_api.h"
+#include "node/api/status_page.h"
+#include "node/cluster/membership_service.h"
+#include "node/cluster/ownership_service.h"
+#include "node/configuration/configuration_service.h"
+#include "node/filing/filing_service.h"
+#include "node/peer/peer_service.h"
+#include "node/query/query_service.h"
+#include "node/upstream/upstream_service.h"
+#include "runtime/http/client.h"
+#include "runtime/http/server.h"
+#include "runtime/peer/links.h"
+#include "runtime/store/http_store.h"
+
+namespace ebonykeel {
+
+// A peer interface for an address that is bound before its parts exist. Calls
+// wait until `Set`.
+class LatePeer
+{
+public:
+  LatePeer();
+  [[nodiscard]] wire::Peer::Client Client() { return m_client; }
+  void Set(wire::Peer::Client aPeer);
+
+private:
+  kj::PromiseFulfillerPair<wire::Peer::Client> m_pair;
+  wire::Peer::Client m_client;
+};
+
+// The addresses that an instance has bound.
+struct BoundPorts
+{
+  uint16_t m_public = 0;
+  uint16_t m_admin = 0;
+  uint16_t m_peer = 0;
+};
+
+class Node final
+  : private MembershipObserver
+  , private OwnershipObserver
+  , private ConfigurationObserver
+{
+public:
+  // The loop must outlive the node. `aAdminToken` is empty for none.
+  Node(Loop& aLoop, NodeSettings aSettings, std::string aAdminToken);
+  ~Node() override;
+
+  // Binds the addresses and starts. Call it once.
+  [[nodiscard]] absl::Status Start();
+  [[nodiscard]] const BoundPorts& Ports() const { return m_ports; }
+
+  // Stops without cutting a request: other instances and callers are told
+  // first; resolves when nothing is in flight or the bound has passed.
+  [[nodiscard]] kj::Promise<void> Stop();
+
+private:
+  struct Parts;
+
+  void OnMembershipChanged() override;
+  void OnNewerGeneration(Generation aGeneration,
+                         const std::string& aPeerAddress) override;
+  void OnOwnershipChanged() override;
+  void OnConfigurationInForce(const ConfigurationPtr& aConfiguration) override;
+
+  [[nodiscard]] absl::Status Listen();
+  [[nodiscard]] kj::Promise<void> WaitUntilIdle(TimePoint aBound);
+
+  Loop& m_loop;
+  NodeSettings m_settings;
+  std::string m_adminToken;
+  BoundPorts m_ports;
+  absl::BitGen m_random;
+  // The addresses are bound first, since the parts announce them.
+  class LateHandler;
+  std::unique_ptr<LateHandler> m_publicHandler;
+  std::unique_ptr<LateHandler> m_adminHandler;
+  LatePeer m_peerHandler;
+  std::unique_ptr<HttpServer> m_publicServer;
+  std::unique_ptr<HttpServer> m_adminServer;
+  std::unique_ptr<Parts> m_parts;
+  std::unique_ptr<PeerServer> m_peerServer;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/query/query_service.cc
@@ -0,0 +1,387 @@
+#include "node/query/query_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <kj/debug.h>
+
+#include "node/wire/convert.h"
+#include "runtime/log/events.h"
+
+namespace ebonykeel {
+namespace {
+
+// Gives the answers that another instance streams back to their query.
+class RemoteSink final : public wire::AnswerSink::Server
+{
+public:
+  RemoteSink(QueryService& aService, uint64_t aQuery)
+    : m_service(aService)
+    , m_query(aQuery)
+  {
+  }
+
+  kj::Promise<void> deliver(DeliverContext aContext) override
+  {
+    for (wire::SubAnswer::Reader answer : aContext.getParams().getAnswers()) {
+      m_service.OnRemoteAnswer(m_query, ReadSubAnswer(answer));
+    }
+    return kj::READY_NOW;
+  }
+
+private:
+  QueryService& m_service;
+  uint64_t m_query;
+};
+
+// Sub-queries for upstreams of one owner.
+struct OwnerBatch
+{
+  std::string m_peerAddress;
+  std::vector<SendSubQuery> m_sends;
+};
+
+void
+WriteSearch(const OwnerBatch& aBatch,
+            const QueryRequest& aQuery,
+            Generation aGeneration,
+            wire::SearchRequest::Builder aBuilder)
+{
+  aBuilder.setCaller(ToText(aQuery.m_caller.Text()));
+  aBuilder.setText(ToText(aQuery.m_text));
+  aBuilder.setLimit(aQuery.m_limit);
+  aBuilder.setGeneration(aGeneration);
+  Duration remaining{ 0 };
+  auto list = aBuilder.initSubQueries(aBatch.m_sends.size());
+  for (size_t i = 0; i < aBatch.m_sends.size(); ++i) {
+    const SubQuery& subQuery = aBatch.m_sends[i].m_subQuery;
+    remaining = std::max(remaining, aBatch.m_sends[i].m_remaining);
+    list[i].setId(ToText(subQuery.m_id));
+    list[i].setService(ToText(subQuery.m_service.Text()));
+    list[i].setShard(ToText(subQuery.m_shard.Text()));
+    list[i].setUpstream(ToText(subQuery.m_upstream.Text()));
+    list[i].setIndexVersion(subQuery.m_indexVersion);
+    list[i].setHedge(subQuery.m_hedge);
+    list[i].setAttempt(static_cast<uint8_t>(aBatch.m_sends[i].m_attempt));
+  }
+  aBuilder.setRemaining(ToMicroseconds(remaining));
+}
+
+} // namespace
+
+// One query that runs, with its timer and its calls to owners.
+class QueryService::ActiveQuery final
+  : public SubAnswerListener
+  , private kj::TaskSet::ErrorHandler
+{
+public:
+  ActiveQuery(QueryService& aService,
+              uint64_t aNumber,
+              QueryRequest aRequest,
+              kj::Own<kj::PromiseFulfiller<QueryAnswer>> aFulfiller)
+    : m_service(aService)
+    , m_number(aNumber)
+    , m_run(std::move(aRequest),
+            { aService.m_snapshots,
+              aService.m_selector,
+              aService.m_hedges,
+              aService.m_retries },
+            SubQueryIds(aService.m_boot, aNumber))
+    , m_fulfiller(kj::mv(aFulfiller))
+    , m_alarm(aService.m_loop.Clock(), [this]() { OnTimer(); })
+    , m_calls(*this)
+  {
+  }
+
+  void Start() { Perform(m_run.Start(Now())); }
+
+  void OnSubAnswer(SubAnswer aAnswer) override
+  {
+    m_local.erase(aAnswer.m_id);
+    m_remote.erase(aAnswer.m_id);
+    Perform(m_run.OnSubAnswer(aAnswer, Now()));
+  }
+
+  [[nodiscard]] const QueryRun& Run() const { return m_run; }
+
+private:
+  [[nodiscard]] TimePoint Now() const { return m_service.m_loop.Clock().Now(); }
+
+  void taskFailed(kj::Exception&& aException) override
+  {
+    KJ_LOG(ERROR, "query call failed", aException);
+  }
+
+  void OnTimer() { Perform(m_run.OnTimer(Now())); }
+
+  // Sub-answers can come while earlier actions are carried out, so actions
+  // are queued and carried out by the outermost call.
+  void Perform(std::vector<QueryAction> aActions)
+  {
+    std::ranges::move(aActions, std::back_inserter(m_queue));
+    if (m_performing) {
+      return;
+    }
+    m_performing = true;
+    while (!m_queue.empty() && !m_ended) {
+      std::vector<QueryAction> actions = std::exchange(m_queue, {});
+      PerformAll(actions);
+    }
+    m_performing = false;
+    if (!m_ended) {
+      m_alarm.Set(m_run.NextTimer());
+    }
+  }
+
+  void PerformAll(std::vector<QueryAction>& aActions)
+  {
+    std::map<InstanceId, OwnerBatch> batches;
+    std::vector<SubQuery> ownerless;
+    std::vector<SendSubQuery> local;
+    for (QueryAction& action : aActions) {
+      if (auto* send = std::get_if<SendSubQuery>(&action)) {
+        Sort(std::move(*send), batches, local, ownerless);
+      } else if (auto* cancel = std::get_if<CancelSubQuery>(&action)) {
+        Cancel(*cancel);
+      } else if (auto* finish = std::get_if<Finish>(&action)) {
+        End(std::move(finish->m_answer));
+        return;
+      }
+    }
+    for (auto& [owner, batch] : batches) {
+      SendRemote(std::move(batch));
+    }
+    for (SendSubQuery& send : local) {
+      SendLocal(std::move(send));
+    }
+    for (const SubQuery& subQuery : ownerless) {
+      OnSubAnswer(FailedAnswer(subQuery, MissingReason::kNoOwner));
+    }
+    SendCancels();
+  }
+
+  void Sort(SendSubQuery aSend,
+            std::map<InstanceId, OwnerBatch>& aBatches,
+            std::vector<SendSubQuery>& aLocal,
+            std::vector<SubQuery>& aOwnerless)
+  {
+    const UpstreamId& upstream = aSend.m_subQuery.m_upstream;
+    if (m_service.m_ownership.Owns(upstream)) {
+      aLocal.push_back(std::move(aSend));
+      return;
+    }
+    const InstanceRecord* owner = m_service.m_ownership.OwnerOf(upstream);
+    if (owner == nullptr) {
+      aOwnerless.push_back(std::move(aSend.m_subQuery));
+      return;
+    }
+    OwnerBatch& batch = aBatches[owner->m_id];
+    batch.m_peerAddress = owner->m_peerAddress;
+    batch.m_sends.push_back(std::move(aSend));
+  }
+
+  void SendLocal(SendSubQuery aSend)
+  {
+    std::string id = aSend.m_subQuery.m_id;
+    UpstreamId upstream = aSend.m_subQuery.m_upstream;
+    UpstreamWork work{ .m_deadline = Now() + aSend.m_remaining,
+                       .m_caller = m_run.Request().m_caller,
+                       .m_priority = aSend.m_attempt == Attempt::kFirst
+                                       ? WorkPriority::kInteractive
+                                       : WorkPriority::kSecondary,
+                       .m_hedge = aSend.m_subQuery.m_hedge };
+    m_local.emplace(id, UpstreamTicket{});
+    UpstreamTicket ticket = m_service.m_upstreams.Submit(
+      upstream, work, kj::heap<SearchTask>(std::move(aSend.m_subQuery), *this));
+    auto found = m_local.find(id);
+    if (found != m_local.end()) {
+      found->second = ticket;
+    }
+  }
+
+  void SendRemote(OwnerBatch aBatch)
+  {
+    for (const SendSubQuery& send : aBatch.m_sends) {
+      m_remote.emplace(send.m_subQuery.m_id,
+                       RemoteSubQuery{ send.m_subQuery, aBatch.m_peerAddress });
+    }
+    std::vector<std::string> ids;
+    std::ranges::transform(
+      aBatch.m_sends, std::back_inserter(ids), [](const SendSubQuery& aSend) {
+        return aSend.m_subQuery.m_id;
+      });
+    std::string address = aBatch.m_peerAddress;
+    Generation generation = m_service.m_snapshots.InForce() == nullptr
+                              ? 0
+                              : m_service.m_snapshots.InForce()->m_generation;
+    auto call = m_service.m_links.Connect(address).then(
+      [this, generation, batch = std::move(aBatch)](wire::Peer::Client aPeer) {
+        auto request = aPeer.searchRequest();
+        WriteSearch(batch, m_run.Request(), generation, request.initRequest());
+        request.setSink(kj::heap<RemoteSink>(m_service, m_number));
+        return request.send().ignoreResult();
+      });
+    m_calls.add(call.then(
+      // The owner has answered all that it will: what is still open is lost.
+      [this, ids]() { FailOpen(ids); },
+      [this, ids, address](kj::Exception&& aException) {
+        LogEvent(Event::kPeerFailed,
+                 { { "address", address },
+                   { "call", "search" },
+                   { "reason", aException.getDescription().cStr() } });
+        m_service.m_links.Drop(address);
+        FailOpen(ids);
+      }));
+  }
+
+  void FailOpen(const std::vector<std::string>& aIds)
+  {
+    for (const std::string& id : aIds) {
+      auto found = m_remote.find(id);
+      if (found != m_remote.end() && !m_ended) {
+        SubQuery subQuery = found->second.m_subQuery;
+        OnSubAnswer(FailedAnswer(subQuery, MissingReason::kUnreachable));
+      }
+    }
+  }
+
+  void Cancel(const CancelSubQuery& aCancel)
+  {
+    auto local = m_local.find(aCancel.m_id);
+    if (local != m_local.end()) {
+      m_service.m_upstreams.Cancel(local->second);
+      m_local.erase(local);
+      return;
+    }
+    auto remote = m_remote.find(aCancel.m_id);
+    if (remote != m_remote.end()) {
+      m_cancels[remote->second.m_peerAddress].push_back(aCancel.m_id);
+      m_remote.erase(remote);
+    }
+  }
+
+  void SendCancels()
+  {
+    for (auto& [address, ids] : std::exchange(m_cancels, {})) {
+      m_calls.add(m_service.m_links.Connect(address)
+                    .then([ids = std::move(ids)](wire::Peer::Client aPeer) {
+                      auto request = aPeer.cancelRequest();
+                      auto list = request.initIds(ids.size());
+                      for (size_t i = 0; i < ids.size(); ++i) {
+                        list.set(i, ToText(ids[i]));
+                      }
+                      return request.send().ignoreResult();
+                    })
+                    .catch_([](kj::Exception&& /* aException */) {
+                      // The work ends by its deadline.
+                    }));
+    }
+  }
+
+  // Dropping the calls to owners cancels what they still work on.
+  void End(QueryAnswer aAnswer)
+  {
+    m_ended = true;
+    for (const auto& [id, ticket] : m_local) {
+      m_service.m_upstreams.Cancel(ticket);
+    }
+    m_local.clear();
+    m_fulfiller->fulfill(std::move(aAnswer));
+    m_service.End(m_number);
+  }
+
+  struct RemoteSubQuery
+  {
+    SubQuery m_subQuery;
+    std::string m_peerAddress;
+  };
+
+  QueryService& m_service;
+  uint64_t m_number;
+  QueryRun m_run;
+  kj::Own<kj::PromiseFulfiller<QueryAnswer>> m_fulfiller;
+  std::vector<QueryAction> m_queue;
+  bool m_performing = false;
+  bool m_ended = false;
+  std::map<std::string, UpstreamTicket> m_local;
+  std::map<std::string, RemoteSubQuery> m_remote;
+  // By peer address.
+  std::map<std::string, std::vector<std::string>> m_cancels;
+  Alarm m_alarm;
+  kj::TaskSet m_calls;
+};
+
+QueryService::QueryService(Loop& aLoop,
+                           PeerLinks& aLinks,
+                           OwnershipService& aOwnership,
+                           UpstreamService& aUpstreams,
+                           SnapshotTracker& aSnapshots,
+                           ReplicaSelector& aSelector,
+                           HedgePolicy& aHedges,
+                           BootId aBoot)
+  : m_loop(aLoop)
+  , m_links(aLinks)
+  , m_ownership(aOwnership)
+  , m_upstreams(aUpstreams)
+  , m_snapshots(aSnapshots)
+  , m_selector(aSelector)
+  , m_hedges(aHedges)
+  , m_retries(MakeRetryBudget())
+  , m_boot(aBoot)
+  , m_tasks(*this)
+{
+}
+
+QueryService::~QueryService() = default;
+
+kj::Promise<QueryAnswer>
+QueryService::Run(QueryRequest aRequest)
+{
+  auto paf = kj::newPromiseAndFulfiller<QueryAnswer>();
+  uint64_t number = ++m_lastQuery;
+  auto query = std::make_unique<ActiveQuery>(
+    *this, number, std::move(aRequest), kj::mv(paf.fulfiller));
+  ActiveQuery& started = *query;
+  m_active.emplace(number, std::move(query));
+  started.Start();
+  return kj::mv(paf.promise);
+}
+
+void
+QueryService::OnRemoteAnswer(uint64_t aQuery, SubAnswer aAnswer)
+{
+  auto found = m_active.find(aQuery);
+  if (found == m_active.end()) {
+    ++m_totals.m_ignored;
+    return;
+  }
+  found->second->OnSubAnswer(std::move(aAnswer));
+}
+
+void
+QueryService::taskFailed(kj::Exception&& aException)
+{
+  KJ_LOG(ERROR, "query task failed", aException);
+}
+
+void
+QueryService::End(uint64_t aQuery)
+{
+  auto found = m_active.find(aQuery);
+  if (found == m_active.end()) {
+    return;
+  }
+  const QueryCounts& counts = found->second->Run().Counts();
+  ++m_totals.m_queries;
+  m_totals.m_first += counts.m_first;
+  m_totals.m_hedges += counts.m_hedges;
+  m_totals.m_retries += counts.m_retries;
+  m_totals.m_ignored +=
+    counts.m_ignoredLate + counts.m_ignoredUnknown + counts.m_ignoredCrossed;
+  // The query is on the call stack.
+  auto ended = kj::heap(std::move(found->second));
+  m_active.erase(found);
+  m_loop.RunLater([ended = kj::mv(ended)]() mutable { ended = nullptr; });
+}
+
+} // namespace ebonykeel
--- a/packages/runtime/loop/loop.cc
+++ b/packages/runtime/loop/loop.cc
@@ -28,8 +28,10 @@
 
 } // namespace
 
-RuntimeClock::RuntimeClock(kj::Timer& aTimer)
+RuntimeClock::RuntimeClock(kj::Timer& aTimer,
+                           const kj::MonotonicClock& aMonotonic)
   : m_timer(aTimer)
+  , m_monotonic(aMonotonic)
 {
 }
 
@@ -37,7 +39,7 @@
 RuntimeClock::Now() const
 {
   return TimePoint(
-    Duration((m_timer.now() - kj::origin<kj::TimePoint>()) / kj::NANOSECONDS));
+    Duration((m_monotonic.now() - kj::origin<kj::TimePoint>()) / kj::NANOSECONDS));
 }
 
 kj::Promise<void>
@@ -56,7 +58,7 @@
 Loop::Loop()
   : m_io(kj::setupAsyncIo())
   , m_uv()
-  , m_clock(m_io.provider->getTimer())
+  , m_clock(m_io.provider->getTimer(), kj::systemPreciseMonotonicClock())
   , m_observer(m_io.unixEventPort,
                (uv_loop_init(&m_uv), uv_backend_fd(&m_uv)),
                kj::UnixEventPort::FdObserver::OBSERVE_READ)
--- a/packages/runtime/loop/loop.h
+++ b/packages/runtime/loop/loop.h
@@ -18,14 +18,15 @@
 
 namespace ebonykeel {
 
-// The time and the timers of a loop. Wraps a kj timer, which a test can pause
-// and advance by passing a `kj::TimerImpl`. The timer must outlive the clock.
+// The time and the timers of a loop. A test can pause and advance both by
+// passing a `kj::TimerImpl` and a clock of its own. Both must outlive this.
 class RuntimeClock
 {
 public:
-  explicit RuntimeClock(kj::Timer& aTimer);
+  RuntimeClock(kj::Timer& aTimer, const kj::MonotonicClock& aMonotonic);
 
-  // Returns the monotonic time at which the current turn of the loop began.
+  // Returns the monotonic time of this very moment. It is read anew at each
+  // call, so that a process that was paused within a turn of its loop notices.
   [[nodiscard]] TimePoint Now() const;
   // Returns a promise that resolves `aDelay` after now.
   [[nodiscard]] kj::Promise<void> After(Duration aDelay);
@@ -35,6 +36,7 @@
 
 private:
   kj::Timer& m_timer;
+  const kj::MonotonicClock& m_monotonic;
 };
 
 // Owns the event loop of the calling thread. Create one a process, before any
