Admit, queue or refuse requests fairly before they start

One flooding caller must not starve the others, and a refusal must be true.

Weighed: weighted deficit round robin against start-time fair queueing. Round robin needs a quantum at least as large as the largest cost (98 shards), which lets each of many callers hold the queue for a long turn; start-time fair queueing has no quantum and one number of state for each caller. Chosen: start- time fair queueing on two levels, groups and their callers, by estimated cost, with strict priorities within a caller. Across callers, priority only decides who is shed first, so a caller cannot gain by naming everything a filing.

Not tested yet beyond compiling and lint.

--- /dev/null
+++ b/packages/core/admission/internal/fair_queue.cc
@@ -0,0 +1,245 @@
+#include "core/admission/internal/fair_queue.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace ebonykeel::internal {
+
+bool
+FairQueue::Caller::Idle() const
+{
+  return std::ranges::all_of(
+    m_waiting, [](const auto& aTickets) { return aTickets.empty(); });
+}
+
+uint64_t
+FairQueue::Caller::First() const
+{
+  auto found = std::ranges::find_if(
+    m_waiting, [](const auto& aTickets) { return !aTickets.empty(); });
+  return found->front();
+}
+
+bool
+FairQueue::Group::Idle() const
+{
+  return std::ranges::all_of(
+    m_callers, [](const auto& aEntry) { return aEntry.second.Idle(); });
+}
+
+double
+FairQueue::Group::Backlog() const
+{
+  return std::accumulate(m_callers.begin(),
+                         m_callers.end(),
+                         0.0,
+                         [](double aSum, const auto& aEntry) {
+                           return aSum + aEntry.second.m_backlog;
+                         });
+}
+
+void
+FairQueue::Push(const AdmissionTicket& aTicket, TimePoint aNow)
+{
+  Group& group = m_groups[aTicket.m_group];
+  if (group.Idle()) {
+    group.m_tag = std::max(group.m_tag, m_virtualTime);
+  }
+  Caller& caller = group.m_callers[aTicket.m_caller];
+  if (caller.Idle()) {
+    caller.m_tag = std::max(caller.m_tag, group.m_virtualTime);
+  }
+  caller.m_backlog += aTicket.m_cost;
+  caller.m_waiting[static_cast<size_t>(aTicket.m_priority)].push_back(
+    aTicket.m_id);
+  m_tickets.emplace(aTicket.m_id, QueuedTicket{ aTicket, aNow });
+  m_deadlines.emplace(aTicket.m_deadline, aTicket.m_id);
+  ++m_sizes[aTicket.m_caller];
+}
+
+const QueuedTicket*
+FairQueue::Next(Accepts aAccepts) const
+{
+  const QueuedTicket* best = nullptr;
+  double bestGroup = 0;
+  double bestCaller = 0;
+  for (const auto& [groupName, group] : m_groups) {
+    if (best != nullptr && group.m_tag >= bestGroup) {
+      continue;
+    }
+    const QueuedTicket* first = nullptr;
+    for (const auto& [callerName, caller] : group.m_callers) {
+      bool later = first != nullptr && caller.m_tag >= bestCaller;
+      if (later || caller.Idle()) {
+        continue;
+      }
+      const QueuedTicket& candidate = m_tickets.at(caller.First());
+      if (aAccepts(candidate.m_ticket)) {
+        first = &candidate;
+        bestCaller = caller.m_tag;
+      }
+    }
+    if (first != nullptr) {
+      best = first;
+      bestGroup = group.m_tag;
+    }
+  }
+  return best;
+}
+
+QueuedTicket
+FairQueue::Start(uint64_t aId)
+{
+  QueuedTicket taken = Take(aId);
+  Group& group = m_groups[taken.m_ticket.m_group];
+  Caller& caller = group.m_callers[taken.m_ticket.m_caller];
+  m_virtualTime = std::max(m_virtualTime, group.m_tag);
+  group.m_virtualTime = std::max(group.m_virtualTime, caller.m_tag);
+  group.m_tag += taken.m_ticket.m_cost;
+  caller.m_tag += taken.m_ticket.m_cost;
+  return taken;
+}
+
+std::optional<QueuedTicket>
+FairQueue::Remove(uint64_t aId)
+{
+  if (!Contains(aId)) {
+    return std::nullopt;
+  }
+  return Take(aId);
+}
+
+QueuedTicket
+FairQueue::Take(uint64_t aId)
+{
+  auto entry = m_tickets.extract(aId);
+  QueuedTicket taken = std::move(entry.mapped());
+  const AdmissionTicket& ticket = taken.m_ticket;
+  Caller& caller = m_groups[ticket.m_group].m_callers[ticket.m_caller];
+  caller.m_backlog -= ticket.m_cost;
+  std::erase(caller.m_waiting[static_cast<size_t>(ticket.m_priority)], aId);
+  auto [first, last] = m_deadlines.equal_range(ticket.m_deadline);
+  m_deadlines.erase(std::find_if(
+    first, last, [&](const auto& aEntry) { return aEntry.second == aId; }));
+  auto size = m_sizes.find(ticket.m_caller);
+  if (--size->second == 0) {
+    m_sizes.erase(size);
+  }
+  return taken;
+}
+
+// The cost of what the caller itself has before the ticket, and the ticket's.
+double
+FairQueue::CostAhead(const AdmissionTicket& aTicket,
+                     const Caller& aCaller) const
+{
+  double cost = 0;
+  auto priority = static_cast<size_t>(aTicket.m_priority);
+  for (size_t level = 0; level <= priority; ++level) {
+    for (uint64_t id : aCaller.m_waiting[level]) {
+      cost += m_tickets.at(id).m_ticket.m_cost;
+      if (id == aTicket.m_id) {
+        break;
+      }
+    }
+  }
+  return cost;
+}
+
+double
+FairQueue::CostThrough(uint64_t aId) const
+{
+  const AdmissionTicket& ticket = m_tickets.at(aId).m_ticket;
+  const Group& group = m_groups.at(ticket.m_group);
+  const Caller& caller = group.m_callers.at(ticket.m_caller);
+  double own = CostAhead(ticket, caller);
+  double inGroup = own;
+  for (const auto& [name, other] : group.m_callers) {
+    inGroup += &other == &caller ? 0 : std::min(other.m_backlog, own);
+  }
+  double total = inGroup;
+  for (const auto& [name, other] : m_groups) {
+    total += &other == &group ? 0 : std::min(other.Backlog(), inGroup);
+  }
+  return total;
+}
+
+uint64_t
+FairQueue::Victim(uint64_t aFor) const
+{
+  uint64_t victim = aFor;
+  for (size_t level = kPriorities; level-- > 0;) {
+    double longest = 0;
+    for (const auto& [groupName, group] : m_groups) {
+      for (const auto& [callerName, caller] : group.m_callers) {
+        const auto& waiting = caller.m_waiting[level];
+        if (!waiting.empty() && caller.m_backlog > longest) {
+          longest = caller.m_backlog;
+          victim = waiting.back();
+        }
+      }
+    }
+    if (longest > 0) {
+      return victim;
+    }
+  }
+  return victim;
+}
+
+void
+FairQueue::Prune()
+{
+  for (auto& entry : m_groups) {
+    Group& group = entry.second;
+    std::erase_if(group.m_callers, [&](const auto& aEntry) {
+      return aEntry.second.Idle() && aEntry.second.m_tag <= group.m_virtualTime;
+    });
+  }
+  std::erase_if(m_groups, [&](const auto& aEntry) {
+    return aEntry.second.m_callers.empty() &&
+           aEntry.second.m_tag <= m_virtualTime;
+  });
+  bool idle = m_tickets.empty();
+  if (idle) {
+    m_groups.clear();
+    m_virtualTime = 0;
+  }
+}
+
+size_t
+FairQueue::SizeOf(const CallerName& aCaller) const
+{
+  auto found = m_sizes.find(aCaller);
+  return found == m_sizes.end() ? 0 : found->second;
+}
+
+std::optional<TimePoint>
+FairQueue::EarliestDeadline() const
+{
+  if (m_deadlines.empty()) {
+    return std::nullopt;
+  }
+  return m_deadlines.begin()->first;
+}
+
+std::optional<uint64_t>
+FairQueue::Expired(TimePoint aNow) const
+{
+  if (m_deadlines.empty() || m_deadlines.begin()->first > aNow) {
+    return std::nullopt;
+  }
+  return m_deadlines.begin()->second;
+}
+
+size_t
+FairQueue::Flows() const
+{
+  return std::accumulate(m_groups.begin(),
+                         m_groups.end(),
+                         size_t{ 0 },
+                         [](size_t aSum, const auto& aEntry) {
+                           return aSum + aEntry.second.m_callers.size();
+                         });
+}
+
+} // namespace ebonykeel::internal
