--- a/packages/core/config/configuration_change.cc
+++ b/packages/core/config/configuration_change.cc
@@ -28,13 +28,12 @@
 Seal(const Configuration& aCurrent,
      Configuration aNext,
      const ChangeNote& aNote,
-     std::string aSummary)
+     const std::string& aSummary)
 {
   aNext.m_generation = aCurrent.m_generation + 1;
   aNext.m_changeId = aNote.m_changeId;
   aNext.m_author = aNote.m_author;
-  aNext.m_summary =
-    aNote.m_summary.empty() ? std::move(aSummary) : aNote.m_summary;
+  aNext.m_summary = aNote.m_summary.empty() ? aSummary : aNote.m_summary;
   size_t bytes = EncodeConfiguration(aNext).size();
   if (bytes > kMaxConfigurationBytes) {
     return Refuse(ChangeRefusal::kInvalid,
@@ -164,7 +163,7 @@
                             .m_allowed = std::move(aAllowed) });
   }
 
-  std::string FileOf(const ServiceName& aService) const
+  [[nodiscard]] std::string FileOf(const ServiceName& aService) const
   {
     auto found = m_files.find(aService);
     return found == m_files.end() ? aService.Text() : found->second;
@@ -191,6 +190,7 @@
     byName[published.m_service.m_name] = published.m_service;
   }
   std::vector<ServiceConfig> services;
+  services.reserve(byName.size());
   for (auto& [name, service] : byName) {
     services.push_back(std::move(service));
   }
--- a/packages/core/config/configuration_json_test.cc
+++ b/packages/core/config/configuration_json_test.cc
@@ -125,7 +125,8 @@
 {
   json good = json::parse(EncodeConfiguration(Example()));
   DOCTEST_REQUIRE(StatusOf(good).ok());
-  for (const auto& [key, value] : good.items()) {
+  for (const auto& entry : good.items()) {
+    std::string key = entry.key();
     json changed = good;
     changed.erase(key);
     DOCTEST_CAPTURE(key);
@@ -133,7 +134,8 @@
     changed[key] = { { "a", nullptr } };
     DOCTEST_CHECK(absl::IsInvalidArgument(StatusOf(changed)));
   }
-  for (const auto& [key, value] : good["services"][0].items()) {
+  for (const auto& entry : good["services"][0].items()) {
+    std::string key = entry.key();
     json changed = good;
     changed["services"][0][key] = -1;
     DOCTEST_CAPTURE(key);
--- a/packages/core/config/internal/json_reader.cc
+++ b/packages/core/config/internal/json_reader.cc
@@ -132,7 +132,7 @@
 }
 
 void
-JsonReader::Adopt(absl::Status aStatus)
+JsonReader::Adopt(const absl::Status& aStatus)
 {
   m_status.Update(aStatus);
 }
--- a/packages/core/config/internal/json_reader.h
+++ b/packages/core/config/internal/json_reader.h
@@ -46,7 +46,7 @@
   // Remembers `aProblem` of `aKey`.
   void Fail(std::string_view aKey, std::string_view aProblem);
   // Remembers the problem of a part that another reader read.
-  void Adopt(absl::Status aStatus);
+  void Adopt(const absl::Status& aStatus);
 
   // Returns OK, or InvalidArgument with the first problem or an unknown key.
   [[nodiscard]] absl::Status Finish();
--- a/packages/core/config/internal/toml_reader.cc
+++ b/packages/core/config/internal/toml_reader.cc
@@ -92,7 +92,7 @@
 std::string
 TomlReader::Text(std::string_view aKey,
                  const TextRule& aRule,
-                 std::optional<std::string> aDefault)
+                 const std::optional<std::string>& aDefault)
 {
   const toml::node* node = Find(aKey, !aDefault);
   std::string text = aDefault.value_or("");
--- a/packages/core/config/internal/toml_reader.h
+++ b/packages/core/config/internal/toml_reader.h
@@ -72,7 +72,7 @@
   [[nodiscard]] std::string Text(
     std::string_view aKey,
     const TextRule& aRule,
-    std::optional<std::string> aDefault = std::nullopt);
+    const std::optional<std::string>& aDefault = std::nullopt);
   [[nodiscard]] int64_t Integer(std::string_view aKey,
                                 IntegerRange aRange,
                                 std::optional<int64_t> aDefault = std::nullopt);
