--- a/packages/core/membership/detection.cc
+++ b/packages/core/membership/detection.cc
@@ -5,6 +5,13 @@
 #include "core/membership/membership.h"
 
 namespace ebonykeel {
+namespace {
+
+// After so many detection delays one that is still joining, and not listed by
+// the platform, is given up.
+constexpr int64_t kStuckJoiningDelays = 4;
+
+} // namespace
 
 bool
 Membership::IsMonitorOf(const InstanceRecord& aTarget, const InstanceRef& aRef)
@@ -150,12 +157,10 @@
   std::vector<InstanceId> dead;
   for (const auto& [id, peer] : m_peers) {
     const InstanceRecord& record = peer.m_record;
-    const bool abandoned =
-      record.m_state != InstanceState::kDead && !m_seeds.contains(id) &&
-      m_listReceivedAt != TimePoint::min() && !record.m_monitors.empty() &&
-      std::ranges::all_of(record.m_monitors, [&](const InstanceRef& aRef) {
-        return IsGone(aRef, aNow);
-      });
+    const bool unlisted =
+      !m_seeds.contains(id) && m_listReceivedAt != TimePoint::min();
+    const bool abandoned = unlisted && (IsStuckJoining(peer, aNow) ||
+                                        HasNoMonitorLeft(record, aNow));
     if (abandoned) {
       dead.push_back(id);
     }
@@ -165,6 +170,24 @@
   }
 }
 
+bool
+Membership::IsStuckJoining(const Peer& aPeer, TimePoint aNow) const
+{
+  return aPeer.m_record.m_state == InstanceState::kJoining &&
+         aNow - aPeer.m_changedAt >= kStuckJoiningDelays * DetectionDelay();
+}
+
+bool
+Membership::HasNoMonitorLeft(const InstanceRecord& aRecord,
+                             TimePoint aNow) const
+{
+  return aRecord.m_state != InstanceState::kDead &&
+         !aRecord.m_monitors.empty() &&
+         std::ranges::all_of(aRecord.m_monitors, [&](const InstanceRef& aRef) {
+           return IsGone(aRef, aNow);
+         });
+}
+
 void
 Membership::DeclareDead(const InstanceId& aId, TimePoint aNow)
 {
@@ -179,7 +202,10 @@
 bool
 Membership::IsDeadByVotes(const InstanceRecord& aTarget, TimePoint aNow) const
 {
-  if (aTarget.m_state == InstanceState::kDead) {
+  const bool judged = aTarget.m_state == InstanceState::kActive ||
+                      aTarget.m_state == InstanceState::kLeaving;
+  if (!judged) {
+    // One that joins may still change its monitors alone, and owns nothing.
     return false;
   }
   const bool current =
--- a/packages/core/membership/membership.cc
+++ b/packages/core/membership/membership.cc
@@ -13,6 +13,14 @@
 
 // A joining instance pings this many times as often.
 constexpr int64_t kJoiningSpeedUp = 4;
+// Returns whether `aPing` was sent by an older run than `aRecord` is from.
+bool
+IsBehind(const Gossip& aPing, const InstanceRecord& aRecord)
+{
+  return std::pair(aPing.m_sender.m_incarnation, aPing.m_senderSequence) <
+         std::pair(aRecord.m_incarnation, aRecord.m_sequence);
+}
+
 // Pings in a row without an answer after which a monitor is avoided.
 constexpr uint32_t kAvoidAfterFailures = 2;
 
@@ -144,6 +152,10 @@
   }
   HearFrom(peer->second, aPing, aNow);
   Gossip ack = MakeGossip(&peer->second);
+  if (IsBehind(aPing, peer->second.m_record)) {
+    // Another process has had this name; the sender has to know.
+    AddRecord(ack, aPing.m_sender.m_id);
+  }
   if (aPing.m_digest != ack.m_digest) {
     AddDiffering(ack, aPing.m_partDigests);
   }
@@ -303,9 +315,14 @@
 void
 Membership::LapseIfExpired(TimePoint aNow)
 {
-  if (MayHoldLease() && aNow >= LeaseUntil()) {
-    Reincarnate(m_self.m_incarnation, aNow);
+  if (!MayHoldLease() || aNow < LeaseUntil()) {
+    return;
+  }
+  if (m_self.m_state == InstanceState::kLeaving) {
+    SetSelfState(InstanceState::kDead, aNow);
+    return;
   }
+  Reincarnate(m_self.m_incarnation, aNow);
 }
 
 void
@@ -313,9 +330,7 @@
 {
   ChangeSelf([&](InstanceRecord& aSelf) {
     aSelf.m_incarnation = std::max(aSelf.m_incarnation, aAbove) + 1;
-    if (aSelf.m_state == InstanceState::kActive) {
-      aSelf.m_state = InstanceState::kJoining;
-    }
+    aSelf.m_state = InstanceState::kJoining;
     aSelf.m_monitorEpoch = 0;
     aSelf.m_changingMonitors = false;
     aSelf.m_monitors.clear();
@@ -464,7 +479,8 @@
 void
 Membership::ReviewMonitors(TimePoint aNow)
 {
-  if (m_self.m_state == InstanceState::kDead) {
+  const bool leaseless = MayHoldLease() && !HoldsLease(aNow);
+  if (m_self.m_state == InstanceState::kDead || leaseless) {
     return;
   }
   if (m_self.m_changingMonitors) {
@@ -503,10 +519,6 @@
 Membership::StartMonitorChange(std::vector<InstanceRef> aChosen, TimePoint aNow)
 {
   const bool leased = HoldsLease(aNow);
-  if (!leased && m_self.m_monitorEpoch > 0) {
-    // Under a fresh incarnation no vote on the old set can matter.
-    Reincarnate(m_self.m_incarnation, aNow);
-  }
   ChangeSelf([&](InstanceRecord& aSelf) {
     ++aSelf.m_monitorEpoch;
     aSelf.m_changingMonitors = leased;
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -285,6 +285,9 @@
   void AddSuspicion(const Suspicion& aSuspicion);
   void JudgeSuspected(TimePoint aNow);
   void JudgeAbandoned(TimePoint aNow);
+  [[nodiscard]] bool IsStuckJoining(const Peer& aPeer, TimePoint aNow) const;
+  [[nodiscard]] bool HasNoMonitorLeft(const InstanceRecord& aRecord,
+                                      TimePoint aNow) const;
   void DeclareDead(const InstanceId& aId, TimePoint aNow);
   [[nodiscard]] bool IsDeadByVotes(const InstanceRecord& aTarget,
                                    TimePoint aNow) const;
--- a/packages/core/membership/records.h
+++ b/packages/core/membership/records.h
@@ -51,9 +51,10 @@
 struct InstanceRecord
 {
   InstanceId m_id;
-  // Grows with each rejoin. The first one comes from the settings; derive it
-  // from the wall clock so that it usually grows over restarts. An instance
-  // that finds a higher one under its own name goes above it by itself.
+  // Grows with each rejoin. Two processes must never start with the same one
+  // under one name; derive it from the wall clock, so that it usually grows
+  // over restarts. An instance that finds a higher one under its own name goes
+  // above it by itself.
   BootId m_incarnation = 0;
   // "host:port" with an IP number: for callers, for administration and for
   // other instances.
--- a/packages/core/membership/spreading.cc
+++ b/packages/core/membership/spreading.cc
@@ -298,7 +298,8 @@
   if (m_self.m_state == InstanceState::kDead) {
     return;
   }
-  const bool newer = aRecord.m_incarnation > m_self.m_incarnation;
+  const bool newer = std::pair(aRecord.m_incarnation, aRecord.m_sequence) >
+                     std::pair(m_self.m_incarnation, m_self.m_sequence);
   const bool dead = aRecord.m_incarnation == m_self.m_incarnation &&
                     aRecord.m_state == InstanceState::kDead;
   if (newer || dead) {
--- a/packages/core/ownership/holder.cc
+++ b/packages/core/ownership/holder.cc
@@ -180,7 +180,7 @@
   if (aNow - aEntry.m_attemptStartedAt >= m_settings.m_attemptLifetime) {
     StartAttempt(aEntry, aNow);
   }
-  const std::vector<Contact> missing = MissingAnswers(aEntry);
+  const std::vector<Contact> missing = MissingAnswers(aEntry, aNow);
   if (missing.empty()) {
     Start(aEntry, aNow);
     PollPredecessor(aId, aEntry, aNow, aAsks);
@@ -248,7 +248,7 @@
 }
 
 std::vector<Holder::Contact>
-Holder::MissingAnswers(const Entry& aEntry) const
+Holder::MissingAnswers(const Entry& aEntry, TimePoint aNow) const
 {
   std::vector<Contact> missing;
   const auto need = [&](const InstanceRef& aRef, const std::string& aAddress) {
@@ -265,10 +265,13 @@
   if (aEntry.m_released) {
     return missing;
   }
+  // One that is joining may by now be active; a silent one never came so far.
+  const bool joiningWaitedOut =
+    aNow - aEntry.m_attemptStartedAt >= m_settings.m_joiningPatience;
   for (const auto& [id, record] : m_records) {
-    // One that is joining holds nothing, and will ask here before it does.
-    const bool mayHold = record.m_state == InstanceState::kActive ||
-                         record.m_state == InstanceState::kLeaving;
+    const bool mayHold = record.m_state == InstanceState::kJoining
+                           ? !joiningWaitedOut
+                           : record.m_state != InstanceState::kDead;
     const bool concerned =
       record.m_region == m_region || id == aEntry.m_formerOwner;
     if (mayHold && concerned) {
@@ -454,7 +457,7 @@
     entry.m_predecessorEnds = aNow + aItem.m_remaining;
     entry.m_warm = aItem.m_warm;
   }
-  if (entry.m_wanted && MissingAnswers(entry).empty()) {
+  if (entry.m_wanted && MissingAnswers(entry, aNow).empty()) {
     Start(entry, aNow);
   }
 }
--- a/packages/core/ownership/holder.h
+++ b/packages/core/ownership/holder.h
@@ -9,8 +9,10 @@
 //       holder.AllowedSlots(id, membership.CurrentLease(), now)) { ... }
 //
 // How an upstream changes hands. The instance that the owner map names asks
-// every active or leaving instance of its region, the upstream's former owner,
-// and whoever lately asked for it. Each answers:
+// every instance of its region that is not dead, the upstream's former owner,
+// and whoever lately asked for it. Each answers (of those that are joining only
+// for `m_joiningPatience`, since they hold nothing unless they became active
+// meanwhile):
 //
 //   kReleased  it held the upstream and has stopped; the asker may start,
 //   kNotHeld   it neither holds nor seeks it, and gave up an attempt of its
@@ -33,9 +35,11 @@
 //  1. membership declares the death of an instance whose lease runs on (see
 //     membership.h for when that can be), or
 //  2. each of the two started without knowing of the other, nor did any
-//     instance that answered both (a fleet whose halves never met), or they
-//     belong to regions that have lost each other and the upstream's region had
-//     no instance left in the view of one of them.
+//     instance that answered both (a fleet whose halves never met); or each
+//     took the other for joining for `m_joiningPatience`, without word from it
+//     or from a third that it had become active; or they belong to regions that
+//     have lost each other and the upstream's region had no instance left in
+//     the view of one of them.
 // Counting also what a dead predecessor sent, an upstream may have
 // `slots + m_rampSlots` requests, for no longer than the longest deadline.
 //
@@ -66,6 +70,8 @@
   Duration m_askEvery = Milliseconds(500);
   // How often a predecessor is asked whether its requests have ended.
   Duration m_pollEvery = Milliseconds(50);
+  // How long the answer of an instance that is joining is waited for.
+  Duration m_joiningPatience = Seconds(4);
   // Answers of an attempt that takes longer are all asked for again.
   Duration m_attemptLifetime = Seconds(20);
   // How long those who asked are remembered; more than two attempts.
@@ -233,7 +239,8 @@
               const Entry& aEntry,
               const Contact& aTarget,
               Asks& aAsks) const;
-  [[nodiscard]] std::vector<Contact> MissingAnswers(const Entry& aEntry) const;
+  [[nodiscard]] std::vector<Contact> MissingAnswers(const Entry& aEntry,
+                                                    TimePoint aNow) const;
   [[nodiscard]] bool IsOver(const InstanceRef& aRef) const;
   void Start(Entry& aEntry, TimePoint aNow) const;
   static void Remember(Entry& aEntry, const Contact& aContact);
