--- a/packages/core/base/ids.h
+++ b/packages/core/base/ids.h
@@ -37,7 +37,11 @@
   [[nodiscard]] std::string_view View() const { return m_text; }
   [[nodiscard]] bool empty() const { return m_text.empty(); }
 
-  friend auto operator<=>(const StrongId&, const StrongId&) = default;
+  friend std::strong_ordering operator<=>(const StrongId& aLeft,
+                                          const StrongId& aRight)
+  {
+    return aLeft.m_text.compare(aRight.m_text) <=> 0;
+  }
   friend bool operator<(const StrongId& aLeft, const StrongId& aRight)
   {
     return aLeft.m_text < aRight.m_text;
