--- a/packages/core/base/ids.h
+++ b/packages/core/base/ids.h
@@ -40,11 +40,7 @@
   friend std::strong_ordering operator<=>(const StrongId& aLeft,
                                           const StrongId& aRight)
   {
-    return aLeft.m_text.compare(aRight.m_text) <=> 0;
-  }
-  friend bool operator<(const StrongId& aLeft, const StrongId& aRight)
-  {
-    return aLeft.m_text < aRight.m_text;
+    return aLeft.m_text <=> aRight.m_text;
   }
   friend bool operator==(const StrongId&, const StrongId&) = default;
 
--- a/packages/runtime/peer/peer.capnp
+++ b/packages/runtime/peer/peer.capnp
@@ -121,6 +121,48 @@
   result @2 :Text;
 }
 
+struct AcquireRequest {
+  struct Item {
+    upstream @0 :Text;
+    attempt @1 :UInt64;
+    epoch @2 :UInt64;
+    heldEpoch @3 :UInt64;
+  }
+  requester @0 :InstanceRef;
+  requesterPeerAddress @1 :Text;
+  viewVersion @2 :UInt64;
+  generation @3 :UInt64;
+  items @4 :List(Item);
+}
+
+struct AcquireReply {
+  struct OtherAsker {
+    instance @0 :InstanceRef;
+    peerAddress @1 :Text;
+    age @2 :UInt64;
+  }
+  struct Item {
+    upstream @0 :Text;
+    attempt @1 :UInt64;
+    outcome @2 :UInt8;
+    epoch @3 :UInt64;
+    inFlight @4 :UInt32;
+    remaining @5 :UInt64;
+    warm @6 :Bool;
+    others @7 :List(OtherAsker);
+  }
+  responder @0 :InstanceRef;
+  requesterIncarnation @1 :UInt64;
+  viewVersion @2 :UInt64;
+  items @3 :List(Item);
+}
+
+struct HandOverNotice {
+  sender @0 :InstanceRef;
+  senderPeerAddress @1 :Text;
+  upstreams @2 :List(Text);
+}
+
 interface Peer {
   ping @0 (gossip :Gossip) -> (gossip :Gossip);
   search @1 (request :SearchRequest, sink :AnswerSink) -> ();
@@ -132,4 +174,8 @@
   # Tells that a generation is in force at `peerAddress`, which may be asked
   # for it.
   offer @5 (generation :UInt64, peerAddress :Text) -> ();
+  # Asks for upstreams to be released to the requester.
+  acquire @6 (request :AcquireRequest) -> (reply :AcquireReply);
+  # Tells the next owner that it can ask for upstreams now.
+  handOver @7 (notice :HandOverNotice) -> ();
 }
--- a/packages/runtime/peer/peer.capnp.h
+++ b/packages/runtime/peer/peer.capnp.h
@@ -33,6 +33,12 @@
 CAPNP_DECLARE_SCHEMA(a55e4f2f14c0d2f9);
 CAPNP_DECLARE_SCHEMA(da43699a11e041e0);
 CAPNP_DECLARE_SCHEMA(a3be39f6a6793dbd);
+CAPNP_DECLARE_SCHEMA(ccc17eef986863a4);
+CAPNP_DECLARE_SCHEMA(ffe0f827aee30e59);
+CAPNP_DECLARE_SCHEMA(8a19c729a4600f23);
+CAPNP_DECLARE_SCHEMA(ad7780241a2f28f7);
+CAPNP_DECLARE_SCHEMA(e7b1f4e0cbd2bf02);
+CAPNP_DECLARE_SCHEMA(b9e18691eb2ab2c1);
 CAPNP_DECLARE_SCHEMA(ea80a4179595bf3b);
 CAPNP_DECLARE_SCHEMA(ca176962bd9b3ad1);
 CAPNP_DECLARE_SCHEMA(8e8ed227aa25d81a);
@@ -46,6 +52,10 @@
 CAPNP_DECLARE_SCHEMA(a47fed9ee90e9028);
 CAPNP_DECLARE_SCHEMA(cce5b6ee3d267935);
 CAPNP_DECLARE_SCHEMA(8f0d647d77201ebf);
+CAPNP_DECLARE_SCHEMA(ec26e0485c5975c1);
+CAPNP_DECLARE_SCHEMA(bf65bc56ead37d2c);
+CAPNP_DECLARE_SCHEMA(e68c3413066120db);
+CAPNP_DECLARE_SCHEMA(a94f03530454b5b7);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -267,6 +277,99 @@
   };
 };
 
+struct AcquireRequest {
+  AcquireRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Item;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ccc17eef986863a4, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AcquireRequest::Item {
+  Item() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ffe0f827aee30e59, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AcquireReply {
+  AcquireReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct OtherAsker;
+  struct Item;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8a19c729a4600f23, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AcquireReply::OtherAsker {
+  OtherAsker() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad7780241a2f28f7, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AcquireReply::Item {
+  Item() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e7b1f4e0cbd2bf02, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HandOverNotice {
+  HandOverNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b9e18691eb2ab2c1, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -287,6 +390,10 @@
   struct ConfigurationResults;
   struct OfferParams;
   struct OfferResults;
+  struct AcquireParams;
+  struct AcquireResults;
+  struct HandOverParams;
+  struct HandOverResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -476,6 +583,66 @@
   };
 };
 
+struct Peer::AcquireParams {
+  AcquireParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec26e0485c5975c1, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::AcquireResults {
+  AcquireResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf65bc56ead37d2c, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::HandOverParams {
+  HandOverParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e68c3413066120db, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::HandOverResults {
+  HandOverResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a94f03530454b5b7, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -2050,92 +2217,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Peer Calls;
-  typedef Peer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::ebonykeel::wire::Peer::PingParams,  ::ebonykeel::wire::Peer::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ebonykeel::wire::Peer::SearchParams,  ::ebonykeel::wire::Peer::SearchResults> searchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ebonykeel::wire::Peer::CancelParams,  ::ebonykeel::wire::Peer::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ebonykeel::wire::Peer::FileParams,  ::ebonykeel::wire::Peer::FileResults> fileRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ebonykeel::wire::Peer::ConfigurationParams,  ::ebonykeel::wire::Peer::ConfigurationResults> configurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::ebonykeel::wire::Peer::OfferParams,  ::ebonykeel::wire::Peer::OfferResults> offerRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::ebonykeel::wire::Peer::PingParams PingParams;
-  typedef  ::ebonykeel::wire::Peer::PingResults PingResults;
-  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
-  virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::ebonykeel::wire::Peer::SearchParams SearchParams;
-  typedef  ::ebonykeel::wire::Peer::SearchResults SearchResults;
-  typedef ::capnp::CallContext<SearchParams, SearchResults> SearchContext;
-  virtual ::kj::Promise<void> search(SearchContext context);
-  typedef  ::ebonykeel::wire::Peer::CancelParams CancelParams;
-  typedef  ::ebonykeel::wire::Peer::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef  ::ebonykeel::wire::Peer::FileParams FileParams;
-  typedef  ::ebonykeel::wire::Peer::FileResults FileResults;
-  typedef ::capnp::CallContext<FileParams, FileResults> FileContext;
-  virtual ::kj::Promise<void> file(FileContext context);
-  typedef  ::ebonykeel::wire::Peer::ConfigurationParams ConfigurationParams;
-  typedef  ::ebonykeel::wire::Peer::ConfigurationResults ConfigurationResults;
-  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
-  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
-  typedef  ::ebonykeel::wire::Peer::OfferParams OfferParams;
-  typedef  ::ebonykeel::wire::Peer::OfferResults OfferResults;
-  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
-  virtual ::kj::Promise<void> offer(OfferContext context);
-
-  inline  ::ebonykeel::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::ebonykeel::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Peer::PingParams::Reader {
+class AcquireRequest::Reader {
 public:
-  typedef PingParams Reads;
+  typedef AcquireRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2150,8 +2234,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGossip() const;
-  inline  ::ebonykeel::wire::Gossip::Reader getGossip() const;
+  inline bool hasRequester() const;
+  inline  ::ebonykeel::wire::InstanceRef::Reader getRequester() const;
+
+  inline bool hasRequesterPeerAddress() const;
+  inline  ::capnp::Text::Reader getRequesterPeerAddress() const;
+
+  inline  ::uint64_t getViewVersion() const;
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2165,9 +2259,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PingParams::Builder {
+class AcquireRequest::Builder {
 public:
-  typedef PingParams Builds;
+  typedef AcquireRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2181,12 +2275,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGossip();
-  inline  ::ebonykeel::wire::Gossip::Builder getGossip();
-  inline void setGossip( ::ebonykeel::wire::Gossip::Reader value);
-  inline  ::ebonykeel::wire::Gossip::Builder initGossip();
-  inline void adoptGossip(::capnp::Orphan< ::ebonykeel::wire::Gossip>&& value);
-  inline ::capnp::Orphan< ::ebonykeel::wire::Gossip> disownGossip();
+  inline bool hasRequester();
+  inline  ::ebonykeel::wire::InstanceRef::Builder getRequester();
+  inline void setRequester( ::ebonykeel::wire::InstanceRef::Reader value);
+  inline  ::ebonykeel::wire::InstanceRef::Builder initRequester();
+  inline void adoptRequester(::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> disownRequester();
+
+  inline bool hasRequesterPeerAddress();
+  inline  ::capnp::Text::Builder getRequesterPeerAddress();
+  inline void setRequesterPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequesterPeerAddress(unsigned int size);
+  inline void adoptRequesterPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequesterPeerAddress();
+
+  inline  ::uint64_t getViewVersion();
+  inline void setViewVersion( ::uint64_t value);
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>> disownItems();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2198,15 +2312,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PingParams::Pipeline {
+class AcquireRequest::Pipeline {
 public:
-  typedef PingParams Pipelines;
+  typedef AcquireRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ebonykeel::wire::Gossip::Pipeline getGossip();
+  inline  ::ebonykeel::wire::InstanceRef::Pipeline getRequester();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2215,9 +2329,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::PingResults::Reader {
+class AcquireRequest::Item::Reader {
 public:
-  typedef PingResults Reads;
+  typedef Item Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2232,8 +2346,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGossip() const;
-  inline  ::ebonykeel::wire::Gossip::Reader getGossip() const;
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint64_t getAttempt() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getHeldEpoch() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2247,9 +2367,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::PingResults::Builder {
+class AcquireRequest::Item::Builder {
 public:
-  typedef PingResults Builds;
+  typedef Item Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2263,12 +2383,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGossip();
-  inline  ::ebonykeel::wire::Gossip::Builder getGossip();
-  inline void setGossip( ::ebonykeel::wire::Gossip::Reader value);
-  inline  ::ebonykeel::wire::Gossip::Builder initGossip();
-  inline void adoptGossip(::capnp::Orphan< ::ebonykeel::wire::Gossip>&& value);
-  inline ::capnp::Orphan< ::ebonykeel::wire::Gossip> disownGossip();
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getHeldEpoch();
+  inline void setHeldEpoch( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2280,15 +2409,14 @@
 };
 
 #if !CAPNP_LITE
-class Peer::PingResults::Pipeline {
+class AcquireRequest::Item::Pipeline {
 public:
-  typedef PingResults Pipelines;
+  typedef Item Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ebonykeel::wire::Gossip::Pipeline getGossip();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2297,9 +2425,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SearchParams::Reader {
+class AcquireReply::Reader {
 public:
-  typedef SearchParams Reads;
+  typedef AcquireReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2314,13 +2442,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::ebonykeel::wire::SearchRequest::Reader getRequest() const;
+  inline bool hasResponder() const;
+  inline  ::ebonykeel::wire::InstanceRef::Reader getResponder() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::ebonykeel::wire::AnswerSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getRequesterIncarnation() const;
+
+  inline  ::uint64_t getViewVersion() const;
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2334,9 +2464,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SearchParams::Builder {
+class AcquireReply::Builder {
 public:
-  typedef SearchParams Builds;
+  typedef AcquireReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2350,21 +2480,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::ebonykeel::wire::SearchRequest::Builder getRequest();
-  inline void setRequest( ::ebonykeel::wire::SearchRequest::Reader value);
-  inline  ::ebonykeel::wire::SearchRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::ebonykeel::wire::SearchRequest>&& value);
-  inline ::capnp::Orphan< ::ebonykeel::wire::SearchRequest> disownRequest();
+  inline bool hasResponder();
+  inline  ::ebonykeel::wire::InstanceRef::Builder getResponder();
+  inline void setResponder( ::ebonykeel::wire::InstanceRef::Reader value);
+  inline  ::ebonykeel::wire::InstanceRef::Builder initResponder();
+  inline void adoptResponder(::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> disownResponder();
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::ebonykeel::wire::AnswerSink::Client getSink();
-  inline void setSink( ::ebonykeel::wire::AnswerSink::Client&& value);
-  inline void setSink( ::ebonykeel::wire::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::ebonykeel::wire::AnswerSink>&& value);
-  inline ::capnp::Orphan< ::ebonykeel::wire::AnswerSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getRequesterIncarnation();
+  inline void setRequesterIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getViewVersion();
+  inline void setViewVersion( ::uint64_t value);
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>> disownItems();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2376,16 +2510,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SearchParams::Pipeline {
+class AcquireReply::Pipeline {
 public:
-  typedef SearchParams Pipelines;
+  typedef AcquireReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ebonykeel::wire::SearchRequest::Pipeline getRequest();
-  inline  ::ebonykeel::wire::AnswerSink::Client getSink();
+  inline  ::ebonykeel::wire::InstanceRef::Pipeline getResponder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2394,9 +2527,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SearchResults::Reader {
+class AcquireReply::OtherAsker::Reader {
 public:
-  typedef SearchResults Reads;
+  typedef OtherAsker Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2411,6 +2544,14 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasInstance() const;
+  inline  ::ebonykeel::wire::InstanceRef::Reader getInstance() const;
+
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
+  inline  ::uint64_t getAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2423,9 +2564,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SearchResults::Builder {
+class AcquireReply::OtherAsker::Builder {
 public:
-  typedef SearchResults Builds;
+  typedef OtherAsker Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2439,6 +2580,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasInstance();
+  inline  ::ebonykeel::wire::InstanceRef::Builder getInstance();
+  inline void setInstance( ::ebonykeel::wire::InstanceRef::Reader value);
+  inline  ::ebonykeel::wire::InstanceRef::Builder initInstance();
+  inline void adoptInstance(::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> disownInstance();
+
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
+  inline  ::uint64_t getAge();
+  inline void setAge( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2449,14 +2607,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SearchResults::Pipeline {
+class AcquireReply::OtherAsker::Pipeline {
 public:
-  typedef SearchResults Pipelines;
+  typedef OtherAsker Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ebonykeel::wire::InstanceRef::Pipeline getInstance();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2465,9 +2624,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelParams::Reader {
+class AcquireReply::Item::Reader {
 public:
-  typedef CancelParams Reads;
+  typedef Item Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2482,8 +2641,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIds() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getIds() const;
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint64_t getAttempt() const;
+
+  inline  ::uint8_t getOutcome() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint32_t getInFlight() const;
+
+  inline  ::uint64_t getRemaining() const;
+
+  inline bool getWarm() const;
+
+  inline bool hasOthers() const;
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader getOthers() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2497,9 +2671,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelParams::Builder {
+class AcquireReply::Item::Builder {
 public:
-  typedef CancelParams Builds;
+  typedef Item Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2513,13 +2687,37 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIds();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getIds();
-  inline void setIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initIds(unsigned int size);
-  inline void adoptIds(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownIds();
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint32_t getInFlight();
+  inline void setInFlight( ::uint32_t value);
+
+  inline  ::uint64_t getRemaining();
+  inline void setRemaining( ::uint64_t value);
+
+  inline bool getWarm();
+  inline void setWarm(bool value);
+
+  inline bool hasOthers();
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Builder getOthers();
+  inline void setOthers( ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Builder initOthers(unsigned int size);
+  inline void adoptOthers(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>> disownOthers();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2531,9 +2729,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelParams::Pipeline {
+class AcquireReply::Item::Pipeline {
 public:
-  typedef CancelParams Pipelines;
+  typedef Item Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2547,9 +2745,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::CancelResults::Reader {
+class HandOverNotice::Reader {
 public:
-  typedef CancelResults Reads;
+  typedef HandOverNotice Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2564,6 +2762,15 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSender() const;
+  inline  ::ebonykeel::wire::InstanceRef::Reader getSender() const;
+
+  inline bool hasSenderPeerAddress() const;
+  inline  ::capnp::Text::Reader getSenderPeerAddress() const;
+
+  inline bool hasUpstreams() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2576,9 +2783,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::CancelResults::Builder {
+class HandOverNotice::Builder {
 public:
-  typedef CancelResults Builds;
+  typedef HandOverNotice Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2592,6 +2799,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasSender();
+  inline  ::ebonykeel::wire::InstanceRef::Builder getSender();
+  inline void setSender( ::ebonykeel::wire::InstanceRef::Reader value);
+  inline  ::ebonykeel::wire::InstanceRef::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> disownSender();
+
+  inline bool hasSenderPeerAddress();
+  inline  ::capnp::Text::Builder getSenderPeerAddress();
+  inline void setSenderPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSenderPeerAddress(unsigned int size);
+  inline void adoptSenderPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSenderPeerAddress();
+
+  inline bool hasUpstreams();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUpstreams();
+  inline void setUpstreams( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUpstreams(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUpstreams(unsigned int size);
+  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2602,14 +2831,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::CancelResults::Pipeline {
+class HandOverNotice::Pipeline {
 public:
-  typedef CancelResults Pipelines;
+  typedef HandOverNotice Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ebonykeel::wire::InstanceRef::Pipeline getSender();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2618,9 +2848,104 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FileParams::Reader {
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FileParams Reads;
+  typedef Peer Calls;
+  typedef Peer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::ebonykeel::wire::Peer::PingParams,  ::ebonykeel::wire::Peer::PingResults> pingRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::SearchParams,  ::ebonykeel::wire::Peer::SearchResults> searchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::CancelParams,  ::ebonykeel::wire::Peer::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::FileParams,  ::ebonykeel::wire::Peer::FileResults> fileRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::ConfigurationParams,  ::ebonykeel::wire::Peer::ConfigurationResults> configurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::OfferParams,  ::ebonykeel::wire::Peer::OfferResults> offerRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::AcquireParams,  ::ebonykeel::wire::Peer::AcquireResults> acquireRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::HandOverParams,  ::ebonykeel::wire::Peer::HandOverResults> handOverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::ebonykeel::wire::Peer::PingParams PingParams;
+  typedef  ::ebonykeel::wire::Peer::PingResults PingResults;
+  typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
+  virtual ::kj::Promise<void> ping(PingContext context);
+  typedef  ::ebonykeel::wire::Peer::SearchParams SearchParams;
+  typedef  ::ebonykeel::wire::Peer::SearchResults SearchResults;
+  typedef ::capnp::CallContext<SearchParams, SearchResults> SearchContext;
+  virtual ::kj::Promise<void> search(SearchContext context);
+  typedef  ::ebonykeel::wire::Peer::CancelParams CancelParams;
+  typedef  ::ebonykeel::wire::Peer::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::ebonykeel::wire::Peer::FileParams FileParams;
+  typedef  ::ebonykeel::wire::Peer::FileResults FileResults;
+  typedef ::capnp::CallContext<FileParams, FileResults> FileContext;
+  virtual ::kj::Promise<void> file(FileContext context);
+  typedef  ::ebonykeel::wire::Peer::ConfigurationParams ConfigurationParams;
+  typedef  ::ebonykeel::wire::Peer::ConfigurationResults ConfigurationResults;
+  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
+  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
+  typedef  ::ebonykeel::wire::Peer::OfferParams OfferParams;
+  typedef  ::ebonykeel::wire::Peer::OfferResults OfferResults;
+  typedef ::capnp::CallContext<OfferParams, OfferResults> OfferContext;
+  virtual ::kj::Promise<void> offer(OfferContext context);
+  typedef  ::ebonykeel::wire::Peer::AcquireParams AcquireParams;
+  typedef  ::ebonykeel::wire::Peer::AcquireResults AcquireResults;
+  typedef ::capnp::CallContext<AcquireParams, AcquireResults> AcquireContext;
+  virtual ::kj::Promise<void> acquire(AcquireContext context);
+  typedef  ::ebonykeel::wire::Peer::HandOverParams HandOverParams;
+  typedef  ::ebonykeel::wire::Peer::HandOverResults HandOverResults;
+  typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
+  virtual ::kj::Promise<void> handOver(HandOverContext context);
+
+  inline  ::ebonykeel::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::ebonykeel::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::PingParams::Reader {
+public:
+  typedef PingParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2635,8 +2960,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::ebonykeel::wire::FilingRequest::Reader getRequest() const;
+  inline bool hasGossip() const;
+  inline  ::ebonykeel::wire::Gossip::Reader getGossip() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2650,9 +2975,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FileParams::Builder {
+class Peer::PingParams::Builder {
 public:
-  typedef FileParams Builds;
+  typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2666,12 +2991,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::ebonykeel::wire::FilingRequest::Builder getRequest();
-  inline void setRequest( ::ebonykeel::wire::FilingRequest::Reader value);
-  inline  ::ebonykeel::wire::FilingRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::ebonykeel::wire::FilingRequest>&& value);
-  inline ::capnp::Orphan< ::ebonykeel::wire::FilingRequest> disownRequest();
+  inline bool hasGossip();
+  inline  ::ebonykeel::wire::Gossip::Builder getGossip();
+  inline void setGossip( ::ebonykeel::wire::Gossip::Reader value);
+  inline  ::ebonykeel::wire::Gossip::Builder initGossip();
+  inline void adoptGossip(::capnp::Orphan< ::ebonykeel::wire::Gossip>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::Gossip> disownGossip();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2683,15 +3008,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FileParams::Pipeline {
+class Peer::PingParams::Pipeline {
 public:
-  typedef FileParams Pipelines;
+  typedef PingParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ebonykeel::wire::FilingRequest::Pipeline getRequest();
+  inline  ::ebonykeel::wire::Gossip::Pipeline getGossip();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2700,9 +3025,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::FileResults::Reader {
+class Peer::PingResults::Reader {
 public:
-  typedef FileResults Reads;
+  typedef PingResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2717,8 +3042,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::ebonykeel::wire::FilingReply::Reader getReply() const;
+  inline bool hasGossip() const;
+  inline  ::ebonykeel::wire::Gossip::Reader getGossip() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2732,9 +3057,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::FileResults::Builder {
+class Peer::PingResults::Builder {
 public:
-  typedef FileResults Builds;
+  typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2748,12 +3073,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::ebonykeel::wire::FilingReply::Builder getReply();
-  inline void setReply( ::ebonykeel::wire::FilingReply::Reader value);
-  inline  ::ebonykeel::wire::FilingReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::ebonykeel::wire::FilingReply>&& value);
-  inline ::capnp::Orphan< ::ebonykeel::wire::FilingReply> disownReply();
+  inline bool hasGossip();
+  inline  ::ebonykeel::wire::Gossip::Builder getGossip();
+  inline void setGossip( ::ebonykeel::wire::Gossip::Reader value);
+  inline  ::ebonykeel::wire::Gossip::Builder initGossip();
+  inline void adoptGossip(::capnp::Orphan< ::ebonykeel::wire::Gossip>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::Gossip> disownGossip();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2765,15 +3090,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::FileResults::Pipeline {
+class Peer::PingResults::Pipeline {
 public:
-  typedef FileResults Pipelines;
+  typedef PingResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::ebonykeel::wire::FilingReply::Pipeline getReply();
+  inline  ::ebonykeel::wire::Gossip::Pipeline getGossip();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2782,9 +3107,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigurationParams::Reader {
+class Peer::SearchParams::Reader {
 public:
-  typedef ConfigurationParams Reads;
+  typedef SearchParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2799,7 +3124,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHave() const;
+  inline bool hasRequest() const;
+  inline  ::ebonykeel::wire::SearchRequest::Reader getRequest() const;
+
+  inline bool hasSink() const;
+#if !CAPNP_LITE
+  inline  ::ebonykeel::wire::AnswerSink::Client getSink() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2813,9 +3144,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigurationParams::Builder {
+class Peer::SearchParams::Builder {
 public:
-  typedef ConfigurationParams Builds;
+  typedef SearchParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2829,8 +3160,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHave();
-  inline void setHave( ::uint64_t value);
+  inline bool hasRequest();
+  inline  ::ebonykeel::wire::SearchRequest::Builder getRequest();
+  inline void setRequest( ::ebonykeel::wire::SearchRequest::Reader value);
+  inline  ::ebonykeel::wire::SearchRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::ebonykeel::wire::SearchRequest>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::SearchRequest> disownRequest();
+
+  inline bool hasSink();
+#if !CAPNP_LITE
+  inline  ::ebonykeel::wire::AnswerSink::Client getSink();
+  inline void setSink( ::ebonykeel::wire::AnswerSink::Client&& value);
+  inline void setSink( ::ebonykeel::wire::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::ebonykeel::wire::AnswerSink>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::AnswerSink> disownSink();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2842,14 +3186,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigurationParams::Pipeline {
+class Peer::SearchParams::Pipeline {
 public:
-  typedef ConfigurationParams Pipelines;
+  typedef SearchParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::ebonykeel::wire::SearchRequest::Pipeline getRequest();
+  inline  ::ebonykeel::wire::AnswerSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2858,9 +3204,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ConfigurationResults::Reader {
+class Peer::SearchResults::Reader {
 public:
-  typedef ConfigurationResults Reads;
+  typedef SearchResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2875,11 +3221,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Text::Reader getBody() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2892,9 +3233,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ConfigurationResults::Builder {
+class Peer::SearchResults::Builder {
 public:
-  typedef ConfigurationResults Builds;
+  typedef SearchResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2908,16 +3249,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
-
-  inline bool hasBody();
-  inline  ::capnp::Text::Builder getBody();
-  inline void setBody( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBody();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2928,9 +3259,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ConfigurationResults::Pipeline {
+class Peer::SearchResults::Pipeline {
 public:
-  typedef ConfigurationResults Pipelines;
+  typedef SearchResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2944,9 +3275,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferParams::Reader {
+class Peer::CancelParams::Reader {
 public:
-  typedef OfferParams Reads;
+  typedef CancelParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2961,10 +3292,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration() const;
-
-  inline bool hasPeerAddress() const;
-  inline  ::capnp::Text::Reader getPeerAddress() const;
+  inline bool hasIds() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getIds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2978,9 +3307,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferParams::Builder {
+class Peer::CancelParams::Builder {
 public:
-  typedef OfferParams Builds;
+  typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2994,15 +3323,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getGeneration();
-  inline void setGeneration( ::uint64_t value);
-
-  inline bool hasPeerAddress();
-  inline  ::capnp::Text::Builder getPeerAddress();
-  inline void setPeerAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
-  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+  inline bool hasIds();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getIds();
+  inline void setIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initIds(unsigned int size);
+  inline void adoptIds(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownIds();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3014,9 +3341,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferParams::Pipeline {
+class Peer::CancelParams::Pipeline {
 public:
-  typedef OfferParams Pipelines;
+  typedef CancelParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3030,9 +3357,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::OfferResults::Reader {
+class Peer::CancelResults::Reader {
 public:
-  typedef OfferResults Reads;
+  typedef CancelResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3059,9 +3386,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::OfferResults::Builder {
+class Peer::CancelResults::Builder {
 public:
-  typedef OfferResults Builds;
+  typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3085,9 +3412,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::OfferResults::Pipeline {
+class Peer::CancelResults::Pipeline {
 public:
-  typedef OfferResults Pipelines;
+  typedef CancelResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3101,1950 +3428,3412 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::FileParams::Reader {
+public:
+  typedef FileParams Reads;
 
-inline bool InstanceRef::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool InstanceRef::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRef::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder InstanceRef::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void InstanceRef::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder InstanceRef::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void InstanceRef::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool InstanceRecord::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool InstanceRecord::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRecord::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder InstanceRecord::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void InstanceRecord::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder InstanceRecord::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void InstanceRecord::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasRequest() const;
+  inline  ::ebonykeel::wire::FilingRequest::Reader getRequest() const;
 
-inline  ::uint64_t InstanceRecord::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-inline  ::uint64_t InstanceRecord::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void InstanceRecord::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+class Peer::FileParams::Builder {
+public:
+  typedef FileParams Builds;
 
-inline bool InstanceRecord::Reader::hasPublicAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool InstanceRecord::Builder::hasPublicAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRecord::Reader::getPublicAddress() const {
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::ebonykeel::wire::FilingRequest::Builder getRequest();
+  inline void setRequest( ::ebonykeel::wire::FilingRequest::Reader value);
+  inline  ::ebonykeel::wire::FilingRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::ebonykeel::wire::FilingRequest>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::FilingRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FileParams::Pipeline {
+public:
+  typedef FileParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ebonykeel::wire::FilingRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::FileResults::Reader {
+public:
+  typedef FileResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::ebonykeel::wire::FilingReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::FileResults::Builder {
+public:
+  typedef FileResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::ebonykeel::wire::FilingReply::Builder getReply();
+  inline void setReply( ::ebonykeel::wire::FilingReply::Reader value);
+  inline  ::ebonykeel::wire::FilingReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::ebonykeel::wire::FilingReply>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::FilingReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::FileResults::Pipeline {
+public:
+  typedef FileResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ebonykeel::wire::FilingReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ConfigurationParams::Reader {
+public:
+  typedef ConfigurationParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHave() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ConfigurationParams::Builder {
+public:
+  typedef ConfigurationParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHave();
+  inline void setHave( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ConfigurationParams::Pipeline {
+public:
+  typedef ConfigurationParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ConfigurationResults::Reader {
+public:
+  typedef ConfigurationResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ConfigurationResults::Builder {
+public:
+  typedef ConfigurationResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ConfigurationResults::Pipeline {
+public:
+  typedef ConfigurationResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::OfferParams::Reader {
+public:
+  typedef OfferParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getGeneration() const;
+
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::OfferParams::Builder {
+public:
+  typedef OfferParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::OfferParams::Pipeline {
+public:
+  typedef OfferParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::OfferResults::Reader {
+public:
+  typedef OfferResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::OfferResults::Builder {
+public:
+  typedef OfferResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::OfferResults::Pipeline {
+public:
+  typedef OfferResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AcquireParams::Reader {
+public:
+  typedef AcquireParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::ebonykeel::wire::AcquireRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AcquireParams::Builder {
+public:
+  typedef AcquireParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::ebonykeel::wire::AcquireRequest::Builder getRequest();
+  inline void setRequest( ::ebonykeel::wire::AcquireRequest::Reader value);
+  inline  ::ebonykeel::wire::AcquireRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::ebonykeel::wire::AcquireRequest>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::AcquireRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AcquireParams::Pipeline {
+public:
+  typedef AcquireParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ebonykeel::wire::AcquireRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::AcquireResults::Reader {
+public:
+  typedef AcquireResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::ebonykeel::wire::AcquireReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::AcquireResults::Builder {
+public:
+  typedef AcquireResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::ebonykeel::wire::AcquireReply::Builder getReply();
+  inline void setReply( ::ebonykeel::wire::AcquireReply::Reader value);
+  inline  ::ebonykeel::wire::AcquireReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::ebonykeel::wire::AcquireReply>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::AcquireReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::AcquireResults::Pipeline {
+public:
+  typedef AcquireResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ebonykeel::wire::AcquireReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HandOverParams::Reader {
+public:
+  typedef HandOverParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNotice() const;
+  inline  ::ebonykeel::wire::HandOverNotice::Reader getNotice() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HandOverParams::Builder {
+public:
+  typedef HandOverParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNotice();
+  inline  ::ebonykeel::wire::HandOverNotice::Builder getNotice();
+  inline void setNotice( ::ebonykeel::wire::HandOverNotice::Reader value);
+  inline  ::ebonykeel::wire::HandOverNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::ebonykeel::wire::HandOverNotice>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::HandOverNotice> disownNotice();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HandOverParams::Pipeline {
+public:
+  typedef HandOverParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ebonykeel::wire::HandOverNotice::Pipeline getNotice();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::HandOverResults::Reader {
+public:
+  typedef HandOverResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::HandOverResults::Builder {
+public:
+  typedef HandOverResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::HandOverResults::Pipeline {
+public:
+  typedef HandOverResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool InstanceRef::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRef::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRef::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InstanceRef::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRef::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRef::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRef::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t InstanceRef::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRef::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRef::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool InstanceRecord::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRecord::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRecord::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InstanceRecord::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRecord::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t InstanceRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRecord::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool InstanceRecord::Reader::hasPublicAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRecord::Builder::hasPublicAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRecord::Reader::getPublicAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::getPublicAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder InstanceRecord::Builder::getPublicAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void InstanceRecord::Builder::setPublicAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::initPublicAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRecord::Builder::adoptPublicAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownPublicAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool InstanceRecord::Reader::hasAdminAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRecord::Builder::hasAdminAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRecord::Reader::getAdminAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::getAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void InstanceRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::initAdminAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRecord::Builder::adoptAdminAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownAdminAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool InstanceRecord::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRecord::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRecord::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void InstanceRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRecord::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool InstanceRecord::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRecord::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRecord::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void InstanceRecord::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRecord::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool InstanceRecord::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool InstanceRecord::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InstanceRecord::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void InstanceRecord::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InstanceRecord::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void InstanceRecord::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t InstanceRecord::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t InstanceRecord::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRecord::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t InstanceRecord::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRecord::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setPublicAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void InstanceRecord::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::initPublicAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t InstanceRecord::Reader::getMonitorEpoch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::adoptPublicAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t InstanceRecord::Builder::getMonitorEpoch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownPublicAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void InstanceRecord::Builder::setMonitorEpoch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool InstanceRecord::Reader::hasAdminAddress() const {
+inline bool InstanceRecord::Reader::getChangingMonitors() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool InstanceRecord::Builder::getChangingMonitors() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRecord::Builder::setChangingMonitors(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool InstanceRecord::Reader::hasMonitors() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceRecord::Builder::hasAdminAddress() {
+inline bool InstanceRecord::Builder::hasMonitors() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader InstanceRecord::Reader::getAdminAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader InstanceRecord::Reader::getMonitors() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::getAdminAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::getMonitors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void InstanceRecord::Builder::setAdminAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void InstanceRecord::Builder::setMonitors( ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::initAdminAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::initMonitors(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void InstanceRecord::Builder::adoptAdminAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void InstanceRecord::Builder::adoptMonitors(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownAdminAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>> InstanceRecord::Builder::disownMonitors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool InstanceRecord::Reader::hasPeerAddress() const {
+inline bool InstanceRecord::Reader::hasPreviousMonitors() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceRecord::Builder::hasPeerAddress() {
+inline bool InstanceRecord::Builder::hasPreviousMonitors() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader InstanceRecord::Reader::getPeerAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader InstanceRecord::Reader::getPreviousMonitors() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::getPeerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::getPreviousMonitors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void InstanceRecord::Builder::setPeerAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void InstanceRecord::Builder::setPreviousMonitors( ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::initPeerAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::initPreviousMonitors(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void InstanceRecord::Builder::adoptPeerAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void InstanceRecord::Builder::adoptPreviousMonitors(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>> InstanceRecord::Builder::disownPreviousMonitors() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t InstanceRecord::Reader::getStatusSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRecord::Builder::getStatusSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRecord::Builder::setStatusSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t InstanceRecord::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InstanceRecord::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRecord::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float InstanceRecord::Reader::getLoad() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline float InstanceRecord::Builder::getLoad() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void InstanceRecord::Builder::setLoad(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Suspicion::Reader::hasMonitor() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspicion::Builder::hasMonitor() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonykeel::wire::InstanceRef::Reader Suspicion::Reader::getMonitor() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::getMonitor() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline Suspicion::Pipeline::getMonitor() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Suspicion::Builder::setMonitor( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::initMonitor() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Suspicion::Builder::adoptMonitor(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> Suspicion::Builder::disownMonitor() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Suspicion::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Suspicion::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonykeel::wire::InstanceRef::Reader Suspicion::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline Suspicion::Pipeline::getTarget() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Suspicion::Builder::setTarget( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::initTarget() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Suspicion::Builder::adoptTarget(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownPeerAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> Suspicion::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool InstanceRecord::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline bool InstanceRecord::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRecord::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::uint32_t Suspicion::Reader::getFromEpoch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Suspicion::Builder::getFromEpoch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Suspicion::Builder::setFromEpoch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t Suspicion::Reader::getToEpoch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Suspicion::Builder::getToEpoch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Suspicion::Builder::setToEpoch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool InstanceRecord::Reader::hasRegion() const {
+inline bool StatusUpdate::Reader::hasInstance() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceRecord::Builder::hasRegion() {
+inline bool StatusUpdate::Builder::hasInstance() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader InstanceRecord::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder InstanceRecord::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void InstanceRecord::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline  ::ebonykeel::wire::InstanceRef::Reader StatusUpdate::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder InstanceRecord::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline  ::ebonykeel::wire::InstanceRef::Builder StatusUpdate::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceRecord::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline StatusUpdate::Pipeline::getInstance() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::capnp::Text> InstanceRecord::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void StatusUpdate::Builder::setInstance( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t InstanceRecord::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::ebonykeel::wire::InstanceRef::Builder StatusUpdate::Builder::initInstance() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t InstanceRecord::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline void StatusUpdate::Builder::adoptInstance(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void InstanceRecord::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> StatusUpdate::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t InstanceRecord::Reader::getSequence() const {
+inline  ::uint64_t StatusUpdate::Reader::getStatusSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t InstanceRecord::Builder::getSequence() {
+inline  ::uint64_t StatusUpdate::Builder::getStatusSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setSequence( ::uint64_t value) {
+inline void StatusUpdate::Builder::setStatusSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t InstanceRecord::Reader::getMonitorEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StatusUpdate::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t InstanceRecord::Builder::getMonitorEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StatusUpdate::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setMonitorEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void StatusUpdate::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool InstanceRecord::Reader::getChangingMonitors() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+inline float StatusUpdate::Reader::getLoad() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool InstanceRecord::Builder::getChangingMonitors() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+inline float StatusUpdate::Builder::getLoad() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setChangingMonitors(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+inline void StatusUpdate::Builder::setLoad(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool InstanceRecord::Reader::hasMonitors() const {
+inline bool Gossip::Reader::hasSender() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool InstanceRecord::Builder::hasMonitors() {
+inline bool Gossip::Builder::hasSender() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader InstanceRecord::Reader::getMonitors() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Reader Gossip::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::getMonitors() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Builder Gossip::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void InstanceRecord::Builder::setMonitors( ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline Gossip::Pipeline::getSender() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::initMonitors(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Gossip::Builder::setSender( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void InstanceRecord::Builder::adoptMonitors(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::ebonykeel::wire::InstanceRef::Builder Gossip::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>> InstanceRecord::Builder::disownMonitors() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline void Gossip::Builder::adoptSender(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> Gossip::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool InstanceRecord::Reader::hasPreviousMonitors() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t Gossip::Reader::getSenderSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool InstanceRecord::Builder::hasPreviousMonitors() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t Gossip::Builder::getSenderSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader InstanceRecord::Reader::getPreviousMonitors() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void Gossip::Builder::setSenderSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::getPreviousMonitors() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+
+inline  ::uint8_t Gossip::Reader::getSenderState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setPreviousMonitors( ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+
+inline  ::uint8_t Gossip::Builder::getSenderState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>::Builder InstanceRecord::Builder::initPreviousMonitors(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline void Gossip::Builder::setSenderState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Gossip::Reader::getStatusSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::adoptPreviousMonitors(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Gossip::Builder::getStatusSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>> InstanceRecord::Builder::disownPreviousMonitors() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline void Gossip::Builder::setStatusSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t InstanceRecord::Reader::getStatusSequence() const {
+inline  ::uint64_t Gossip::Reader::getGeneration() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t InstanceRecord::Builder::getStatusSequence() {
+inline  ::uint64_t Gossip::Builder::getGeneration() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setStatusSequence( ::uint64_t value) {
+inline void Gossip::Builder::setGeneration( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t InstanceRecord::Reader::getGeneration() const {
+inline float Gossip::Reader::getLoad() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float Gossip::Builder::getLoad() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setLoad(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Gossip::Reader::getDigest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t InstanceRecord::Builder::getGeneration() {
+inline  ::uint64_t Gossip::Builder::getDigest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void InstanceRecord::Builder::setGeneration( ::uint64_t value) {
+inline void Gossip::Builder::setDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline float InstanceRecord::Reader::getLoad() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline bool Gossip::Reader::hasPartDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline float InstanceRecord::Builder::getLoad() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline bool Gossip::Builder::hasPartDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void InstanceRecord::Builder::setLoad(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getPartDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getPartDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setPartDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Gossip::Builder::setPartDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initPartDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptPartDigests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownPartDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Suspicion::Reader::hasMonitor() const {
+inline bool Gossip::Reader::hasRecords() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Suspicion::Builder::hasMonitor() {
+inline bool Gossip::Builder::hasRecords() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ebonykeel::wire::InstanceRef::Reader Suspicion::Reader::getMonitor() const {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::getMonitor() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ebonykeel::wire::InstanceRef::Pipeline Suspicion::Pipeline::getMonitor() {
-  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
+inline void Gossip::Builder::setRecords( ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void Suspicion::Builder::setMonitor( ::ebonykeel::wire::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::initMonitor() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Gossip::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Suspicion::Builder::adoptMonitor(
-    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> Suspicion::Builder::disownMonitor() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool Gossip::Reader::hasSuspicions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasSuspicions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getSuspicions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setSuspicions( ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initSuspicions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptSuspicions(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownSuspicions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Suspicion::Reader::hasTarget() const {
+inline bool Gossip::Reader::hasStatuses() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Suspicion::Builder::hasTarget() {
+inline bool Gossip::Builder::hasStatuses() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ebonykeel::wire::InstanceRef::Reader Suspicion::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getStatuses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ebonykeel::wire::InstanceRef::Pipeline Suspicion::Pipeline::getTarget() {
-  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(1));
+inline void Gossip::Builder::setStatuses( ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void Suspicion::Builder::setTarget( ::ebonykeel::wire::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initStatuses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder Suspicion::Builder::initTarget() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Gossip::Builder::adoptStatuses(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Suspicion::Builder::adoptTarget(
-    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownStatuses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> Suspicion::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Gossip::Reader::getAckedIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Suspicion::Reader::getFromEpoch() const {
+inline  ::uint64_t Gossip::Builder::getAckedIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setAckedIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Gossip::Reader::getKnownSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Gossip::Builder::getKnownSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Gossip::Builder::setKnownSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Gossip::Reader::getKnownEpoch() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Suspicion::Builder::getFromEpoch() {
+inline  ::uint32_t Gossip::Builder::getKnownEpoch() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
 }
-inline void Suspicion::Builder::setFromEpoch( ::uint32_t value) {
+inline void Gossip::Builder::setKnownEpoch( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Suspicion::Reader::getToEpoch() const {
+inline  ::uint32_t Gossip::Reader::getSuspectedEpoch() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Suspicion::Builder::getToEpoch() {
+inline  ::uint32_t Gossip::Builder::getSuspectedEpoch() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
 }
-inline void Suspicion::Builder::setToEpoch( ::uint32_t value) {
+inline void Gossip::Builder::setSuspectedEpoch( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StatusUpdate::Reader::hasInstance() const {
+inline bool SubQuery::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool StatusUpdate::Builder::hasInstance() {
+inline bool SubQuery::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ebonykeel::wire::InstanceRef::Reader StatusUpdate::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader SubQuery::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder StatusUpdate::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder SubQuery::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ebonykeel::wire::InstanceRef::Pipeline StatusUpdate::Pipeline::getInstance() {
-  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void StatusUpdate::Builder::setInstance( ::ebonykeel::wire::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+inline void SubQuery::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder StatusUpdate::Builder::initInstance() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SubQuery::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void StatusUpdate::Builder::adoptInstance(
-    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+inline void SubQuery::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> StatusUpdate::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t StatusUpdate::Reader::getStatusSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SubQuery::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t StatusUpdate::Builder::getStatusSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SubQuery::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void StatusUpdate::Builder::setStatusSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader SubQuery::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t StatusUpdate::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SubQuery::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t StatusUpdate::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void SubQuery::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void StatusUpdate::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder SubQuery::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline float StatusUpdate::Reader::getLoad() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void SubQuery::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline float StatusUpdate::Builder::getLoad() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool SubQuery::Reader::hasShard() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void StatusUpdate::Builder::setLoad(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool SubQuery::Builder::hasShard() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SubQuery::Reader::getShard() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SubQuery::Builder::getShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SubQuery::Builder::setShard( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SubQuery::Builder::initShard(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SubQuery::Builder::adoptShard(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownShard() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasSender() const {
+inline bool SubQuery::Reader::hasUpstream() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasSender() {
+inline bool SubQuery::Builder::hasUpstream() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::ebonykeel::wire::InstanceRef::Reader Gossip::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder Gossip::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader SubQuery::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::ebonykeel::wire::InstanceRef::Pipeline Gossip::Pipeline::getSender() {
-  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder SubQuery::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Gossip::Builder::setSender( ::ebonykeel::wire::InstanceRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void SubQuery::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::ebonykeel::wire::InstanceRef::Builder Gossip::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder SubQuery::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptSender(
-    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
-  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void SubQuery::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> Gossip::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Gossip::Reader::getSenderSequence() const {
+inline  ::uint64_t SubQuery::Reader::getIndexVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Gossip::Builder::getSenderSequence() {
+inline  ::uint64_t SubQuery::Builder::getIndexVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setSenderSequence( ::uint64_t value) {
+inline void SubQuery::Builder::setIndexVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Gossip::Reader::getSenderState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool SubQuery::Reader::getHedge() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Gossip::Builder::getSenderState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool SubQuery::Builder::getHedge() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setSenderState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void SubQuery::Builder::setHedge(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Gossip::Reader::getStatusSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint8_t SubQuery::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Gossip::Builder::getStatusSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Gossip::Builder::setStatusSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::uint8_t SubQuery::Builder::getAttempt() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-
-inline  ::uint64_t Gossip::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void SubQuery::Builder::setAttempt( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Gossip::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SearchRequest::Reader::hasCaller() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline bool SearchRequest::Builder::hasCaller() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline float Gossip::Reader::getLoad() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader SearchRequest::Reader::getCaller() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline float Gossip::Builder::getLoad() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SearchRequest::Builder::getCaller() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setLoad(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void SearchRequest::Builder::setCaller( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Gossip::Reader::getDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder SearchRequest::Builder::initCaller(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Gossip::Builder::getDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void SearchRequest::Builder::adoptCaller(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> SearchRequest::Builder::disownCaller() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasPartDigests() const {
+inline bool SearchRequest::Reader::hasText() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasPartDigests() {
+inline bool SearchRequest::Builder::hasText() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Gossip::Reader::getPartDigests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader SearchRequest::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::getPartDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder SearchRequest::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setPartDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Gossip::Builder::setPartDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void SearchRequest::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Gossip::Builder::initPartDigests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder SearchRequest::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptPartDigests(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void SearchRequest::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Gossip::Builder::disownPartDigests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> SearchRequest::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t SearchRequest::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Gossip::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t SearchRequest::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void SearchRequest::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t SearchRequest::Reader::getRemaining() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Gossip::Builder::setRecords( ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t SearchRequest::Builder::getRemaining() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void SearchRequest::Builder::setRemaining( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void Gossip::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t SearchRequest::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::InstanceRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint64_t SearchRequest::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SearchRequest::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Gossip::Reader::hasSuspicions() const {
+inline bool SearchRequest::Reader::hasSubQueries() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasSuspicions() {
+inline bool SearchRequest::Builder::hasSubQueries() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getSuspicions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Reader SearchRequest::Reader::getSubQueries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getSuspicions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Builder SearchRequest::Builder::getSubQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setSuspicions( ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void SearchRequest::Builder::setSubQueries( ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initSuspicions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Builder SearchRequest::Builder::initSubQueries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Gossip::Builder::adoptSuspicions(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void SearchRequest::Builder::adoptSubQueries(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownSuspicions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Suspicion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>> SearchRequest::Builder::disownSubQueries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasStatuses() const {
+inline bool Hit::Reader::hasDocument() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasStatuses() {
+inline bool Hit::Builder::hasDocument() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getStatuses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Gossip::Builder::setStatuses( ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initStatuses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Reader Hit::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::adoptStatuses(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder Hit::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownStatuses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::StatusUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void Hit::Builder::setDocument( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Gossip::Reader::getAckedIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Hit::Builder::initDocument(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t Gossip::Builder::getAckedIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void Hit::Builder::adoptDocument(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Gossip::Builder::setAckedIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> Hit::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Gossip::Reader::getKnownSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline double Hit::Reader::getScore() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Gossip::Builder::getKnownSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void Gossip::Builder::setKnownSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline double Hit::Builder::getScore() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-
-inline  ::uint32_t Gossip::Reader::getKnownEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline void Hit::Builder::setScore(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Gossip::Builder::getKnownEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline bool Hit::Reader::hasText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setKnownEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+inline bool Hit::Builder::hasText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Gossip::Reader::getSuspectedEpoch() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader Hit::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Gossip::Builder::getSuspectedEpoch() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Hit::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setSuspectedEpoch( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+inline void Hit::Builder::setText( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Hit::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Hit::Builder::adoptText(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Hit::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SubQuery::Reader::hasId() const {
+inline bool SubAnswer::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubQuery::Builder::hasId() {
+inline bool SubAnswer::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubQuery::Reader::getId() const {
+inline  ::capnp::Text::Reader SubAnswer::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::getId() {
+inline  ::capnp::Text::Builder SubAnswer::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubQuery::Builder::setId( ::capnp::Text::Reader value) {
+inline void SubAnswer::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder SubAnswer::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SubQuery::Builder::adoptId(
+inline void SubAnswer::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> SubAnswer::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SubQuery::Reader::hasService() const {
+inline bool SubAnswer::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubQuery::Builder::hasService() {
+inline bool SubAnswer::Builder::hasUpstream() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubQuery::Reader::getService() const {
+inline  ::capnp::Text::Reader SubAnswer::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::getService() {
+inline  ::capnp::Text::Builder SubAnswer::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SubQuery::Builder::setService( ::capnp::Text::Reader value) {
+inline void SubAnswer::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder SubAnswer::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SubQuery::Builder::adoptService(
+inline void SubAnswer::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> SubAnswer::Builder::disownUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SubQuery::Reader::hasShard() const {
+inline bool SubAnswer::Reader::hasShard() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubQuery::Builder::hasShard() {
+inline bool SubAnswer::Builder::hasShard() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubQuery::Reader::getShard() const {
+inline  ::capnp::Text::Reader SubAnswer::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::getShard() {
+inline  ::capnp::Text::Builder SubAnswer::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SubQuery::Builder::setShard( ::capnp::Text::Reader value) {
+inline void SubAnswer::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::initShard(unsigned int size) {
+inline  ::capnp::Text::Builder SubAnswer::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SubQuery::Builder::adoptShard(
+inline void SubAnswer::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownShard() {
+inline ::capnp::Orphan< ::capnp::Text> SubAnswer::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool SubQuery::Reader::hasUpstream() const {
+inline  ::uint64_t SubAnswer::Reader::getIndexVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SubAnswer::Builder::getIndexVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SubAnswer::Builder::setIndexVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t SubAnswer::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SubAnswer::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SubAnswer::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubAnswer::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool SubAnswer::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void SubAnswer::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubAnswer::Reader::getCold() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+}
+
+inline bool SubAnswer::Builder::getCold() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+}
+inline void SubAnswer::Builder::setCold(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SubAnswer::Reader::hasHeldVersions() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubQuery::Builder::hasUpstream() {
+inline bool SubAnswer::Builder::hasHeldVersions() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubQuery::Reader::getUpstream() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SubAnswer::Reader::getHeldVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::getUpstream() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SubAnswer::Builder::getHeldVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void SubQuery::Builder::setUpstream( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void SubAnswer::Builder::setHeldVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubQuery::Builder::initUpstream(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void SubAnswer::Builder::setHeldVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SubAnswer::Builder::initHeldVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void SubQuery::Builder::adoptUpstream(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void SubAnswer::Builder::adoptHeldVersions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubQuery::Builder::disownUpstream() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SubAnswer::Builder::disownHeldVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SubQuery::Reader::getIndexVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SubAnswer::Reader::hasHits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SubAnswer::Builder::hasHits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Reader SubAnswer::Reader::getHits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Builder SubAnswer::Builder::getHits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SubAnswer::Builder::setHits( ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Builder SubAnswer::Builder::initHits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SubAnswer::Builder::adoptHits(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>> SubAnswer::Builder::disownHits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SubQuery::Builder::getIndexVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline AnswerSink::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline AnswerSink::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline AnswerSink::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline AnswerSink::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::ebonykeel::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
 }
-inline void SubQuery::Builder::setIndexVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::ebonykeel::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool SubQuery::Reader::getHedge() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+#endif  // !CAPNP_LITE
+inline bool AnswerSink::DeliverParams::Reader::hasAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AnswerSink::DeliverParams::Builder::hasAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool SubQuery::Builder::getHedge() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Reader AnswerSink::DeliverParams::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubQuery::Builder::setHedge(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Builder AnswerSink::DeliverParams::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t SubQuery::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
