+inline void AnswerSink::DeliverParams::Builder::setAnswers( ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t SubQuery::Builder::getAttempt() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Builder AnswerSink::DeliverParams::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SubQuery::Builder::setAttempt( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void AnswerSink::DeliverParams::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>> AnswerSink::DeliverParams::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SearchRequest::Reader::hasCaller() const {
+inline bool FilingRequest::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SearchRequest::Builder::hasCaller() {
+inline bool FilingRequest::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SearchRequest::Reader::getCaller() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SearchRequest::Builder::getCaller() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SearchRequest::Builder::setCaller( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SearchRequest::Builder::initCaller(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void SearchRequest::Builder::adoptCaller(
+inline void FilingRequest::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SearchRequest::Builder::disownCaller() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SearchRequest::Reader::hasText() const {
+inline bool FilingRequest::Reader::hasOperation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SearchRequest::Builder::hasText() {
+inline bool FilingRequest::Builder::hasOperation() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SearchRequest::Reader::getText() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getOperation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SearchRequest::Builder::getText() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getOperation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SearchRequest::Builder::setText( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setOperation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SearchRequest::Builder::initText(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initOperation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SearchRequest::Builder::adoptText(
+inline void FilingRequest::Builder::adoptOperation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SearchRequest::Builder::disownText() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownOperation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t SearchRequest::Reader::getLimit() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t SearchRequest::Builder::getLimit() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void SearchRequest::Builder::setLimit( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t SearchRequest::Reader::getRemaining() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SearchRequest::Builder::getRemaining() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void SearchRequest::Builder::setRemaining( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t SearchRequest::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t SearchRequest::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void SearchRequest::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool SearchRequest::Reader::hasSubQueries() const {
+inline bool FilingRequest::Reader::hasCaller() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SearchRequest::Builder::hasSubQueries() {
+inline bool FilingRequest::Builder::hasCaller() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Reader SearchRequest::Reader::getSubQueries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Builder SearchRequest::Builder::getSubQueries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void SearchRequest::Builder::setSubQueries( ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>::Builder SearchRequest::Builder::initSubQueries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void SearchRequest::Builder::adoptSubQueries(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>> SearchRequest::Builder::disownSubQueries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubQuery,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Hit::Reader::hasDocument() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Hit::Builder::hasDocument() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Hit::Reader::getDocument() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getCaller() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hit::Builder::getDocument() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getCaller() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Hit::Builder::setDocument( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setCaller( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hit::Builder::initDocument(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initCaller(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Hit::Builder::adoptDocument(
+inline void FilingRequest::Builder::adoptCaller(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hit::Builder::disownDocument() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownCaller() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline double Hit::Reader::getScore() const {
-  return _reader.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline double Hit::Builder::getScore() {
-  return _builder.getDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Hit::Builder::setScore(double value) {
-  _builder.setDataField<double>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Hit::Reader::hasText() const {
+inline bool FilingRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Hit::Builder::hasText() {
+inline bool FilingRequest::Builder::hasRequestId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Hit::Reader::getText() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getRequestId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hit::Builder::getText() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Hit::Builder::setText( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hit::Builder::initText(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initRequestId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Hit::Builder::adoptText(
+inline void FilingRequest::Builder::adoptRequestId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hit::Builder::disownText() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownRequestId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool SubAnswer::Reader::hasId() const {
+inline bool FilingRequest::Reader::hasPayload() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubAnswer::Builder::hasId() {
+inline bool FilingRequest::Builder::hasPayload() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubAnswer::Reader::getId() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getPayload() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubAnswer::Builder::getId() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getPayload() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void SubAnswer::Builder::setId( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setPayload( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubAnswer::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initPayload(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void SubAnswer::Builder::adoptId(
+inline void FilingRequest::Builder::adoptPayload(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubAnswer::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownPayload() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool SubAnswer::Reader::hasUpstream() const {
+inline bool FilingRequest::Reader::hasShard() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubAnswer::Builder::hasUpstream() {
+inline bool FilingRequest::Builder::hasShard() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubAnswer::Reader::getUpstream() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getShard() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubAnswer::Builder::getUpstream() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void SubAnswer::Builder::setUpstream( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setShard( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubAnswer::Builder::initUpstream(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initShard(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void SubAnswer::Builder::adoptUpstream(
+inline void FilingRequest::Builder::adoptShard(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubAnswer::Builder::disownUpstream() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownShard() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool SubAnswer::Reader::hasShard() const {
+inline bool FilingRequest::Reader::hasUpstream() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubAnswer::Builder::hasShard() {
+inline bool FilingRequest::Builder::hasUpstream() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SubAnswer::Reader::getShard() const {
+inline  ::capnp::Text::Reader FilingRequest::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SubAnswer::Builder::getShard() {
+inline  ::capnp::Text::Builder FilingRequest::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void SubAnswer::Builder::setShard( ::capnp::Text::Reader value) {
+inline void FilingRequest::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SubAnswer::Builder::initShard(unsigned int size) {
+inline  ::capnp::Text::Builder FilingRequest::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void SubAnswer::Builder::adoptShard(
+inline void FilingRequest::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SubAnswer::Builder::disownShard() {
+inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t SubAnswer::Reader::getIndexVersion() const {
+inline  ::uint64_t FilingRequest::Reader::getRemaining() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t SubAnswer::Builder::getIndexVersion() {
+inline  ::uint64_t FilingRequest::Builder::getRemaining() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SubAnswer::Builder::setIndexVersion( ::uint64_t value) {
+inline void FilingRequest::Builder::setRemaining( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t SubAnswer::Reader::getReason() const {
+inline  ::uint8_t FilingReply::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t SubAnswer::Builder::getReason() {
+inline  ::uint8_t FilingReply::Builder::getOutcome() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SubAnswer::Builder::setReason( ::uint8_t value) {
+inline void FilingReply::Builder::setOutcome( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SubAnswer::Reader::getWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+inline  ::uint8_t FilingReply::Reader::getReason() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool SubAnswer::Builder::getWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+inline  ::uint8_t FilingReply::Builder::getReason() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void SubAnswer::Builder::setWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+inline void FilingReply::Builder::setReason( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool SubAnswer::Reader::getCold() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+inline bool FilingReply::Reader::hasResult() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool SubAnswer::Builder::getCold() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
+inline bool FilingReply::Builder::hasResult() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void SubAnswer::Builder::setCold(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader FilingReply::Reader::getResult() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FilingReply::Builder::getResult() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FilingReply::Builder::setResult( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FilingReply::Builder::initResult(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FilingReply::Builder::adoptResult(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FilingReply::Builder::disownResult() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SubAnswer::Reader::hasHeldVersions() const {
+inline bool AcquireRequest::Reader::hasRequester() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubAnswer::Builder::hasHeldVersions() {
+inline bool AcquireRequest::Builder::hasRequester() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SubAnswer::Reader::getHeldVersions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Reader AcquireRequest::Reader::getRequester() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SubAnswer::Builder::getHeldVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Builder AcquireRequest::Builder::getRequester() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubAnswer::Builder::setHeldVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline AcquireRequest::Pipeline::getRequester() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
-inline void SubAnswer::Builder::setHeldVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+#endif  // !CAPNP_LITE
+inline void AcquireRequest::Builder::setRequester( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SubAnswer::Builder::initHeldVersions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::ebonykeel::wire::InstanceRef::Builder AcquireRequest::Builder::initRequester() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void SubAnswer::Builder::adoptHeldVersions(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void AcquireRequest::Builder::adoptRequester(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SubAnswer::Builder::disownHeldVersions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> AcquireRequest::Builder::disownRequester() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool SubAnswer::Reader::hasHits() const {
+inline bool AcquireRequest::Reader::hasRequesterPeerAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool SubAnswer::Builder::hasHits() {
+inline bool AcquireRequest::Builder::hasRequesterPeerAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Reader SubAnswer::Reader::getHits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AcquireRequest::Reader::getRequesterPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Builder SubAnswer::Builder::getHits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AcquireRequest::Builder::getRequesterPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void SubAnswer::Builder::setHits( ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void AcquireRequest::Builder::setRequesterPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>::Builder SubAnswer::Builder::initHits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder AcquireRequest::Builder::initRequesterPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void SubAnswer::Builder::adoptHits(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void AcquireRequest::Builder::adoptRequesterPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>> SubAnswer::Builder::disownHits() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::Hit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AcquireRequest::Builder::disownRequesterPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline AnswerSink::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline AnswerSink::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline AnswerSink::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline AnswerSink::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::ebonykeel::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
+inline  ::uint64_t AcquireRequest::Reader::getViewVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::ebonykeel::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
+
+inline  ::uint64_t AcquireRequest::Builder::getViewVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AcquireRequest::Builder::setViewVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcquireRequest::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireRequest::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AcquireRequest::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-#endif  // !CAPNP_LITE
-inline bool AnswerSink::DeliverParams::Reader::hasAnswers() const {
+inline bool AcquireRequest::Reader::hasItems() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AnswerSink::DeliverParams::Builder::hasAnswers() {
+inline bool AcquireRequest::Builder::hasItems() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Reader AnswerSink::DeliverParams::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Reader AcquireRequest::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Builder AnswerSink::DeliverParams::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Builder AcquireRequest::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AnswerSink::DeliverParams::Builder::setAnswers( ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AcquireRequest::Builder::setItems( ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>::Builder AnswerSink::DeliverParams::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>::Builder AcquireRequest::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AnswerSink::DeliverParams::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AcquireRequest::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>> AnswerSink::DeliverParams::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::SubAnswer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>> AcquireRequest::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireRequest::Item,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool FilingRequest::Reader::hasService() const {
+inline bool AcquireRequest::Item::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingRequest::Builder::hasService() {
+inline bool AcquireRequest::Item::Builder::hasUpstream() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getService() const {
+inline  ::capnp::Text::Reader AcquireRequest::Item::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getService() {
+inline  ::capnp::Text::Builder AcquireRequest::Item::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FilingRequest::Builder::setService( ::capnp::Text::Reader value) {
+inline void AcquireRequest::Item::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder AcquireRequest::Item::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FilingRequest::Builder::adoptService(
+inline void AcquireRequest::Item::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> AcquireRequest::Item::Builder::disownUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FilingRequest::Reader::hasOperation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t AcquireRequest::Item::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool FilingRequest::Builder::hasOperation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t AcquireRequest::Item::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getOperation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void AcquireRequest::Item::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getOperation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t AcquireRequest::Item::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void FilingRequest::Builder::setOperation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t AcquireRequest::Item::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initOperation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void AcquireRequest::Item::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void FilingRequest::Builder::adoptOperation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t AcquireRequest::Item::Reader::getHeldEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownOperation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint64_t AcquireRequest::Item::Builder::getHeldEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AcquireRequest::Item::Builder::setHeldEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FilingRequest::Reader::hasCaller() const {
+inline bool AcquireReply::Reader::hasResponder() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingRequest::Builder::hasCaller() {
+inline bool AcquireReply::Builder::hasResponder() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getCaller() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Reader AcquireReply::Reader::getResponder() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getCaller() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Builder AcquireReply::Builder::getResponder() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FilingRequest::Builder::setCaller( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline AcquireReply::Pipeline::getResponder() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initCaller(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void AcquireReply::Builder::setResponder( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void FilingRequest::Builder::adoptCaller(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::ebonykeel::wire::InstanceRef::Builder AcquireReply::Builder::initResponder() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownCaller() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void AcquireReply::Builder::adoptResponder(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> AcquireReply::Builder::disownResponder() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FilingRequest::Reader::hasRequestId() const {
+inline  ::uint64_t AcquireReply::Reader::getRequesterIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Builder::getRequesterIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Builder::setRequesterIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcquireReply::Reader::getViewVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Builder::getViewVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Builder::setViewVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcquireReply::Reader::hasItems() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingRequest::Builder::hasRequestId() {
+inline bool AcquireReply::Builder::hasItems() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Reader AcquireReply::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Builder AcquireReply::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FilingRequest::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void AcquireReply::Builder::setItems( ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>::Builder AcquireReply::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FilingRequest::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void AcquireReply::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>> AcquireReply::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::Item,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FilingRequest::Reader::hasPayload() const {
+inline bool AcquireReply::OtherAsker::Reader::hasInstance() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingRequest::Builder::hasPayload() {
+inline bool AcquireReply::OtherAsker::Builder::hasInstance() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Reader AcquireReply::OtherAsker::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::ebonykeel::wire::InstanceRef::Builder AcquireReply::OtherAsker::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FilingRequest::Builder::setPayload( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline AcquireReply::OtherAsker::Pipeline::getInstance() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void AcquireReply::OtherAsker::Builder::setInstance( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void FilingRequest::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::ebonykeel::wire::InstanceRef::Builder AcquireReply::OtherAsker::Builder::initInstance() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void AcquireReply::OtherAsker::Builder::adoptInstance(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> AcquireReply::OtherAsker::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FilingRequest::Reader::hasShard() const {
+inline bool AcquireReply::OtherAsker::Reader::hasPeerAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingRequest::Builder::hasShard() {
+inline bool AcquireReply::OtherAsker::Builder::hasPeerAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getShard() const {
+inline  ::capnp::Text::Reader AcquireReply::OtherAsker::Reader::getPeerAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getShard() {
+inline  ::capnp::Text::Builder AcquireReply::OtherAsker::Builder::getPeerAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FilingRequest::Builder::setShard( ::capnp::Text::Reader value) {
+inline void AcquireReply::OtherAsker::Builder::setPeerAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initShard(unsigned int size) {
+inline  ::capnp::Text::Builder AcquireReply::OtherAsker::Builder::initPeerAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FilingRequest::Builder::adoptShard(
+inline void AcquireReply::OtherAsker::Builder::adoptPeerAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AcquireReply::OtherAsker::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AcquireReply::OtherAsker::Reader::getAge() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::OtherAsker::Builder::getAge() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownShard() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void AcquireReply::OtherAsker::Builder::setAge( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FilingRequest::Reader::hasUpstream() const {
+inline bool AcquireReply::Item::Reader::hasUpstream() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingRequest::Builder::hasUpstream() {
+inline bool AcquireReply::Item::Builder::hasUpstream() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingRequest::Reader::getUpstream() const {
+inline  ::capnp::Text::Reader AcquireReply::Item::Reader::getUpstream() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::getUpstream() {
+inline  ::capnp::Text::Builder AcquireReply::Item::Builder::getUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FilingRequest::Builder::setUpstream( ::capnp::Text::Reader value) {
+inline void AcquireReply::Item::Builder::setUpstream( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FilingRequest::Builder::initUpstream(unsigned int size) {
+inline  ::capnp::Text::Builder AcquireReply::Item::Builder::initUpstream(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void FilingRequest::Builder::adoptUpstream(
+inline void AcquireReply::Item::Builder::adoptUpstream(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingRequest::Builder::disownUpstream() {
+inline ::capnp::Orphan< ::capnp::Text> AcquireReply::Item::Builder::disownUpstream() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t FilingRequest::Reader::getRemaining() const {
+inline  ::uint64_t AcquireReply::Item::Reader::getAttempt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t FilingRequest::Builder::getRemaining() {
+inline  ::uint64_t AcquireReply::Item::Builder::getAttempt() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FilingRequest::Builder::setRemaining( ::uint64_t value) {
+inline void AcquireReply::Item::Builder::setAttempt( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t FilingReply::Reader::getOutcome() const {
+inline  ::uint8_t AcquireReply::Item::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t FilingReply::Builder::getOutcome() {
+inline  ::uint8_t AcquireReply::Item::Builder::getOutcome() {
   return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void FilingReply::Builder::setOutcome( ::uint8_t value) {
+inline void AcquireReply::Item::Builder::setOutcome( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t FilingReply::Reader::getReason() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AcquireReply::Item::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t FilingReply::Builder::getReason() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AcquireReply::Item::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void FilingReply::Builder::setReason( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void AcquireReply::Item::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FilingReply::Reader::hasResult() const {
+inline  ::uint32_t AcquireReply::Item::Reader::getInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AcquireReply::Item::Builder::getInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcquireReply::Item::Reader::getRemaining() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Item::Builder::getRemaining() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setRemaining( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcquireReply::Item::Reader::getWarm() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool AcquireReply::Item::Builder::getWarm() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setWarm(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AcquireReply::Item::Reader::hasOthers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AcquireReply::Item::Builder::hasOthers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader AcquireReply::Item::Reader::getOthers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Builder AcquireReply::Item::Builder::getOthers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AcquireReply::Item::Builder::setOthers( ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Builder AcquireReply::Item::Builder::initOthers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AcquireReply::Item::Builder::adoptOthers(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>> AcquireReply::Item::Builder::disownOthers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HandOverNotice::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FilingReply::Builder::hasResult() {
+inline bool HandOverNotice::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader FilingReply::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::ebonykeel::wire::InstanceRef::Reader HandOverNotice::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder FilingReply::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::ebonykeel::wire::InstanceRef::Builder HandOverNotice::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FilingReply::Builder::setResult( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::InstanceRef::Pipeline HandOverNotice::Pipeline::getSender() {
+  return  ::ebonykeel::wire::InstanceRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void HandOverNotice::Builder::setSender( ::ebonykeel::wire::InstanceRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder FilingReply::Builder::initResult(unsigned int size) {
+inline  ::ebonykeel::wire::InstanceRef::Builder HandOverNotice::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HandOverNotice::Builder::adoptSender(
+    ::capnp::Orphan< ::ebonykeel::wire::InstanceRef>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::InstanceRef> HandOverNotice::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::InstanceRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HandOverNotice::Reader::hasSenderPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HandOverNotice::Builder::hasSenderPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HandOverNotice::Reader::getSenderPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HandOverNotice::Builder::getSenderPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HandOverNotice::Builder::setSenderPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HandOverNotice::Builder::initSenderPeerAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void FilingReply::Builder::adoptResult(
+inline void HandOverNotice::Builder::adoptSenderPeerAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> FilingReply::Builder::disownResult() {
+inline ::capnp::Orphan< ::capnp::Text> HandOverNotice::Builder::disownSenderPeerAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HandOverNotice::Reader::hasUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HandOverNotice::Builder::hasUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader HandOverNotice::Reader::getUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder HandOverNotice::Builder::getUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HandOverNotice::Builder::setUpstreams( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void HandOverNotice::Builder::setUpstreams(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder HandOverNotice::Builder::initUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void HandOverNotice::Builder::adoptUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> HandOverNotice::Builder::disownUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -5453,6 +7242,123 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::AcquireParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AcquireParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonykeel::wire::AcquireRequest::Reader Peer::AcquireParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ebonykeel::wire::AcquireRequest::Builder Peer::AcquireParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::AcquireRequest::Pipeline Peer::AcquireParams::Pipeline::getRequest() {
+  return  ::ebonykeel::wire::AcquireRequest::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::AcquireParams::Builder::setRequest( ::ebonykeel::wire::AcquireRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonykeel::wire::AcquireRequest::Builder Peer::AcquireParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AcquireParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::ebonykeel::wire::AcquireRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::AcquireRequest> Peer::AcquireParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::AcquireResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::AcquireResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonykeel::wire::AcquireReply::Reader Peer::AcquireResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ebonykeel::wire::AcquireReply::Builder Peer::AcquireResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::AcquireReply::Pipeline Peer::AcquireResults::Pipeline::getReply() {
+  return  ::ebonykeel::wire::AcquireReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::AcquireResults::Builder::setReply( ::ebonykeel::wire::AcquireReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonykeel::wire::AcquireReply::Builder Peer::AcquireResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::AcquireResults::Builder::adoptReply(
+    ::capnp::Orphan< ::ebonykeel::wire::AcquireReply>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::AcquireReply> Peer::AcquireResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::AcquireReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::HandOverParams::Reader::hasNotice() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::HandOverParams::Builder::hasNotice() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonykeel::wire::HandOverNotice::Reader Peer::HandOverParams::Reader::getNotice() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::HandOverNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ebonykeel::wire::HandOverNotice::Builder Peer::HandOverParams::Builder::getNotice() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::HandOverNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::HandOverNotice::Pipeline Peer::HandOverParams::Pipeline::getNotice() {
+  return  ::ebonykeel::wire::HandOverNotice::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::HandOverParams::Builder::setNotice( ::ebonykeel::wire::HandOverNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::HandOverNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonykeel::wire::HandOverNotice::Builder Peer::HandOverParams::Builder::initNotice() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::HandOverNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::HandOverParams::Builder::adoptNotice(
+    ::capnp::Orphan< ::ebonykeel::wire::HandOverNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::HandOverNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::HandOverNotice> Peer::HandOverParams::Builder::disownNotice() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::HandOverNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
