--- a/packages/core/upstream/upstream_gate.cc
+++ b/packages/core/upstream/upstream_gate.cc
@@ -292,9 +292,10 @@
   }
   RefuseHopeless(aNow, aActions);
   while (!m_queue.empty() && aNow >= m_backoffUntil) {
-    uint32_t allowed =
-      std::min(m_permit.AllowedSlots(m_upstream, aNow), Limit());
-    if (HeldWork(aNow) >= allowed) {
+    // The permit already leaves out what the predecessor may have left.
+    uint32_t own = HeldWork(aNow) - Inherited(aNow);
+    if (own >= m_permit.AllowedSlots(m_upstream, aNow) ||
+        HeldWork(aNow) >= Limit()) {
       return;
     }
     if (m_idleConnections == 0 && OpenConnections() >= ConnectionsAllowed()) {
--- a/packages/core/upstream/upstream_gate.h
+++ b/packages/core/upstream/upstream_gate.h
@@ -6,6 +6,7 @@
 //
 //   UpstreamGate gate(id, limits, settings, permit, std::move(policy), now);
 //   gate.OnOwnershipGained({}, now);
+//   gate.OnPermitChanged(now);
 //   for (const GateAction& action : gate.Enqueue(item, now)) { ... }
 //   gate.OnResult(item.m_id, { .m_kind = UpstreamResultKind::kOk }, now);
 //
@@ -167,7 +168,8 @@
                std::unique_ptr<AdmissionPolicy> aPolicy,
                TimePoint aNow);
 
-  // Starts cold. Call it before the permit first allows a dispatch.
+  // Starts cold. Call it when the permit begins to allow a dispatch, and then
+  // `OnPermitChanged`.
   void OnOwnershipGained(const OwnershipStart& aStart, TimePoint aNow);
 
   // Tells that the permit may allow another number than before. Without any
@@ -217,6 +219,11 @@
   [[nodiscard]] uint32_t Limit() const;
   [[nodiscard]] bool Warm() const;
   [[nodiscard]] bool Closed() const;
+  // Nothing is sent for a while after a shed, a reset or a refused connection.
+  [[nodiscard]] bool BackingOff(TimePoint aNow) const
+  {
+    return aNow < m_backoffUntil;
+  }
   [[nodiscard]] BootId Boot() const { return m_bootId; }
 
 private:
--- /dev/null
+++ b/packages/core/upstream/upstream_gate_property_test.cc
@@ -0,0 +1,381 @@
+// Drives one gate through random schedules against an upstream whose real work
+// the test follows by itself, abandoned work included.
+#include "core/upstream/upstream_gate.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr uint32_t kSlots = 3;
+constexpr uint32_t kConnectionLimit = 8;
+constexpr uint32_t kAnswersPerStep = 4;
+const TimePoint kStart = TimePoint(Seconds(100));
+
+// One random event: what happens, and two numbers that detail it.
+using Step = std::tuple<uint8_t, uint8_t, uint8_t>;
+
+class ScriptedPermit : public SendPermit
+{
+public:
+  [[nodiscard]] uint32_t AllowedSlots(const UpstreamId& /*aUpstream*/,
+                                      TimePoint /*aNow*/) const override
+  {
+    return m_allowed;
+  }
+
+  uint32_t m_allowed = kSlots;
+};
+
+class GateModel
+{
+public:
+  GateModel()
+    : m_gate(UpstreamId("u"),
+             { .m_slots = kSlots, .m_connectionLimit = kConnectionLimit },
+             m_settings,
+             m_permit,
+             std::make_unique<ColdStartRamp>(
+               kSlots,
+               ColdStartSettings{ .m_answersPerStep = kAnswersPerStep },
+               kStart),
+             kStart)
+  {
+  }
+
+  void Run(const std::vector<Step>& aSteps)
+  {
+    for (const auto& [kind, first, second] : aSteps) {
+      Advance(m_now + Milliseconds(first % 8));
+      Act(kind, first, second);
+      Check();
+    }
+    m_permit.m_allowed = kSlots;
+    Advance(m_now + Seconds(3));
+    // Every piece of work was dispatched, refused or cancelled by then.
+    RC_ASSERT(m_queued.empty());
+    RC_ASSERT(m_gate.HeldWork(m_now) == 0U);
+  }
+
+private:
+  // Work as the upstream really holds it.
+  struct Work
+  {
+    TimePoint m_deadline;
+    TimePoint m_dispatchedAt;
+    // When the upstream stops working on it, whoever still waits.
+    TimePoint m_realEnd;
+    // When the owner hears of it; never for a lost answer.
+    TimePoint m_heardAt;
+    UpstreamResult m_result;
+  };
+
+  void Act(uint8_t aKind, uint8_t aFirst, uint8_t aSecond)
+  {
+    switch (aKind % 16) {
+      case 8:
+        // The upstream restarts: its work is gone and it is cold.
+        Restart();
+        return;
+      case 9:
+        Take(m_gate.Cancel(aFirst % m_nextId, m_now));
+        m_queued.erase(aFirst % m_nextId);
+        return;
+      case 10:
+        // A lease may also lapse without anybody telling.
+        if (aFirst % 2 == 0) {
+          m_permit.m_allowed = aSecond % (kSlots + 1);
+          Take(m_gate.OnPermitChanged(m_now));
+        } else {
+          m_permit.m_allowed = 0;
+        }
+        return;
+      case 11:
+        m_permit.m_allowed = kSlots;
+        Take(m_gate.OnPermitChanged(m_now));
+        return;
+      case 12:
+        m_closed = aSecond % 4 == 0;
+        Take(m_gate.SetClosed(Closure::kDrained, m_closed, m_now));
+        m_answers = m_closed ? 0 : m_answers;
+        return;
+      case 13:
+        m_permit.m_allowed = kSlots;
+        m_gate.OnOwnershipGained(
+          { .m_inheritedWork = aSecond % 2U,
+            .m_inheritedUntil = m_now + Milliseconds(30) },
+          m_now);
+        m_inherited = aSecond % 2;
+        m_inheritedUntil = m_now + Milliseconds(30);
+        m_answers = 0;
+        Take(m_gate.OnPermitChanged(m_now));
+        return;
+      default:
+        Enqueue(aFirst, aSecond);
+    }
+  }
+
+  void Enqueue(uint8_t aFirst, uint8_t aSecond)
+  {
+    WorkItem item{ .m_id = m_nextId++,
+                   .m_deadline = m_now + Milliseconds(5 + (aSecond % 60)),
+                   .m_caller = CallerName(aFirst % 3 == 0 ? "desk" : "portal"),
+                   .m_cost = 1 };
+    m_queued[item.m_id] = item.m_deadline;
+    m_fates[item.m_id] = { aFirst, aSecond };
+    Take(m_gate.Enqueue(item, m_now));
+  }
+
+  void Restart()
+  {
+    ++m_boot;
+    for (auto& [id, work] : m_work) {
+      if (work.m_realEnd > m_now) {
+        work.m_realEnd = m_now;
+        work.m_heardAt = m_now;
+        work.m_result = { .m_kind = UpstreamResultKind::kReset,
+                          .m_connection = ConnectionFate::kClosed };
+      }
+    }
+  }
+
+  void Take(const GateActions& aActions)
+  {
+    for (const GateAction& action : aActions) {
+      if (const auto* dispatch = std::get_if<GateDispatch>(&action)) {
+        TakeDispatch(*dispatch);
+      } else if (const auto* refuse = std::get_if<GateRefuse>(&action)) {
+        // A refusal says that the work was not run.
+        RC_ASSERT(m_queued.erase(refuse->m_work) == 1U);
+      } else if (const auto* cancel =
+                   std::get_if<GateCancelInFlight>(&action)) {
+        TakeCancel(cancel->m_work);
+      } else if (std::holds_alternative<GateCloseIdleConnections>(action)) {
+        m_closing += m_idle;
+        m_idle = 0;
+      }
+    }
+  }
+
+  void TakeDispatch(const GateDispatch& aDispatch)
+  {
+    auto queued = m_queued.find(aDispatch.m_work);
+    RC_ASSERT(queued != m_queued.end());
+    RC_ASSERT(m_now < queued->second);
+    RC_ASSERT(!m_closed);
+    RC_ASSERT(m_permit.m_allowed > 0U);
+    auto [service, fate] = m_fates[aDispatch.m_work];
+    Work work{ .m_deadline = queued->second, .m_dispatchedAt = m_now };
+    TimePoint ends = m_now + Milliseconds(3 + (service % 4));
+    if (fate % 8 == 0) {
+      ends = m_now + Milliseconds(80);
+    }
+    // The upstream hears the deadline, somewhat late.
+    work.m_realEnd =
+      std::min(ends, work.m_deadline + m_settings.m_abandonedMargin / 2);
+    work.m_heardAt = fate % 8 == 1 ? TimePoint::max() : work.m_realEnd;
+    work.m_result = { .m_kind = KindOf(fate),
+                      .m_bootId = m_boot,
+                      .m_connection = ConnectionFate::kKept };
+    if (work.m_result.m_kind == UpstreamResultKind::kReset) {
+      // The connection breaks at once, and the upstream works on.
+      work.m_heardAt = m_now + Milliseconds(1);
+      work.m_result.m_connection = ConnectionFate::kClosed;
+    }
+    m_queued.erase(queued);
+    m_work[aDispatch.m_work] = work;
+    m_unheard.insert(aDispatch.m_work);
+    RC_ASSERT(aDispatch.m_newConnection || m_idle > 0U);
+    m_idle -= aDispatch.m_newConnection ? 0 : 1;
+    m_busy += 1;
+    // Two owners have to fit in the limit.
+    RC_ASSERT(m_idle + m_busy + m_closing <= kConnectionLimit / 2);
+    uint32_t limit = m_answers < kAnswersPerStep ? 1 : kSlots;
+    RC_ASSERT(RealWork() + Inherited() <= limit);
+  }
+
+  void TakeCancel(WorkId aWork)
+  {
+    Work& work = m_work.at(aWork);
+    bool acknowledged = aWork % 2 == 0 && work.m_realEnd > m_now;
+    if (acknowledged) {
+      work.m_realEnd = m_now + Milliseconds(2);
+      work.m_heardAt = work.m_realEnd;
+      work.m_result = { .m_kind = UpstreamResultKind::kCancelled,
+                        .m_bootId = m_boot,
+                        .m_connection = ConnectionFate::kKept };
+      return;
+    }
+    // The owner closes the connection, and the upstream does not notice.
+    if (m_unheard.contains(aWork) && work.m_heardAt > m_now) {
+      work.m_heardAt = m_now;
+      work.m_result = { .m_kind = UpstreamResultKind::kReset,
+                        .m_connection = ConnectionFate::kClosed };
+    }
+  }
+
+  // Reports what is due up to `aUntil`, in the order of time.
+  void Advance(TimePoint aUntil)
+  {
+    while (true) {
+      TimePoint next = aUntil;
+      std::optional<WorkId> heard;
+      for (WorkId id : m_unheard) {
+        if (m_work[id].m_heardAt <= next) {
+          next = m_work[id].m_heardAt;
+          heard = id;
+        }
+      }
+      std::optional<TimePoint> timer = m_gate.NextTimer();
+      if (timer && *timer <= next && (!heard || *timer < next)) {
+        m_now = std::max(m_now, *timer);
+        Take(m_gate.OnTimer(m_now));
+        RC_ASSERT(m_gate.NextTimer() != timer);
+        continue;
+      }
+      m_now = std::max(m_now, next);
+      if (!heard) {
+        return;
+      }
+      Hear(*heard);
+    }
+  }
+
+  void Hear(WorkId aWork)
+  {
+    m_unheard.erase(aWork);
+    const Work& work = m_work[aWork];
+    const UpstreamResult result = work.m_result;
+    m_busy -= 1;
+    m_idle += result.m_connection == ConnectionFate::kKept ? 1 : 0;
+    NoteWarmth(work, result);
+    Take(m_gate.OnResult(aWork, result, m_now));
+    if (m_closing > 0) {
+      uint32_t closed = std::exchange(m_closing, 0);
+      Take(m_gate.OnConnectionsClosed(0, closed, m_now));
+    }
+  }
+
+  // The test's own view of what proves that the upstream bears more.
+  void NoteWarmth(const Work& aWork, const UpstreamResult& aResult)
+  {
+    m_seenBoot = m_seenBoot == 0 ? aResult.m_bootId : m_seenBoot;
+    bool otherBoot = aResult.m_bootId != 0 && aResult.m_bootId != m_seenBoot;
+    if (otherBoot && aWork.m_dispatchedAt >= m_seenBootSince) {
+      m_answers = 0;
+      m_coldSince = m_now;
+      m_seenBootSince = m_now;
+      m_seenBoot = aResult.m_bootId;
+    }
+    if (aResult.m_kind == UpstreamResultKind::kShed) {
+      m_answers = 0;
+      m_coldSince = m_now;
+    }
+    bool ok = aResult.m_kind == UpstreamResultKind::kOk;
+    m_answers += ok && aWork.m_dispatchedAt >= m_coldSince ? 1 : 0;
+  }
+
+  [[nodiscard]] UpstreamResultKind KindOf(uint8_t aFate) const
+  {
+    switch (aFate % 32) {
+      case 20:
+        return UpstreamResultKind::kShed;
+      case 21:
+        return UpstreamResultKind::kVersionNotHeld;
+      case 22:
+        return UpstreamResultKind::kReset;
+      case 23:
+        return UpstreamResultKind::kBadAnswer;
+      default:
+        return UpstreamResultKind::kOk;
+    }
+  }
+
+  [[nodiscard]] uint32_t RealWork() const
+  {
+    return static_cast<uint32_t>(
+      std::ranges::count_if(m_work, [this](const auto& aEntry) {
+        return aEntry.second.m_realEnd > m_now;
+      }));
+  }
+
+  [[nodiscard]] uint32_t Inherited() const
+  {
+    return m_now < m_inheritedUntil ? m_inherited : 0;
+  }
+
+  void Check() const
+  {
+    RC_ASSERT(m_gate.OpenConnections() == m_idle + m_busy + m_closing);
+    // What the gate believes held is never less than what is really held.
+    RC_ASSERT(m_gate.HeldWork(m_now) >= RealWork());
+    RC_ASSERT(m_gate.Queued() == m_queued.size());
+    CheckNoIdleSlot();
+  }
+
+  // Without a reason to wait, no slot is idle while work is queued.
+  void CheckNoIdleSlot() const
+  {
+    bool mayWait = m_closed || m_permit.m_allowed < kSlots ||
+                   m_gate.BackingOff(m_now) ||
+                   m_idle + m_busy + m_closing >= kConnectionLimit / 2;
+    if (m_queued.empty() || mayWait) {
+      return;
+    }
+    uint32_t justified = Inherited();
+    for (const auto& [id, work] : m_work) {
+      bool ended = !m_unheard.contains(id) && EndedFor(work);
+      justified += ended ? 0 : 1;
+    }
+    RC_ASSERT(justified >= m_gate.Limit());
+  }
+
+  // The owner knows that the work has ended.
+  [[nodiscard]] bool EndedFor(const Work& aWork) const
+  {
+    bool open = aWork.m_result.m_kind == UpstreamResultKind::kReset ||
+                aWork.m_result.m_kind == UpstreamResultKind::kBadAnswer;
+    return !open || m_now >= aWork.m_deadline + m_settings.m_abandonedMargin;
+  }
+
+  const GateSettings m_settings;
+  ScriptedPermit m_permit;
+  TimePoint m_now = kStart;
+  UpstreamGate m_gate;
+  WorkId m_nextId = 1;
+  std::map<WorkId, TimePoint> m_queued;
+  std::map<WorkId, std::pair<uint8_t, uint8_t>> m_fates;
+  std::map<WorkId, Work> m_work;
+  std::set<WorkId> m_unheard;
+  uint32_t m_idle = 0;
+  uint32_t m_busy = 0;
+  uint32_t m_closing = 0;
+  BootId m_boot = 1;
+  BootId m_seenBoot = 0;
+  TimePoint m_seenBootSince = kStart;
+  TimePoint m_coldSince = kStart;
+  uint32_t m_answers = 0;
+  bool m_closed = false;
+  uint32_t m_inherited = 0;
+  TimePoint m_inheritedUntil = kStart;
+};
+
+DOCTEST_TEST_CASE("an upstream never holds more than its answers have earned")
+{
+  DOCTEST_CHECK(rc::check([](const std::vector<Step>& aSteps) {
+    GateModel model;
+    model.Run(aSteps);
+  }));
+}
+
+} // namespace
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/upstream/upstream_gate_test.cc
@@ -0,0 +1,317 @@
+#include "core/upstream/upstream_gate.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr uint32_t kSlots = 2;
+constexpr uint32_t kAnswersPerStep = 8;
+const TimePoint kStart = TimePoint(Seconds(100));
+
+class FixedPermit : public SendPermit
+{
+public:
+  [[nodiscard]] uint32_t AllowedSlots(const UpstreamId& /*aUpstream*/,
+                                      TimePoint /*aNow*/) const override
+  {
+    return m_allowed;
+  }
+
+  uint32_t m_allowed = kSlots;
+};
+
+template<typename T>
+std::vector<T>
+Only(const GateActions& aActions)
+{
+  std::vector<T> found;
+  for (const GateAction& action : aActions) {
+    if (const T* wanted = std::get_if<T>(&action)) {
+      found.push_back(*wanted);
+    }
+  }
+  return found;
+}
+
+// A gate with its permit and the time, which the test moves.
+struct Bench
+{
+  explicit Bench(const GateSettings& aSettings = {})
+    : m_gate(UpstreamId("u"),
+             { .m_slots = kSlots, .m_connectionLimit = 6 },
+             aSettings,
+             m_permit,
+             std::make_unique<ColdStartRamp>(
+               kSlots,
+               ColdStartSettings{ .m_answersPerStep = kAnswersPerStep },
+               kStart),
+             kStart)
+  {
+  }
+
+  GateActions Enqueue(WorkId aId,
+                      Duration aLeft = Seconds(1),
+                      const char* aCaller = "desk")
+  {
+    return m_gate.Enqueue({ .m_id = aId,
+                            .m_deadline = m_now + aLeft,
+                            .m_caller = CallerName(aCaller) },
+                          m_now);
+  }
+
+  GateActions Finish(WorkId aId,
+                     UpstreamResultKind aKind = UpstreamResultKind::kOk,
+                     BootId aBoot = 1)
+  {
+    m_now += Milliseconds(4);
+    bool kept = aKind == UpstreamResultKind::kOk;
+    return m_gate.OnResult(aId,
+                           { .m_kind = aKind,
+                             .m_bootId = aBoot,
+                             .m_connection = kept ? ConnectionFate::kKept
+                                                  : ConnectionFate::kClosed },
+                           m_now);
+  }
+
+  // Runs `aCount` pieces of work one after the other.
+  void Answer(uint32_t aCount, BootId aBoot = 1)
+  {
+    for (uint32_t i = 0; i < aCount; ++i) {
+      DOCTEST_REQUIRE(Only<GateDispatch>(Enqueue(m_nextId)).size() == 1);
+      (void)Finish(m_nextId++, UpstreamResultKind::kOk, aBoot);
+    }
+  }
+
+  FixedPermit m_permit;
+  TimePoint m_now = kStart;
+  WorkId m_nextId = 1000;
+  UpstreamGate m_gate;
+};
+
+DOCTEST_TEST_CASE("an upstream starts cold and earns its slots by answers")
+{
+  Bench bench;
+  DOCTEST_CHECK(Only<GateDispatch>(bench.Enqueue(1)).size() == 1);
+  DOCTEST_CHECK(bench.Enqueue(2).empty());
+  auto next = Only<GateDispatch>(bench.Finish(1));
+  DOCTEST_REQUIRE(next.size() == 1);
+  DOCTEST_CHECK(next[0].m_work == 2);
+  DOCTEST_CHECK_FALSE(next[0].m_newConnection);
+  (void)bench.Finish(2);
+  bench.Answer(kAnswersPerStep - 3);
+  DOCTEST_CHECK_FALSE(bench.m_gate.Warm());
+  bench.Answer(1);
+  DOCTEST_CHECK(bench.m_gate.Warm());
+  DOCTEST_CHECK(Only<GateDispatch>(bench.Enqueue(3)).size() == 1);
+  DOCTEST_CHECK(Only<GateDispatch>(bench.Enqueue(4)).size() == 1);
+}
+
+DOCTEST_TEST_CASE("signs of a cold start take the slots away")
+{
+  Bench bench;
+  bench.Answer(kAnswersPerStep);
+  DOCTEST_REQUIRE(bench.m_gate.Warm());
+  (void)bench.Enqueue(1);
+  (void)bench.Enqueue(2);
+  (void)bench.Enqueue(3);
+  DOCTEST_SUBCASE("another boot id")
+  {
+    // The other piece is still held, so the third has to wait for it.
+    DOCTEST_CHECK(bench.Finish(1, UpstreamResultKind::kOk, 2).empty());
+  }
+  DOCTEST_SUBCASE("a shed")
+  {
+    DOCTEST_CHECK(bench.Finish(1, UpstreamResultKind::kShed).empty());
+  }
+  DOCTEST_SUBCASE("a reset")
+  {
+    DOCTEST_CHECK(bench.Finish(1, UpstreamResultKind::kReset, 0).empty());
+  }
+  DOCTEST_SUBCASE("a refused connection")
+  {
+    DOCTEST_CHECK(
+      bench.Finish(1, UpstreamResultKind::kConnectFailed, 0).empty());
+  }
+  DOCTEST_CHECK(bench.m_gate.Limit() == 1);
+}
+
+DOCTEST_TEST_CASE("answers that become much slower make an upstream cold")
+{
+  Bench bench;
+  bench.Answer(kAnswersPerStep);
+  for (WorkId id = 1; id <= 3; ++id) {
+    (void)bench.Enqueue(id);
+    bench.m_now += Milliseconds(40);
+    (void)bench.Finish(id);
+  }
+  DOCTEST_CHECK_FALSE(bench.m_gate.Warm());
+}
+
+DOCTEST_TEST_CASE("abandoned work holds its slot until its deadline and margin")
+{
+  Bench bench;
+  (void)bench.Enqueue(1, Milliseconds(20));
+  bench.m_now += Milliseconds(20);
+  auto cancels = Only<GateCancelInFlight>(bench.m_gate.OnTimer(bench.m_now));
+  DOCTEST_CHECK(cancels.size() == 1);
+  DOCTEST_CHECK(bench.Enqueue(2).empty());
+  DOCTEST_REQUIRE(bench.m_gate.NextTimer() ==
+                  bench.m_now + GateSettings{}.m_abandonedMargin);
+  bench.m_now = *bench.m_gate.NextTimer();
+  DOCTEST_CHECK(Only<GateDispatch>(bench.m_gate.OnTimer(bench.m_now)).size() ==
+                1);
+}
+
+DOCTEST_TEST_CASE("an acknowledged cancellation frees the slot at once")
+{
+  Bench bench;
+  (void)bench.Enqueue(1);
+  (void)bench.Enqueue(2);
+  DOCTEST_CHECK(
+    Only<GateCancelInFlight>(bench.m_gate.Cancel(1, bench.m_now)).size() == 1);
+  DOCTEST_CHECK(
+    Only<GateDispatch>(bench.Finish(1, UpstreamResultKind::kCancelled))
+      .size() == 1);
+}
+
+DOCTEST_TEST_CASE("a draining mark refuses what waits and closes connections")
+{
+  Bench bench;
+  bench.Answer(1);
+  (void)bench.Enqueue(1);
+  (void)bench.Enqueue(2);
+  bench.m_now += Milliseconds(4);
+  auto actions = bench.m_gate.OnResult(
+    1,
+    { .m_kind = UpstreamResultKind::kOk, .m_bootId = 1, .m_draining = true },
+    bench.m_now);
+  auto refused = Only<GateRefuse>(actions);
+  DOCTEST_REQUIRE(refused.size() == 1);
+  DOCTEST_CHECK(refused[0].m_reason == MissingReason::kWithdrawn);
+  DOCTEST_CHECK(Only<GateCloseIdleConnections>(actions).size() == 1);
+  DOCTEST_CHECK(Only<GateRefuse>(bench.Enqueue(3)).size() == 1);
+
+  bench.m_now += GateSettings{}.m_probeInterval;
+  DOCTEST_CHECK(Only<GateProbe>(bench.m_gate.OnTimer(bench.m_now)).size() == 1);
+  (void)bench.m_gate.OnProbe(
+    { .m_answered = true, .m_bootId = 2, .m_draining = false }, bench.m_now);
+  DOCTEST_CHECK(Only<GateDispatch>(bench.Enqueue(4)).size() == 1);
+  DOCTEST_CHECK(bench.Enqueue(5).empty());
+}
+
+DOCTEST_TEST_CASE("an upstream that operators take out comes back cold")
+{
+  Bench bench;
+  bench.Answer(kAnswersPerStep);
+  (void)bench.m_gate.SetClosed(Closure::kWithdrawn, true, bench.m_now);
+  (void)bench.m_gate.SetClosed(Closure::kDrained, true, bench.m_now);
+  (void)bench.m_gate.SetClosed(Closure::kWithdrawn, false, bench.m_now);
+  DOCTEST_CHECK(Only<GateRefuse>(bench.Enqueue(1)).size() == 1);
+  (void)bench.m_gate.SetClosed(Closure::kDrained, false, bench.m_now);
+  DOCTEST_CHECK(Only<GateDispatch>(bench.Enqueue(2)).size() == 1);
+  DOCTEST_CHECK_FALSE(bench.m_gate.Warm());
+}
+
+DOCTEST_TEST_CASE("without a permit nothing is sent and nothing waits")
+{
+  Bench bench;
+  (void)bench.Enqueue(1);
+  (void)bench.Enqueue(2);
+  bench.m_permit.m_allowed = 0;
+  auto refused = Only<GateRefuse>(bench.Finish(1));
+  DOCTEST_REQUIRE(refused.size() == 1);
+  DOCTEST_CHECK(refused[0].m_reason == MissingReason::kNoOwner);
+}
+
+DOCTEST_TEST_CASE("a hint counts only for the same run of the upstream")
+{
+  WarmthHint hint{ .m_bootId = 7,
+                   .m_limit = 2,
+                   .m_expectedLatency = Milliseconds(4) };
+  Bench bench;
+  bench.m_gate.OnOwnershipGained({ .m_hint = hint }, bench.m_now);
+  DOCTEST_CHECK_FALSE(bench.m_gate.Warm());
+  DOCTEST_SUBCASE("the same boot id")
+  {
+    bench.Answer(1, 7);
+    DOCTEST_CHECK(bench.m_gate.Warm());
+  }
+  DOCTEST_SUBCASE("another boot id")
+  {
+    bench.Answer(1, 8);
+    DOCTEST_CHECK_FALSE(bench.m_gate.Warm());
+  }
+}
+
+DOCTEST_TEST_CASE("work that a predecessor left holds slots for its time")
+{
+  Bench bench;
+  TimePoint until = bench.m_now + Milliseconds(200);
+  bench.m_gate.OnOwnershipGained(
+    { .m_inheritedWork = 1, .m_inheritedUntil = until }, bench.m_now);
+  DOCTEST_CHECK(bench.Enqueue(1).empty());
+  DOCTEST_CHECK(bench.m_gate.NextTimer() == until);
+  DOCTEST_CHECK(Only<GateDispatch>(bench.m_gate.OnTimer(until)).size() == 1);
+}
+
+DOCTEST_TEST_CASE("a shed pauses, and work that cannot wait so long moves on")
+{
+  Bench bench;
+  (void)bench.Enqueue(1);
+  (void)bench.Enqueue(2, Milliseconds(10));
+  (void)bench.Enqueue(3, Seconds(1));
+  auto refused = Only<GateRefuse>(bench.Finish(1, UpstreamResultKind::kShed));
+  DOCTEST_REQUIRE(refused.size() == 1);
+  DOCTEST_CHECK(refused[0].m_work == 2);
+  DOCTEST_CHECK(refused[0].m_reason == MissingReason::kShed);
+  TimePoint opens = bench.m_now + GateSettings{}.m_shortestBackoff;
+  DOCTEST_CHECK(bench.m_gate.NextTimer() == opens);
+  DOCTEST_CHECK(Only<GateDispatch>(bench.m_gate.OnTimer(opens)).size() == 1);
+}
+
+DOCTEST_TEST_CASE("work whose wait alone exceeds its deadline is refused early")
+{
+  Bench bench;
+  for (WorkId id = 1; id <= 10; ++id) {
+    (void)bench.Enqueue(id);
+  }
+  auto refused = Only<GateRefuse>(bench.Enqueue(11, Milliseconds(5)));
+  DOCTEST_CHECK(refused.empty());
+  refused = Only<GateRefuse>(
+    bench.m_gate.Enqueue({ .m_id = 12,
+                           .m_deadline = bench.m_now + Milliseconds(20),
+                           .m_priority = WorkPriority::kSecondary,
+                           .m_caller = CallerName("desk") },
+                         bench.m_now));
+  DOCTEST_REQUIRE(refused.size() == 1);
+  DOCTEST_CHECK(refused[0].m_reason == MissingReason::kOverloaded);
+}
+
+DOCTEST_TEST_CASE("a caller that floods the queue does not push others out")
+{
+  Bench bench({ .m_queueLimit = 8 });
+  for (WorkId id = 1; id <= 9; ++id) {
+    (void)bench.Enqueue(id, Seconds(1), "flood");
+  }
+  auto refused = Only<GateRefuse>(bench.Enqueue(20, Seconds(2), "quiet"));
+  DOCTEST_REQUIRE(refused.size() == 1);
+  DOCTEST_CHECK(refused[0].m_work != 20);
+  std::vector<WorkId> served;
+  WorkId running = 1;
+  for (int i = 0; i < 4; ++i) {
+    auto next = Only<GateDispatch>(bench.Finish(running));
+    DOCTEST_REQUIRE(next.size() == 1);
+    running = next[0].m_work;
+    served.push_back(running);
+  }
+  DOCTEST_CHECK(std::ranges::count(served, WorkId{ 20 }) == 1);
+}
+
+} // namespace
+} // namespace ebonykeel
