--- a/packages/core/upstream/upstream_gate_property_test.cc
+++ b/packages/core/upstream/upstream_gate_property_test.cc
@@ -119,6 +119,11 @@
         m_answers = 0;
         Take(m_gate.OnPermitChanged(m_now));
         return;
+      case 14:
+        // The process is paused: its timers are late.
+        m_now += Milliseconds(aSecond % 100);
+        Take(m_gate.OnTimer(m_now));
+        return;
       default:
         Enqueue(aFirst, aSecond);
     }
--- a/packages/core/upstream/upstream_gate_test.cc
+++ b/packages/core/upstream/upstream_gate_test.cc
@@ -168,6 +168,24 @@
                 1);
 }
 
+DOCTEST_TEST_CASE("connections that are not known to be closed stay counted")
+{
+  Bench bench;
+  // Half of the limit of 6 is left to a second owner.
+  for (WorkId id = 1; id <= 3; ++id) {
+    DOCTEST_REQUIRE(Only<GateDispatch>(bench.Enqueue(id)).size() == 1);
+    (void)bench.m_gate.OnResult(id,
+                                { .m_kind = UpstreamResultKind::kVersionNotHeld,
+                                  .m_connection = ConnectionFate::kLingering },
+                                bench.m_now);
+  }
+  DOCTEST_CHECK(bench.Enqueue(4).empty());
+  DOCTEST_CHECK(bench.m_gate.OpenConnections() == 3);
+  auto opened =
+    Only<GateDispatch>(bench.m_gate.OnConnectionsClosed(0, 1, bench.m_now));
+  DOCTEST_CHECK(opened.size() == 1);
+}
+
 DOCTEST_TEST_CASE("an acknowledged cancellation frees the slot at once")
 {
   Bench bench;
