--- a/packages/core/upstream/upstream_gate.cc
+++ b/packages/core/upstream/upstream_gate.cc
@@ -192,7 +192,7 @@
     TimePoint end = sent.m_abandoned
                       ? sent.m_deadline + m_settings.m_abandonedMargin
                       : sent.m_deadline;
-    next = std::min(next, end);
+    next = end > m_pumpedAt ? std::min(next, end) : next;
   }
   if (auto deadline = m_queue.EarliestDeadline()) {
     next = std::min(next, *deadline - m_settings.m_refusalMargin);
@@ -220,7 +220,8 @@
                    .m_heldWork = HeldWork(aNow) };
   TimePoint last = Inherited(aNow) > 0 ? m_inheritedUntil : aNow;
   for (const auto& [id, sent] : m_sent) {
-    last = std::max(last, sent.m_deadline + m_settings.m_abandonedMargin);
+    TimePoint end = sent.m_deadline + m_settings.m_abandonedMargin;
+    last = Holds(sent, aNow) ? std::max(last, end) : last;
   }
   hint.m_heldFor = last - aNow;
   return hint;
@@ -230,7 +231,9 @@
 UpstreamGate::HeldWork(TimePoint aNow) const
 {
   uint32_t probes = m_probeSentAt ? 1 : 0;
-  return static_cast<uint32_t>(m_sent.size()) + Inherited(aNow) + probes;
+  auto held = std::ranges::count_if(
+    m_sent, [&](const auto& aEntry) { return Holds(aEntry.second, aNow); });
+  return static_cast<uint32_t>(held) + Inherited(aNow) + probes;
 }
 
 uint32_t
@@ -361,16 +364,17 @@
       Abandon(sent, aActions);
     }
   }
-  auto ended = [&](const auto& aEntry) {
-    const SentWork& sent = aEntry.second;
-    return sent.m_abandoned &&
-           aNow >= sent.m_deadline + m_settings.m_abandonedMargin;
-  };
-  for (const auto& entry : m_sent) {
-    bool lingers = ended(entry) && !entry.second.m_connectionSettled;
-    m_lingeringConnections += lingers ? 1 : 0;
-  }
-  std::erase_if(m_sent, ended);
+  // Work whose connection is not accounted for stays until its result comes.
+  std::erase_if(m_sent, [&](const auto& aEntry) {
+    return aEntry.second.m_connectionSettled && !Holds(aEntry.second, aNow);
+  });
+}
+
+bool
+UpstreamGate::Holds(const SentWork& aSent, TimePoint aNow) const
+{
+  return !aSent.m_abandoned ||
+         aNow < aSent.m_deadline + m_settings.m_abandonedMargin;
 }
 
 void
--- a/packages/core/upstream/upstream_gate.h
+++ b/packages/core/upstream/upstream_gate.h
@@ -182,8 +182,8 @@
   // Drops queued work, or cancels it in flight.
   [[nodiscard]] GateActions Cancel(WorkId aWork, TimePoint aNow);
 
-  // Takes the end of dispatched work. Results of abandoned work count as
-  // well; results of unknown work are ignored.
+  // Takes the end of dispatched work; owed once for each dispatch, abandoned
+  // work included. Results of unknown work are ignored.
   [[nodiscard]] GateActions OnResult(WorkId aWork,
                                      const UpstreamResult& aResult,
                                      TimePoint aNow);
@@ -254,6 +254,7 @@
                   TimePoint aNow);
   void BackOff(Duration aAtLeast, TimePoint aNow);
   void MarkDraining(TimePoint aNow);
+  [[nodiscard]] bool Holds(const SentWork& aSent, TimePoint aNow) const;
   [[nodiscard]] Duration EstimatedWait(const WorkItem& aItem) const;
   [[nodiscard]] uint32_t ConnectionsAllowed() const;
   [[nodiscard]] uint32_t Inherited(TimePoint aNow) const;
