--- a/packages/node/cluster/ownership_service.cc
+++ b/packages/node/cluster/ownership_service.cc
@@ -25,6 +25,8 @@
 {
 }
 
+OwnershipService::~OwnershipService() noexcept = default;
+
 void
 OwnershipService::Start(OwnershipObserver& aObserver)
 {
--- a/packages/node/cluster/ownership_service.h
+++ b/packages/node/cluster/ownership_service.h
@@ -40,6 +40,7 @@
                    PeerLinks& aLinks,
                    MembershipService& aMembership,
                    const OwnershipServiceOptions& aOptions);
+  ~OwnershipService() noexcept override;
 
   void Start(OwnershipObserver& aObserver);
 
--- a/packages/node/filing/filing_service.cc
+++ b/packages/node/filing/filing_service.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "core/base/stable_hash.h"
+#include "node/filing/once_task.h"
 #include "node/wire/convert.h"
 #include "runtime/log/events.h"
 
@@ -118,7 +119,7 @@
 {
 }
 
-FilingService::~FilingService() = default;
+FilingService::~FilingService() noexcept = default;
 
 kj::Promise<FilingAnswer>
 FilingService::Run(FilingInput aInput)
@@ -132,8 +133,9 @@
     .m_issuedAt = aInput.m_issuedAt,
     .m_deadline = aInput.m_deadline
   };
+  const DispatchGuard& guard = *this;
   auto filing = std::make_unique<ActiveFiling>(
-    std::move(aInput), request, m_settings, *this);
+    std::move(aInput), request, m_settings, guard);
   ActiveFiling& started = *filing;
   ClaimTicket ticket = request.m_ticket;
   started.m_alarm = std::make_unique<Alarm>(m_loop.Clock(), [this, ticket]() {
--- a/packages/node/filing/filing_service.h
+++ b/packages/node/filing/filing_service.h
@@ -61,7 +61,7 @@
                 ReplicaSelector& aSelector,
                 InstanceId aSelf,
                 absl::BitGenRef aRandom);
-  ~FilingService();
+  ~FilingService() noexcept override;
 
   [[nodiscard]] kj::Promise<FilingAnswer> Run(FilingInput aInput);
 
--- a/packages/node/filing/once_task.h
+++ b/packages/node/filing/once_task.h
@@ -17,6 +17,7 @@
 public:
   OnceTask(OnceRequest aRequest,
            kj::Own<kj::PromiseFulfiller<DispatchResult>> aFulfiller);
+  ~OnceTask() noexcept override = default;
 
   [[nodiscard]] const std::string& RequestId() const override;
   [[nodiscard]] HttpRequest MakeRequest(Duration aRemaining) const override;
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -170,7 +170,7 @@
 {
 }
 
-Node::~Node() = default;
+Node::~Node() noexcept = default;
 
 absl::Status
 Node::Start()
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -58,7 +58,7 @@
 public:
   // The loop must outlive the node. `aAdminToken` is empty for none.
   Node(Loop& aLoop, NodeSettings aSettings, std::string aAdminToken);
-  ~Node() override;
+  ~Node() noexcept override;
 
   // Binds the addresses and starts. Call it once.
   [[nodiscard]] absl::Status Start();
--- a/packages/node/peer/peer_service.cc
+++ b/packages/node/peer/peer_service.cc
@@ -5,6 +5,7 @@
 
 #include <kj/debug.h>
 
+#include "core/query/replica_selector.h"
 #include "node/filing/once_task.h"
 #include "node/query/search_task.h"
 #include "node/wire/convert.h"
@@ -43,6 +44,8 @@
     m_fulfiller = kj::mv(paf.fulfiller);
   }
 
+  ~SearchSession() noexcept override = default;
+
   kj::Promise<void> Start(wire::SearchRequest::Reader aRequest)
   {
     TimePoint deadline =
--- a/packages/node/query/query_service.cc
+++ b/packages/node/query/query_service.cc
@@ -93,6 +93,8 @@
   {
   }
 
+  ~ActiveQuery() noexcept override = default;
+
   void Start() { Perform(m_run.Start(Now())); }
 
   void OnSubAnswer(SubAnswer aAnswer) override
