--- /dev/null
+++ b/packages/runtime/loop/alarm.h
@@ -0,0 +1,41 @@
+// A timer that calls back once, and can be set again at any time.
+//
+//   Alarm alarm(clock, [this]() { OnTimer(); });
+//   alarm.Set(machine.NextTimer());
+#pragma once
+
+#include <optional>
+
+#include <kj/async.h>
+#include <kj/function.h>
+
+#include "core/base/time.h"
+#include "runtime/loop/loop.h"
+
+namespace ebonykeel {
+
+// Calls `aCallback` no earlier than the instant that was last set. It may call
+// more often than was asked, so the callback has to look at what is due. The
+// callback may set the alarm but must not destroy it. The clock must outlive
+// the alarm.
+class Alarm final : private kj::TaskSet::ErrorHandler
+{
+public:
+  Alarm(RuntimeClock& aClock, kj::Function<void()> aCallback);
+
+  // Sets the alarm, or clears it when `aAt` holds nothing.
+  void Set(std::optional<TimePoint> aAt);
+
+private:
+  void taskFailed(kj::Exception&& aException) override;
+  void OnDue(TimePoint aAt);
+
+  RuntimeClock& m_clock;
+  kj::Function<void()> m_callback;
+  std::optional<TimePoint> m_wanted;
+  // The earliest instant for which a timer runs.
+  std::optional<TimePoint> m_armed;
+  kj::TaskSet m_tasks;
+};
+
+} // namespace ebonykeel
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,7 +5,7 @@
 build=$1
 jobs=$2
 
-git ls-files '*.h' '*.cc' | xargs clang-format --dry-run --Werror
+git ls-files '*.h' '*.cc' ':!*.capnp.h' | xargs clang-format --dry-run --Werror
 
 # A file that passed is remembered by the hash of its preprocessed input's
 # sources, so that a second run checks only what changed.
@@ -18,7 +18,8 @@
   local file=$1 key
   key=$(cat "$file" | sha256sum | cut -c1-32)-$headers_hash
   [ -e "$cache/$key" ] && return 0
-  clang-tidy --quiet -p "$build" "$file" 2>/dev/null && touch "$cache/$key"
+  clang-tidy --quiet -p "$build" \
+    --extra-arg=-Wno-unknown-warning-option "$file" 2>/dev/null && touch "$cache/$key"
 }
 export -f check_file
 git ls-files 'packages/*.cc' | xargs -P "$jobs" -I{} bash -c 'check_file {}'
