Add the searcher stand-in

Nodes need searchers with slots, a queue, a connection limit, connect time, cold start, draining, shedding, cancellation, deadlines and index versions, and with answers that can be wrong in every way that is checked for. The capacity model is deterministic and knows no sockets; one process hosts many searchers, since a fleet has more of them than one machine should have processes. The effect of a filing counts when its work starts, so that a cancelled or lost one may have run.

--- a/packages/standins/platform/platform_main.cc
+++ b/packages/standins/platform/platform_main.cc
@@ -52,12 +52,11 @@
       .m_writeRate = static_cast<double>(number("--write-rate")) });
   HttpListener listener(loop, service);
   absl::StatusOr<uint16_t> port = listener.Listen(*endpoint);
-  absl::Status status = port.status();
-  if (status.ok()) {
-    status = WriteReadyFile(text("--ready-file"), { { "port", *port } });
+  if (!port.ok()) {
+    std::fprintf(stderr, "%s\n", port.status().ToString().c_str());
+    return 1;
   }
-  if (!status.ok()) {
-    std::fprintf(stderr, "%s\n", status.ToString().c_str());
+  if (!AnnounceReady(text("--ready-file"), { { "port", *port } })) {
     return 1;
   }
   RunUntilStopped(loop);
--- a/packages/standins/support/http_listener.cc
+++ b/packages/standins/support/http_listener.cc
@@ -217,7 +217,7 @@
 {
 }
 
-HttpListener::~HttpListener() = default;
+HttpListener::~HttpListener() noexcept = default;
 
 absl::StatusOr<uint16_t>
 HttpListener::Listen(const Endpoint& aEndpoint)
@@ -236,10 +236,17 @@
   KJ_IF_MAYBE (exception, failure) {
     return absl::UnavailableError(exception->getDescription().cStr());
   }
-  m_tasks.add(AcceptAll());
+  m_accepts = AcceptAll().eagerlyEvaluate(nullptr);
   return m_receiver->getPort();
 }
 
+void
+HttpListener::StopListening()
+{
+  m_accepts = nullptr;
+  m_receiver = nullptr;
+}
+
 void
 HttpListener::ResetConnections()
 {
--- a/packages/standins/support/http_listener.h
+++ b/packages/standins/support/http_listener.h
@@ -64,7 +64,7 @@
 {
 public:
   HttpListener(Loop& aLoop, StandinHandler& aHandler);
-  ~HttpListener();
+  ~HttpListener() noexcept;
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
@@ -73,6 +73,9 @@
   // Unavailable when the address cannot be bound.
   [[nodiscard]] absl::StatusOr<uint16_t> Listen(const Endpoint& aEndpoint);
 
+  // Refuses new connections until `Listen` is called again.
+  void StopListening();
+
   // Resets every open connection, with the requests on it.
   void ResetConnections();
 
@@ -91,6 +94,7 @@
   Connection* m_accepting = nullptr;
   kj::HttpServer m_server;
   kj::Own<kj::ConnectionReceiver> m_receiver;
+  kj::Promise<void> m_accepts = nullptr;
   std::list<Connection*> m_connections;
   kj::TaskSet m_tasks;
 };
--- a/packages/standins/support/json_fields.h
+++ b/packages/standins/support/json_fields.h
@@ -1,6 +1,7 @@
 // Reads optional fields of a JSON object into values that have a default.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <type_traits>
@@ -12,6 +13,15 @@
 
 namespace ebonykeel::standins {
 
+template<typename T>
+struct IsVector : std::false_type
+{
+};
+template<typename T>
+struct IsVector<std::vector<T>> : std::true_type
+{
+};
+
 // Returns whether `aJson` can be read as a `T` without loss of its kind.
 template<typename T>
 [[nodiscard]] bool
@@ -23,6 +33,9 @@
     return aJson.is_number_unsigned();
   } else if constexpr (std::is_arithmetic_v<T>) {
     return aJson.is_number();
+  } else if constexpr (IsVector<T>::value) {
+    return aJson.is_array() &&
+           std::ranges::all_of(aJson, HasType<typename T::value_type>);
   } else {
     return aJson.is_string();
   }
--- a/packages/standins/support/program.cc
+++ b/packages/standins/support/program.cc
@@ -2,9 +2,8 @@
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 
-#include "absl/strings/str_cat.h"
+#include "runtime/file/ready_file.h"
 
 namespace ebonykeel::standins {
 
@@ -16,20 +15,14 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-absl::Status
-WriteReadyFile(const std::string& aPath, const nlohmann::json& aContent)
+bool
+AnnounceReady(const std::string& aPath, const nlohmann::json& aContent)
 {
-  if (aPath.empty()) {
-    return absl::OkStatus();
+  if (aPath.empty() || WriteReadyFile(aPath, aContent.dump())) {
+    return true;
   }
-  std::string temporary = absl::StrCat(aPath, ".new");
-  std::ofstream file(temporary);
-  file << aContent.dump() << '\n';
-  file.close();
-  if (!file || std::rename(temporary.c_str(), aPath.c_str()) != 0) {
-    return absl::UnavailableError(absl::StrCat("cannot write ", aPath));
-  }
-  return absl::OkStatus();
+  std::fprintf(stderr, "cannot write %s\n", aPath.c_str());
+  return false;
 }
 
 void
--- a/packages/standins/support/program.h
+++ b/packages/standins/support/program.h
@@ -5,7 +5,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "absl/status/status.h"
 #include "runtime/loop/loop.h"
 
 namespace ebonykeel::standins {
@@ -14,10 +13,10 @@
 void
 CaptureStopSignals();
 
-// Writes `aContent` to the file `aPath` in one step, by a rename. An empty
-// path writes nothing.
-[[nodiscard]] absl::Status
-WriteReadyFile(const std::string& aPath, const nlohmann::json& aContent);
+// Writes `aContent` to the file `aPath` in one step, and to stderr if that
+// fails. An empty path writes nothing. Returns whether it succeeded.
+[[nodiscard]] bool
+AnnounceReady(const std::string& aPath, const nlohmann::json& aContent);
 
 // Runs the loop until the process gets SIGTERM or SIGINT.
 void
--- /dev/null
+++ b/packages/standins/upstream/documents.cc
@@ -0,0 +1,57 @@
+#include "standins/upstream/documents.h"
+
+#include <algorithm>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+namespace ebonykeel::standins {
+namespace {
+
+constexpr uint64_t kMaxMatches = 1000;
+constexpr double kBestScore = 100.0;
+
+// Returns a hash that is the same in every process.
+uint64_t
+StableHash(std::string_view aText)
+{
+  constexpr uint64_t kOffset = 14695981039346656037U;
+  constexpr uint64_t kPrime = 1099511628211U;
+  uint64_t hash = kOffset;
+  for (unsigned char byte : aText) {
+    hash = (hash ^ byte) * kPrime;
+  }
+  return hash;
+}
+
+} // namespace
+
+SearchResult
+SearchDocuments(std::string_view aService,
+                std::string_view aShard,
+                IndexVersion aVersion,
+                std::string_view aQuery,
+                uint32_t aLimit)
+{
+  auto view = [](std::string_view aText) {
+    return absl::string_view(aText.data(), aText.size());
+  };
+  std::string snapshot =
+    absl::StrCat(view(aService), "/", view(aShard), "/v", aVersion);
+  std::minstd_rand random(
+    StableHash(absl::StrCat(snapshot, "?", view(aQuery))));
+  SearchResult result;
+  result.m_total = aLimit + random() % kMaxMatches;
+  double score = kBestScore;
+  for (uint32_t i = 0; i < aLimit; ++i) {
+    uint64_t fall = random() % 1000;
+    score -= score * static_cast<double>(fall) / 10'000;
+    result.m_hits.push_back({ absl::StrFormat("%s/%03d", snapshot, i),
+                              score,
+                              absl::StrCat(view(aQuery), " #", i) });
+  }
+  return result;
+}
+
+} // namespace ebonykeel::standins
--- /dev/null
+++ b/packages/standins/upstream/searcher_model_test.cc
@@ -0,0 +1,139 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "standins/upstream/searcher_model.h"
+
+namespace ebonykeel::standins {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(Seconds(100));
+
+struct Fixture
+{
+  explicit Fixture(const SearcherOptions& aOptions)
+    : m_random(7)
+    , m_model(aOptions, m_random)
+  {
+  }
+
+  Admission Offer(WorkId aId, const Work& aWork = {}, TimePoint aNow = kStart)
+  {
+    m_effects = {};
+    return m_model.Offer(aNow, aId, aWork, m_effects);
+  }
+
+  void Finish(WorkId aId, TimePoint aNow = kStart)
+  {
+    m_effects = {};
+    m_model.Finish(aNow, aId, m_effects);
+  }
+
+  std::mt19937_64 m_random;
+  SearcherModel m_model;
+  Effects m_effects;
+};
+
+SearcherOptions
+Warm()
+{
+  return { .m_queueLimit = 1, .m_startsCold = false };
+}
+
+DOCTEST_TEST_CASE("slots, then the queue, then shedding")
+{
+  Fixture fixture(Warm());
+  DOCTEST_CHECK(fixture.Offer(1) == Admission::kTaken);
+  DOCTEST_CHECK(fixture.m_effects.m_started.size() == 1);
+  DOCTEST_CHECK(fixture.Offer(2) == Admission::kTaken);
+  DOCTEST_CHECK(fixture.Offer(3) == Admission::kTaken);
+  DOCTEST_CHECK(fixture.m_effects.m_started.empty());
+  DOCTEST_CHECK(fixture.Offer(4) == Admission::kShed);
+  fixture.Finish(1);
+  DOCTEST_REQUIRE(fixture.m_effects.m_started.size() == 1);
+  DOCTEST_CHECK(fixture.m_effects.m_started[0].m_id == 3);
+  DOCTEST_CHECK(fixture.m_model.Counters().m_maxHeld == 3);
+}
+
+DOCTEST_TEST_CASE("a cold searcher runs one at a time and warms by answers")
+{
+  Fixture fixture({ .m_coldAnswers = 2 });
+  DOCTEST_CHECK(fixture.Offer(1) == Admission::kTaken);
+  DOCTEST_CHECK(fixture.Offer(2) == Admission::kTaken);
+  DOCTEST_CHECK(fixture.m_model.Running() == 1);
+  fixture.Finish(1);
+  DOCTEST_CHECK(fixture.m_model.IsCold());
+  fixture.Finish(2);
+  DOCTEST_CHECK_FALSE(fixture.m_model.IsCold());
+  DOCTEST_CHECK(fixture.m_model.Counters().m_maxHeldWhileCold == 2);
+}
+
+DOCTEST_TEST_CASE("too much work while cold loses all of it")
+{
+  Fixture fixture({ .m_coldLimit = 1 });
+  DOCTEST_CHECK(fixture.Offer(1) == Admission::kTaken);
+  DOCTEST_CHECK(fixture.Offer(2) == Admission::kFellOver);
+  DOCTEST_CHECK(fixture.m_effects.m_reset == std::vector<WorkId>{ 1 });
+  DOCTEST_CHECK(fixture.m_model.Held() == 0);
+  DOCTEST_CHECK(fixture.m_model.Starts() == 2);
+  DOCTEST_CHECK(fixture.m_model.IsCold());
+}
+
+DOCTEST_TEST_CASE("waiting work expires without having run")
+{
+  Fixture fixture({ .m_slots = 1, .m_startsCold = false });
+  DOCTEST_CHECK(fixture.Offer(1) == Admission::kTaken);
+  Work hasty = { .m_deadline = kStart + Milliseconds(1) };
+  DOCTEST_CHECK(fixture.Offer(2, hasty) == Admission::kTaken);
+  fixture.Finish(1, kStart + Milliseconds(1));
+  DOCTEST_CHECK(fixture.m_effects.m_expired == std::vector<WorkId>{ 2 });
+  DOCTEST_CHECK(fixture.m_effects.m_started.empty());
+  DOCTEST_CHECK(fixture.Offer(3, hasty, kStart + Seconds(1)) ==
+                Admission::kDeadline);
+}
+
+DOCTEST_TEST_CASE("work with an effect is cancelled only while it waits")
+{
+  Fixture fixture({ .m_slots = 1, .m_startsCold = false });
+  Work filing = { .m_hasEffect = true };
+  fixture.Offer(1, filing);
+  fixture.Offer(2, filing);
+  Effects effects;
+  DOCTEST_CHECK_FALSE(fixture.m_model.Cancel(kStart, 1, effects));
+  DOCTEST_CHECK(fixture.m_model.Cancel(kStart, 2, effects));
+  DOCTEST_CHECK_FALSE(fixture.m_model.Cancel(kStart, 2, effects));
+  DOCTEST_CHECK(fixture.m_model.Held() == 1);
+}
+
+DOCTEST_TEST_CASE("a draining searcher takes nothing and counts what arrives")
+{
+  Fixture fixture(Warm());
+  fixture.m_model.SetDraining(true);
+  DOCTEST_CHECK(fixture.Offer(1) == Admission::kDraining);
+  DOCTEST_CHECK(fixture.m_model.Counters().m_afterDrainReceived == 1);
+}
+
+DOCTEST_TEST_CASE("service times have the asked mean and stragglers")
+{
+  SearcherOptions options = Warm();
+  options.m_stragglerShare = 0.1;
+  options.m_stragglerFactor = 20;
+  Fixture fixture(options);
+  Duration sum = Duration::zero();
+  constexpr int kSamples = 20'000;
+  int stragglers = 0;
+  for (int i = 0; i < kSamples; ++i) {
+    fixture.Offer(i);
+    sum += fixture.m_effects.m_started[0].m_serviceTime;
+    stragglers += fixture.m_effects.m_started[0].m_serviceTime >
+                  6 * options.m_meanServiceTime;
+    fixture.Finish(i);
+  }
+  double ratio = ToMillisecondsF(sum) / kSamples /
+                 ToMillisecondsF(options.m_meanServiceTime);
+  DOCTEST_CHECK(ratio == doctest::Approx(0.9 + 0.1 * 20).epsilon(0.05));
+  DOCTEST_CHECK(stragglers == doctest::Approx(0.1 * kSamples).epsilon(0.1));
+}
+
+} // namespace
+} // namespace ebonykeel::standins
