Track the configuration in force and carry changes through the store

Cause: nodes need one place that decides which generation is in force under a store that is late, stale or down, and that makes operators' changes exactly once. Weighed: (1) resolving a lost reply by reading history objects, against a list of the newest 64 changes inside the configuration: the list needs one read and also serves the history page. (2) Repairing a store that answers an older generation by writing the newer one back: ruled out, since an old program could overwrite a newer layout; such a store is reported and changes are refused. (3) Making every lost race anew: only for changes that say the same whatever else changed; a publication is told.

--- a/packages/core/config/configuration.h
+++ b/packages/core/config/configuration.h
@@ -93,6 +93,19 @@
   friend bool operator==(const ServiceConfig&, const ServiceConfig&) = default;
 };
 
+// One line of the history: the change that made a generation.
+struct ChangeRecord
+{
+  Generation m_generation = 0;
+  std::string m_changeId;
+  std::string m_author;
+  std::string m_summary;
+  // Wall-clock time of the change in milliseconds since 1970, for people.
+  int64_t m_unixMs = 0;
+
+  friend bool operator==(const ChangeRecord&, const ChangeRecord&) = default;
+};
+
 // Everything that operators have published, under one generation.
 struct Configuration
 {
@@ -107,6 +120,10 @@
   std::vector<ServiceConfig> m_services;
   std::set<DataCentre> m_withdrawnDataCentres;
   std::set<UpstreamId> m_drainedUpstreams;
+  // The newest changes, oldest first; the last one made this generation. Tells
+  // whoever lost the store's reply what became of a change that others have
+  // followed.
+  std::vector<ChangeRecord> m_history;
 
   // Returns the service named `aName`, or null. The pointer lives as long as
   // this value is unchanged.
--- a/packages/core/config/configuration_change.cc
+++ b/packages/core/config/configuration_change.cc
@@ -23,6 +23,39 @@
   return result;
 }
 
+// Cuts `aText` to `kMaxNoteBytes` without splitting a UTF-8 sequence.
+std::string
+Cut(const std::string& aText)
+{
+  if (aText.size() <= kMaxNoteBytes) {
+    return aText;
+  }
+  auto continues = [](char aByte) {
+    return (static_cast<unsigned char>(aByte) & 0xC0U) == 0x80U;
+  };
+  size_t end = kMaxNoteBytes;
+  while (end > 0 && continues(aText[end])) {
+    --end;
+  }
+  return aText.substr(0, end);
+}
+
+// Adds the record of the change that made `aNext`, and drops the oldest ones.
+void
+AppendRecord(Configuration& aNext, int64_t aUnixMs)
+{
+  std::vector<ChangeRecord>& history = aNext.m_history;
+  history.push_back({ aNext.m_generation,
+                      aNext.m_changeId,
+                      aNext.m_author,
+                      aNext.m_summary,
+                      aUnixMs });
+  if (history.size() > kMaxHistory) {
+    history.erase(history.begin(),
+                  history.end() - static_cast<ptrdiff_t>(kMaxHistory));
+  }
+}
+
 // Puts the next generation and `aNote` on `aNext`, unless it is too large.
 ChangeResult
 Seal(const Configuration& aCurrent,
@@ -32,17 +65,28 @@
 {
   aNext.m_generation = aCurrent.m_generation + 1;
   aNext.m_changeId = aNote.m_changeId;
-  aNext.m_author = aNote.m_author;
-  aNext.m_summary = aNote.m_summary.empty() ? aSummary : aNote.m_summary;
-  size_t bytes = EncodeConfiguration(aNext).size();
-  if (bytes > kMaxConfigurationBytes) {
+  aNext.m_author = Cut(aNote.m_author);
+  aNext.m_summary = Cut(aNote.m_summary.empty() ? aSummary : aNote.m_summary);
+  AppendRecord(aNext, aNote.m_unixMs);
+  std::string body = EncodeConfiguration(aNext);
+  if (body.size() > kMaxConfigurationBytes) {
     return Refuse(ChangeRefusal::kInvalid,
                   "services",
                   absl::StrCat("the configuration would take ",
-                               bytes,
+                               body.size(),
                                " bytes, over the limit of ",
                                kMaxConfigurationBytes));
   }
+  // What no instance could read must never be written.
+  absl::StatusOr<Configuration> readBack = DecodeConfiguration(body);
+  if (!readBack.ok() || *readBack != aNext) {
+    std::string reason(readBack.status().message());
+    return Refuse(
+      ChangeRefusal::kInvalid,
+      "configuration",
+      absl::StrCat("would not be read back as it is: ",
+                   reason.empty() ? "a text is not UTF-8" : reason));
+  }
   ChangeResult result;
   result.m_next = std::move(aNext);
   return result;
--- a/packages/core/config/configuration_change.h
+++ b/packages/core/config/configuration_change.h
@@ -23,14 +23,17 @@
 
 namespace ebonykeel {
 
-// Who makes a change and how it is recognised later.
+// Who makes a change and how it is recognised later. Author and summary are
+// cut after `kMaxNoteBytes`; a longer change id is refused.
 struct ChangeNote
 {
   std::string m_author;
-  // Unique for each attempt to change something.
+  // Unique for each change; the same when one change is sent again.
   std::string m_changeId;
   // One line for the history; empty for a generated one.
   std::string m_summary;
+  // Wall-clock time in milliseconds since 1970.
+  int64_t m_unixMs = 0;
 };
 
 // Why a change was not made.
--- a/packages/core/config/configuration_change_test.cc
+++ b/packages/core/config/configuration_change_test.cc
@@ -57,6 +57,9 @@
   Publication removal{ .m_removed = { ServiceName("a") } };
   Configuration third = *PublishServices(second, removal, kNote).m_next;
   DOCTEST_CHECK(third.m_services.size() == 1);
+  DOCTEST_REQUIRE(third.m_history.size() == 3);
+  DOCTEST_CHECK(third.m_history.back().m_generation == 3);
+  DOCTEST_CHECK(third.m_history.back().m_summary == third.m_summary);
 }
 
 DOCTEST_TEST_CASE("a publication that alters nothing is refused")
@@ -162,5 +165,25 @@
                 ChangeRefusal::kNotFound);
 }
 
+DOCTEST_TEST_CASE("a result that would not be read back is refused")
+{
+  Publication publication{ .m_services = {
+                             { "b.toml", MakeService("b", "ub", 1) } } };
+  ChangeNote longAuthor = kNote;
+  longAuthor.m_author = std::string(255, 'a') + "\u00e9";
+  ChangeResult cut = PublishServices(Configuration{}, publication, longAuthor);
+  DOCTEST_REQUIRE(cut.m_next.has_value());
+  DOCTEST_CHECK(cut.m_next->m_author == std::string(255, 'a'));
+  ChangeNote broken = kNote;
+  broken.m_author = "\xff";
+  ChangeNote longId = kNote;
+  longId.m_changeId = std::string(257, 'i');
+  for (const ChangeNote& note : { broken, longId }) {
+    ChangeResult result = PublishServices(Configuration{}, publication, note);
+    DOCTEST_CHECK(result.m_refusal == ChangeRefusal::kInvalid);
+    DOCTEST_CHECK(Problem(result).starts_with("would not be read back"));
+  }
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/core/config/configuration_json.cc
+++ b/packages/core/config/configuration_json.cc
@@ -23,7 +23,6 @@
 // Distinguishes later layouts of the stored object.
 constexpr int64_t kFormat = 1;
 constexpr int64_t kLargestInteger = std::numeric_limits<int64_t>::max();
-constexpr size_t kMaxNoteBytes = 1024;
 
 bool
 IsNote(std::string_view aText)
@@ -69,6 +68,16 @@
            { "window_h", hours.count() } };
 }
 
+json
+EncodeRecord(const ChangeRecord& aRecord)
+{
+  return { { "generation", aRecord.m_generation },
+           { "change_id", aRecord.m_changeId },
+           { "author", aRecord.m_author },
+           { "summary", aRecord.m_summary },
+           { "unix_ms", aRecord.m_unixMs } };
+}
+
 json
 EncodeService(const ServiceConfig& aService)
 {
@@ -207,6 +216,32 @@
   return service;
 }
 
+ChangeRecord
+DecodeRecord(const json& aJson, JsonReader& aParent)
+{
+  JsonReader reader(aJson, "history");
+  ChangeRecord record;
+  record.m_generation =
+    static_cast<Generation>(reader.Integer("generation", 1, kLargestInteger));
+  record.m_changeId = reader.Text("change_id", IsNote);
+  record.m_author = reader.Text("author", IsNote);
+  record.m_summary = reader.Text("summary", IsNote);
+  record.m_unixMs = reader.Integer("unix_ms", 0, kLargestInteger);
+  aParent.Adopt(reader.Finish());
+  return record;
+}
+
+void
+DecodeHistory(JsonReader& aReader, Configuration& aConfiguration)
+{
+  for (const json& record : aReader.Array("history")) {
+    aConfiguration.m_history.push_back(DecodeRecord(record, aReader));
+  }
+  if (aConfiguration.m_history.size() > kMaxHistory) {
+    aReader.Fail("history", "is too long");
+  }
+}
+
 void
 CheckUpstreams(const Configuration& aConfiguration, JsonReader& aReader)
 {
@@ -261,12 +296,16 @@
   json services = json::array();
   std::ranges::transform(
     aConfiguration.m_services, std::back_inserter(services), EncodeService);
+  json history = json::array();
+  std::ranges::transform(
+    aConfiguration.m_history, std::back_inserter(history), EncodeRecord);
   json object = { { "format", kFormat },
                   { "generation", aConfiguration.m_generation },
                   { "change_id", aConfiguration.m_changeId },
                   { "author", aConfiguration.m_author },
                   { "summary", aConfiguration.m_summary },
                   { "services", services },
+                  { "history", history },
                   { "withdrawn_data_centres",
                     EncodeIds(aConfiguration.m_withdrawnDataCentres) },
                   { "drained_upstreams",
@@ -294,6 +333,7 @@
   configuration.m_author = reader.Text("author", IsNote);
   configuration.m_summary = reader.Text("summary", IsNote);
   DecodeServices(reader, configuration);
+  DecodeHistory(reader, configuration);
   configuration.m_withdrawnDataCentres =
     DecodeIds<DataCentre>(reader, "withdrawn_data_centres");
   configuration.m_drainedUpstreams =
--- a/packages/core/config/configuration_json_test.cc
+++ b/packages/core/config/configuration_json_test.cc
@@ -57,6 +57,7 @@
     configuration.m_withdrawnDataCentres = { DataCentre("bilbao"),
                                              DataCentre("oviedo") };
     configuration.m_drainedUpstreams = { UpstreamId("service-0-0") };
+    configuration.m_history = { { 3, "c1", "maite", "publish", 1'700'000 } };
   }
   return configuration;
 }
--- /dev/null
+++ b/packages/core/config/configuration_tracker.cc
@@ -0,0 +1,458 @@
+#include "core/config/configuration_tracker.h"
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <utility>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/str_cat.h"
+
+#include "core/config/configuration_json.h"
+
+namespace ebonykeel {
+namespace {
+
+using internal::AttemptCall;
+using internal::AttemptStep;
+using internal::ChangeAttempt;
+using internal::CurrentRead;
+
+constexpr char kStoreSource[] = "store";
+
+ChangeReply
+ReplyTo(const ChangeRequest& aRequest, ChangeOutcome aOutcome)
+{
+  ChangeReply reply;
+  reply.m_request = aRequest.m_request;
+  reply.m_outcome = aOutcome;
+  return reply;
+}
+
+} // namespace
+
+std::string_view
+ChangeOutcomeName(ChangeOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ChangeOutcome::kAccepted:
+      return "accepted";
+    case ChangeOutcome::kRefused:
+      return "refused";
+    case ChangeOutcome::kConflict:
+      return "conflict";
+    case ChangeOutcome::kStoreUnreachable:
+      return "store_unreachable";
+    case ChangeOutcome::kStoreUnreadable:
+      return "store_unreadable";
+    case ChangeOutcome::kStoreBehind:
+      return "store_behind";
+    case ChangeOutcome::kBusy:
+      return "busy";
+    case ChangeOutcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+ConfigurationTracker::ConfigurationTracker(
+  const ConfigurationTrackerOptions& aOptions,
+  absl::BitGenRef aRandom)
+  : m_options(aOptions)
+  , m_random(aRandom)
+{
+}
+
+ConfigurationActions
+ConfigurationTracker::Start(TimePoint aNow)
+{
+  m_read.m_due = aNow;
+  return OnTimer(aNow);
+}
+
+ConfigurationActions
+ConfigurationTracker::SetWatcher(bool aWatcher, TimePoint aNow)
+{
+  if (aWatcher != m_watcher) {
+    m_watcher = aWatcher;
+    m_watch = {};
+    if (aWatcher) {
+      m_watch.m_due = aNow;
+    }
+  }
+  return OnTimer(aNow);
+}
+
+ConfigurationActions
+ConfigurationTracker::OnStoreReply(const StoreReply& aReply, TimePoint aNow)
+{
+  ConfigurationActions actions;
+  auto answers = [&](const Recurring& aRecurring) {
+    return aRecurring.m_pending &&
+           aRecurring.m_pending->m_token == aReply.m_token;
+  };
+  bool write = answers(m_attemptCall) && m_attempt->NextCall().m_write;
+  bool expected = answers(m_read) || answers(m_watch) || answers(m_attemptCall);
+  CurrentRead read;
+  // The body of a late or repeated reply counts as well, if it is newer.
+  if (!write && (expected || !aReply.m_body.empty())) {
+    read = TakeRead(aReply, actions);
+  }
+  if (answers(m_read)) {
+    OnReadDone(read, aNow);
+  } else if (answers(m_watch)) {
+    OnWatchDone(aReply, read, aNow);
+  } else if (answers(m_attemptCall)) {
+    OnAttemptReply(aReply, read, aNow, actions);
+  }
+  return actions;
+}
+
+ConfigurationActions
+ConfigurationTracker::OnPeerGeneration(const InstanceId& aPeer,
+                                       Generation aGeneration,
+                                       TimePoint /*aNow*/)
+{
+  ConfigurationActions actions;
+  if (aGeneration > InForceGeneration()) {
+    actions.emplace_back(FetchFromPeer{ aPeer });
+  }
+  return actions;
+}
+
+ConfigurationActions
+ConfigurationTracker::OnPeerConfiguration(const InstanceId& aPeer,
+                                          std::string_view aBody,
+                                          TimePoint aNow)
+{
+  ConfigurationActions actions;
+  absl::StatusOr<Configuration> decoded = DecodeConfiguration(aBody);
+  if (!decoded.ok()) {
+    actions.emplace_back(
+      ConfigurationProblem{ ConfigurationProblem::Kind::kUnreadable,
+                            aPeer.Text(),
+                            std::string(decoded.status().message()) });
+    return actions;
+  }
+  bool first = !m_inForce;
+  Take(std::make_shared<const Configuration>(*std::move(decoded)),
+       aPeer.Text(),
+       actions);
+  if (first && m_inForce && !m_read.m_pending) {
+    ScheduleRead(aNow);
+  }
+  return actions;
+}
+
+ConfigurationActions
+ConfigurationTracker::RequestChange(ChangeRequest aRequest, TimePoint aNow)
+{
+  ConfigurationActions actions;
+  if (aRequest.m_changeId.empty()) {
+    ChangeReply reply = ReplyTo(aRequest, ChangeOutcome::kRefused);
+    reply.m_refusal = ChangeRefusal::kInvalid;
+    reply.m_findings.push_back(
+      { .m_key = "change_id", .m_problem = "is missing" });
+    actions.emplace_back(std::move(reply));
+    return actions;
+  }
+  if (m_waiting.size() >= m_options.m_maxWaitingChanges) {
+    actions.emplace_back(ReplyTo(aRequest, ChangeOutcome::kBusy));
+    return actions;
+  }
+  m_waiting.push_back(
+    { std::move(aRequest), aNow + m_options.m_changeTimeout });
+  StartNextAttempt(aNow, actions);
+  return actions;
+}
+
+ConfigurationActions
+ConfigurationTracker::OnTimer(TimePoint aNow)
+{
+  ConfigurationActions actions;
+  DropExpiredChanges(aNow, actions);
+  ExpireCalls(aNow, actions);
+  RunDue(aNow, actions);
+  return actions;
+}
+
+std::optional<TimePoint>
+ConfigurationTracker::NextTimer() const
+{
+  std::optional<TimePoint> next;
+  auto consider = [&next](TimePoint aTime) {
+    next = next ? std::min(*next, aTime) : aTime;
+  };
+  for (const Recurring* recurring :
+       std::array{ &m_read, &m_watch, &m_attemptCall }) {
+    if (recurring->m_pending) {
+      consider(recurring->m_pending->m_timeout);
+    }
+    if (recurring->m_due) {
+      consider(*recurring->m_due);
+    }
+  }
+  if (m_attempt) {
+    consider(m_attemptDeadline);
+  }
+  if (!m_waiting.empty()) {
+    consider(m_waiting.front().m_deadline);
+  }
+  return next;
+}
+
+Generation
+ConfigurationTracker::InForceGeneration() const
+{
+  return m_inForce ? m_inForce->m_generation : 0;
+}
+
+void
+ConfigurationTracker::Take(ConfigurationPtr aConfiguration,
+                           const std::string& aSource,
+                           ConfigurationActions& aActions)
+{
+  Generation generation = aConfiguration->m_generation;
+  if (generation > InForceGeneration()) {
+    m_inForce = std::move(aConfiguration);
+    aActions.emplace_back(PutInForce{ m_inForce });
+    aActions.emplace_back(OfferToPeers{ generation });
+    return;
+  }
+  if (m_inForce && generation == m_inForce->m_generation &&
+      *aConfiguration != *m_inForce) {
+    aActions.emplace_back(ConfigurationProblem{
+      ConfigurationProblem::Kind::kDivergent,
+      aSource,
+      absl::StrCat("another configuration of generation ", generation) });
+  }
+}
+
+CurrentRead
+ConfigurationTracker::TakeRead(const StoreReply& aReply,
+                               ConfigurationActions& aActions)
+{
+  if (aReply.m_status == StoreStatus::kNotFound) {
+    return { CurrentRead::Status::kAbsent, nullptr, 0 };
+  }
+  if (aReply.m_status != StoreStatus::kOk) {
+    return {};
+  }
+  auto report = [&](ConfigurationProblem::Kind aKind, std::string aDetail) {
+    if (m_reportedVersion != aReply.m_version) {
+      m_reportedVersion = aReply.m_version;
+      aActions.emplace_back(
+        ConfigurationProblem{ aKind, kStoreSource, std::move(aDetail) });
+    }
+  };
+  absl::StatusOr<Configuration> decoded = DecodeConfiguration(aReply.m_body);
+  if (!decoded.ok()) {
+    report(ConfigurationProblem::Kind::kUnreadable,
+           std::string(decoded.status().message()));
+    return { CurrentRead::Status::kUnreadable, nullptr, aReply.m_version };
+  }
+  auto configuration =
+    std::make_shared<const Configuration>(*std::move(decoded));
+  if (configuration->m_generation < InForceGeneration()) {
+    report(ConfigurationProblem::Kind::kStoreBehind,
+           absl::StrCat("the store answers generation ",
+                        configuration->m_generation));
+  }
+  Take(configuration, kStoreSource, aActions);
+  return { CurrentRead::Status::kFound, configuration, aReply.m_version };
+}
+
+void
+ConfigurationTracker::OnReadDone(const CurrentRead& aRead, TimePoint aNow)
+{
+  m_read.m_pending.reset();
+  bool answered = aRead.m_status == CurrentRead::Status::kFound ||
+                  aRead.m_status == CurrentRead::Status::kAbsent;
+  if (answered) {
+    m_read.m_pause = {};
+    m_version = aRead.m_version;
+    ScheduleRead(aNow);
+    return;
+  }
+  m_read.m_due = aNow + NextPause(m_read);
+}
+
+void
+ConfigurationTracker::OnWatchDone(const StoreReply& aReply,
+                                  const CurrentRead& aRead,
+                                  TimePoint aNow)
+{
+  m_watch.m_pending.reset();
+  if (aReply.m_status == StoreStatus::kUnchanged) {
+    m_watch.m_pause = {};
+    m_watch.m_due = aNow;
+    return;
+  }
+  bool answered = aRead.m_status != CurrentRead::Status::kFailed;
+  // A store that answers without a change must not be asked in a tight loop.
+  bool changed = answered && aRead.m_version != m_version;
+  if (answered) {
+    m_version = aRead.m_version;
+  }
+  if (changed) {
+    m_watch.m_pause = {};
+  }
+  m_watch.m_due = changed ? aNow : aNow + NextPause(m_watch);
+}
+
+void
+ConfigurationTracker::OnAttemptReply(const StoreReply& aReply,
+                                     const CurrentRead& aRead,
+                                     TimePoint aNow,
+                                     ConfigurationActions& aActions)
+{
+  m_attemptCall.m_pending.reset();
+  bool write = m_attempt->NextCall().m_write;
+  AttemptStep step = write ? m_attempt->OnWrite(aReply.m_status)
+                           : m_attempt->OnRead(aRead, InForceGeneration());
+  StepAttempt(step, aNow, aActions);
+}
+
+void
+ConfigurationTracker::StepAttempt(AttemptStep aStep,
+                                  TimePoint aNow,
+                                  ConfigurationActions& aActions)
+{
+  switch (aStep) {
+    case AttemptStep::kCall:
+      m_attemptCall.m_pause = {};
+      CallForAttempt(aNow, aActions);
+      return;
+    case AttemptStep::kCallLater:
+      m_attemptCall.m_due = aNow + NextPause(m_attemptCall);
+      return;
+    case AttemptStep::kDone:
+      EndAttempt(aNow, aActions);
+      return;
+  }
+}
+
+void
+ConfigurationTracker::CallForAttempt(TimePoint aNow,
+                                     ConfigurationActions& aActions)
+{
+  m_attemptCall.m_due.reset();
+  PendingCall pending = NewCall(aNow, m_options.m_storeTimeout);
+  m_attemptCall.m_pending = pending;
+  AttemptCall call = m_attempt->NextCall();
+  m_attempt->OnCalled();
+  if (!call.m_write) {
+    aActions.emplace_back(ReadStore{ pending.m_token, std::move(call.m_key) });
+    return;
+  }
+  aActions.emplace_back(WriteStore{ pending.m_token,
+                                    std::move(call.m_key),
+                                    std::move(call.m_body),
+                                    call.m_ifVersion });
+}
+
+void
+ConfigurationTracker::EndAttempt(TimePoint aNow, ConfigurationActions& aActions)
+{
+  if (m_attempt->Accepted()) {
+    Take(m_attempt->Accepted(), kStoreSource, aActions);
+  }
+  aActions.emplace_back(m_attempt->Reply());
+  m_attempt.reset();
+  m_attemptCall = {};
+  StartNextAttempt(aNow, aActions);
+}
+
+void
+ConfigurationTracker::StartNextAttempt(TimePoint aNow,
+                                       ConfigurationActions& aActions)
+{
+  if (m_attempt || m_waiting.empty()) {
+    return;
+  }
+  WaitingChange next = std::move(m_waiting.front());
+  m_waiting.pop_front();
+  m_attempt.emplace(std::move(next.m_request));
+  m_attemptDeadline = next.m_deadline;
+  CallForAttempt(aNow, aActions);
+}
+
+void
+ConfigurationTracker::DropExpiredChanges(TimePoint aNow,
+                                         ConfigurationActions& aActions)
+{
+  if (m_attempt && m_attemptDeadline <= aNow) {
+    m_attempt->GiveUp();
+    EndAttempt(aNow, aActions);
+  }
+  while (!m_waiting.empty() && m_waiting.front().m_deadline <= aNow) {
+    aActions.emplace_back(
+      ReplyTo(m_waiting.front().m_request, ChangeOutcome::kBusy));
+    m_waiting.pop_front();
+  }
+}
+
+void
+ConfigurationTracker::ExpireCalls(TimePoint aNow,
+                                  ConfigurationActions& aActions)
+{
+  for (Recurring* recurring : std::array{ &m_read, &m_watch, &m_attemptCall }) {
+    if (!recurring->m_pending || recurring->m_pending->m_timeout > aNow) {
+      continue;
+    }
+    StoreReply failed;
+    failed.m_token = recurring->m_pending->m_token;
+    std::ranges::move(OnStoreReply(failed, aNow), std::back_inserter(aActions));
+  }
+}
+
+void
+ConfigurationTracker::RunDue(TimePoint aNow, ConfigurationActions& aActions)
+{
+  auto due = [aNow](const Recurring& aRecurring) {
+    return !aRecurring.m_pending && aRecurring.m_due &&
+           *aRecurring.m_due <= aNow;
+  };
+  if (due(m_read)) {
+    m_read.m_due.reset();
+    m_read.m_pending = NewCall(aNow, m_options.m_storeTimeout);
+    aActions.emplace_back(ReadStore{ m_read.m_pending->m_token,
+                                     std::string(kCurrentConfigurationKey) });
+  }
+  if (due(m_watch)) {
+    m_watch.m_due.reset();
+    m_watch.m_pending =
+      NewCall(aNow, m_options.m_storeWatch + m_options.m_storeTimeout);
+    aActions.emplace_back(WatchStore{ m_watch.m_pending->m_token,
+                                      std::string(kCurrentConfigurationKey),
+                                      m_version });
+  }
+  if (m_attempt && due(m_attemptCall)) {
+    CallForAttempt(aNow, aActions);
+  }
+}
+
+void
+ConfigurationTracker::ScheduleRead(TimePoint aNow)
+{
+  double spread = absl::Uniform(m_random, 1.0, 1.5);
+  m_read.m_due =
+    aNow + std::chrono::duration_cast<Duration>(m_options.m_rareRead * spread);
+}
+
+ConfigurationTracker::PendingCall
+ConfigurationTracker::NewCall(TimePoint aNow, Duration aTimeout)
+{
+  return { ++m_lastToken, aNow + aTimeout };
+}
+
+Duration
+ConfigurationTracker::NextPause(Recurring& aRecurring)
+{
+  aRecurring.m_pause = std::clamp(
+    aRecurring.m_pause * 2, m_options.m_minPause, m_options.m_maxPause);
+  double spread = absl::Uniform(m_random, 0.5, 1.0);
+  return std::chrono::duration_cast<Duration>(aRecurring.m_pause * spread);
+}
+
+} // namespace ebonykeel
--- a/packages/core/config/limits.h
+++ b/packages/core/config/limits.h
@@ -25,6 +25,11 @@
 inline constexpr size_t kMaxReplicas = 64;
 inline constexpr size_t kMaxOperations = 64;
 
+// The newest changes that a configuration lists.
+inline constexpr size_t kMaxHistory = 64;
+// Authors, change ids and summaries.
+inline constexpr size_t kMaxNoteBytes = 256;
+
 // Returns whether `aText` follows `kNameRule`.
 [[nodiscard]] constexpr bool
 IsName(std::string_view aText)
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -61,9 +61,10 @@
   // The bound of one call to the store.
   Duration m_storeTimeout = Milliseconds(1000);
   // How long one watch on the store stays open.
-  Duration m_storeWatch = Milliseconds(30'000);
-  // Between two reads of the configuration when no watch is held.
-  Duration m_configurationRead = Milliseconds(5000);
+  Duration m_storeWatch = Milliseconds(2000);
+  // Between two reads of the configuration by an instance that holds no watch
+  // and learns of changes from its peers.
+  Duration m_configurationRead = Milliseconds(60'000);
   // Between two reads of the instance list.
   Duration m_instanceList = Milliseconds(2000);
   // The bound of one peer call beside the request's own deadline.
