Add the operators' tool and the example services

Cause: operators and developers need check, publish, history, status, where, query, file, data-centre, upstream, rollback and report from one program. Weighed: retrying a change whose answer was lost on its own, against naming the id to try again with: the tool names it, since only the operator knows whether the change is still wanted.

--- /dev/null
+++ b/packages/cli/files.h
@@ -0,0 +1,34 @@
+// The files that the tool reads.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ebonykeel::cli {
+
+// Reads files. Abstract, so that tests need none.
+class FileReader
+{
+public:
+  virtual ~FileReader() = default;
+  // Returns the content of `aPath`, or nothing if it cannot be read.
+  [[nodiscard]] virtual std::optional<std::string> Read(
+    const std::string& aPath) const = 0;
+  // Returns the paths of the files `*.toml` in `aFolder`, sorted, or nothing
+  // if it cannot be read.
+  [[nodiscard]] virtual std::optional<std::vector<std::string>> ListToml(
+    const std::string& aFolder) const = 0;
+};
+
+// Reads the machine's files.
+class DiskFileReader final : public FileReader
+{
+public:
+  [[nodiscard]] std::optional<std::string> Read(
+    const std::string& aPath) const override;
+  [[nodiscard]] std::optional<std::vector<std::string>> ListToml(
+    const std::string& aFolder) const override;
+};
+
+} // namespace ebonykeel::cli
--- /dev/null
+++ b/packages/cli/requests.cc
@@ -0,0 +1,219 @@
+#include "cli/requests.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+namespace ebonykeel::cli {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string
+Dump(const Json& aBody)
+{
+  return aBody.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+NodeRequest
+AdminRequest(const CommandLine& aLine,
+             const RequestContext& aContext,
+             std::string aMethod,
+             std::string aPath)
+{
+  NodeRequest request;
+  request.m_node = aLine.m_admin;
+  request.m_http.m_method = std::move(aMethod);
+  request.m_http.m_path = std::move(aPath);
+  if (!aContext.m_token.empty()) {
+    request.m_http.m_headers.push_back(
+      { "authorization", absl::StrCat("Bearer ", aContext.m_token) });
+  }
+  return request;
+}
+
+void
+SetBody(NodeRequest& aRequest, const Json& aBody)
+{
+  aRequest.m_http.m_headers.push_back({ "content-type", "application/json" });
+  aRequest.m_http.m_body = Dump(aBody);
+}
+
+std::string
+OrRandom(const std::string& aId, const RequestContext& aContext)
+{
+  return aId.empty() ? aContext.m_randomId : aId;
+}
+
+Json
+NoteOf(const CommandLine& aLine, const RequestContext& aContext)
+{
+  return { { "author", aLine.m_author },
+           { "change_id", OrRandom(aLine.m_changeId, aContext) } };
+}
+
+NodeRequest
+ChangeRequestTo(const CommandLine& aLine,
+                const RequestContext& aContext,
+                std::string aMethod,
+                std::string aPath,
+                const Json& aBody)
+{
+  NodeRequest request =
+    AdminRequest(aLine, aContext, std::move(aMethod), std::move(aPath));
+  SetBody(request, aBody);
+  request.m_changes = true;
+  request.m_configures = true;
+  return request;
+}
+
+NodeRequest
+WhereRequest(const CommandLine& aLine)
+{
+  NodeRequest request;
+  request.m_node = aLine.m_node;
+  request.m_http.m_path = "/v1/instances";
+  request.m_http.m_query =
+    absl::StrCat("service=", PercentEncode(aLine.m_subject));
+  return request;
+}
+
+NodeRequest
+QueryRequestOf(const CommandLine& aLine, const RequestContext& aContext)
+{
+  Json body{ { "query", aLine.m_subject },
+             { "limit", aLine.m_limit },
+             { "caller", aLine.m_caller },
+             { "request_id", OrRandom(aLine.m_requestId, aContext) } };
+  if (aLine.m_group.empty()) {
+    body["services"] = aLine.m_services;
+  } else {
+    body["group"] = aLine.m_group;
+  }
+  if (aLine.m_deadlineMs > 0) {
+    body["deadline_ms"] = aLine.m_deadlineMs;
+  }
+  NodeRequest request;
+  request.m_node = aLine.m_node;
+  request.m_http.m_method = "POST";
+  request.m_http.m_path = "/v1/query";
+  SetBody(request, body);
+  return request;
+}
+
+NodeRequest
+FileRequestOf(const CommandLine& aLine, const RequestContext& aContext)
+{
+  Json body{ { "service", aLine.m_subject },
+             { "operation", aLine.m_verb },
+             { "caller", aLine.m_caller },
+             { "request_id", OrRandom(aLine.m_requestId, aContext) },
+             { "key", aLine.m_key },
+             { "payload", aLine.m_payload },
+             { "issued_at_ms", aContext.m_unixMs } };
+  if (aLine.m_deadlineMs > 0) {
+    body["deadline_ms"] = aLine.m_deadlineMs;
+  }
+  NodeRequest request;
+  request.m_node = aLine.m_node;
+  request.m_http.m_method = "POST";
+  request.m_http.m_path = "/v1/file";
+  request.m_changes = true;
+  SetBody(request, body);
+  return request;
+}
+
+NodeRequest
+RollbackRequest(const CommandLine& aLine, const RequestContext& aContext)
+{
+  Json body = NoteOf(aLine, aContext);
+  body["generation"] = aLine.m_generation;
+  return ChangeRequestTo(aLine, aContext, "POST", "/v1/admin/rollback", body);
+}
+
+} // namespace
+
+NodeRequest
+MakeRequest(const CommandLine& aLine, const RequestContext& aContext)
+{
+  std::string subject = PercentEncode(aLine.m_subject);
+  switch (aLine.m_command) {
+    case Command::kWhere:
+      return WhereRequest(aLine);
+    case Command::kQuery:
+      return QueryRequestOf(aLine, aContext);
+    case Command::kFile:
+      return FileRequestOf(aLine, aContext);
+    case Command::kDataCentre:
+      return ChangeRequestTo(
+        aLine,
+        aContext,
+        "POST",
+        absl::StrCat("/v1/admin/data-centres/", subject, "/", aLine.m_verb),
+        NoteOf(aLine, aContext));
+    case Command::kUpstream:
+      return ChangeRequestTo(
+        aLine,
+        aContext,
+        "POST",
+        absl::StrCat("/v1/admin/upstreams/", subject, "/", aLine.m_verb),
+        NoteOf(aLine, aContext));
+    case Command::kRollback:
+      return RollbackRequest(aLine, aContext);
+    case Command::kHistory:
+      return AdminRequest(aLine, aContext, "GET", "/v1/admin/history");
+    case Command::kReport:
+      return AdminRequest(aLine, aContext, "GET", "/v1/admin/report");
+    case Command::kStatus:
+    case Command::kCheck:
+    case Command::kPublish:
+      break;
+  }
+  return MakeStatusRequest(aLine, aContext);
+}
+
+NodeRequest
+MakePublishRequest(const CommandLine& aLine,
+                   const RequestContext& aContext,
+                   std::span<const ServiceFile> aFiles)
+{
+  Json body = NoteOf(aLine, aContext);
+  body["services"] = Json::array();
+  for (const ServiceFile& file : aFiles) {
+    body["services"].push_back(
+      { { "file", file.m_path }, { "text", file.m_text } });
+  }
+  if (aLine.m_baseGeneration) {
+    body["base_generation"] = *aLine.m_baseGeneration;
+  }
+  return ChangeRequestTo(aLine, aContext, "PUT", "/v1/admin/services", body);
+}
+
+NodeRequest
+MakeStatusRequest(const CommandLine& aLine, const RequestContext& aContext)
+{
+  return AdminRequest(aLine, aContext, "GET", "/v1/admin/status");
+}
+
+std::string
+PercentEncode(std::string_view aText)
+{
+  constexpr std::string_view kUnreserved = "._~-";
+  std::string encoded;
+  for (char byte : aText) {
+    auto code = static_cast<unsigned char>(byte);
+    if (absl::ascii_isalnum(code) ||
+        kUnreserved.find(byte) != std::string_view::npos) {
+      encoded.push_back(byte);
+    } else {
+      absl::StrAppendFormat(&encoded, "%%%02X", code);
+    }
+  }
+  return encoded;
+}
+
+} // namespace ebonykeel::cli
--- /dev/null
+++ b/packages/cli/runner.h
@@ -0,0 +1,77 @@
+// Runs one command: sends its request, shows the answer and says how to exit.
+//
+//   Runner runner(client, files, console, random);
+//   return static_cast<int>(runner.Run(line, unixMs));
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/random/bit_gen_ref.h"
+
+#include "cli/check.h"
+#include "cli/command_line.h"
+#include "cli/exit_code.h"
+#include "cli/files.h"
+#include "cli/node_client.h"
+#include "cli/requests.h"
+
+namespace ebonykeel::cli {
+
+// Where the tool writes.
+class Console
+{
+public:
+  virtual ~Console() = default;
+  virtual void Print(std::string_view aText) = 0;
+  virtual void PrintError(std::string_view aText) = 0;
+  // Whether errors go to a terminal, on which a line may be drawn over.
+  [[nodiscard]] virtual bool IsTerminal() const = 0;
+};
+
+// All references must outlive it.
+class Runner
+{
+public:
+  Runner(NodeClient& aClient,
+         const FileReader& aFiles,
+         Console& aConsole,
+         absl::BitGenRef aRandom);
+
+  // `aUnixMs` is the wall-clock time in milliseconds since 1970.
+  [[nodiscard]] ExitCode Run(const CommandLine& aLine, int64_t aUnixMs);
+
+private:
+  ExitCode Check(const CommandLine& aLine);
+  ExitCode Publish(const CommandLine& aLine, const RequestContext& aContext);
+  ExitCode Send(const CommandLine& aLine,
+                const RequestContext& aContext,
+                const NodeRequest& aRequest);
+  ExitCode ShowAnswer(const CommandLine& aLine,
+                      const RequestContext& aContext,
+                      const NodeRequest& aRequest,
+                      const HttpResponse& aResponse);
+  ExitCode ShowNoAnswer(const CommandLine& aLine,
+                        const RequestContext& aContext,
+                        const NodeRequest& aRequest,
+                        const CallResult& aResult);
+  ExitCode ShowFindings(const CommandLine& aLine, const CheckResult& aChecked);
+  nlohmann::json WaitForEverywhere(const CommandLine& aLine,
+                                   const RequestContext& aContext,
+                                   nlohmann::json aAnswer);
+  void DrawProgress(const nlohmann::json& aInForce);
+  void ClearProgress();
+  std::optional<RequestContext> MakeContext(const CommandLine& aLine,
+                                            int64_t aUnixMs);
+
+  NodeClient& m_client;
+  const FileReader& m_files;
+  Console& m_console;
+  absl::BitGenRef m_random;
+};
+
+} // namespace ebonykeel::cli
--- /dev/null
+++ b/packages/cli/text_view.cc
@@ -0,0 +1,266 @@
+#include "cli/text_view.h"
+
+#include <string_view>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+namespace ebonykeel::cli {
+namespace {
+
+using Json = nlohmann::json;
+
+const Json&
+Member(const Json& aObject, const char* aKey)
+{
+  static const Json kNull;
+  if (!aObject.is_object()) {
+    return kNull;
+  }
+  auto found = aObject.find(aKey);
+  return found == aObject.end() ? kNull : *found;
+}
+
+// Returns a scalar as text; strings without quotes.
+std::string
+Scalar(const Json& aValue)
+{
+  if (aValue.is_string()) {
+    return aValue.get<std::string>();
+  }
+  return aValue.is_null() ? std::string() : aValue.dump();
+}
+
+std::string
+Text(const Json& aObject, const char* aKey)
+{
+  return Scalar(Member(aObject, aKey));
+}
+
+std::string
+Joined(const Json& aArray)
+{
+  std::string text;
+  if (aArray.is_array()) {
+    for (const Json& entry : aArray) {
+      absl::StrAppend(&text, text.empty() ? "" : ", ", Scalar(entry));
+    }
+  }
+  return text.empty() ? "none" : text;
+}
+
+template<typename Render>
+std::string
+EachOf(const Json& aObject, const char* aKey, Render aRender)
+{
+  std::string text;
+  const Json& array = Member(aObject, aKey);
+  if (array.is_array()) {
+    for (const Json& entry : array) {
+      absl::StrAppend(&text, aRender(entry));
+    }
+  }
+  return text;
+}
+
+std::string
+RenderChange(const Json& aAnswer)
+{
+  return absl::StrCat("accepted: generation ",
+                      Text(aAnswer, "generation"),
+                      "\n",
+                      RenderInForce(Member(aAnswer, "in_force")),
+                      "\n");
+}
+
+std::string
+RenderHistory(const Json& aAnswer)
+{
+  return EachOf(aAnswer, "history", [](const Json& aEntry) {
+    return absl::StrFormat("%6s  %-16s %s  (%s)\n",
+                           Text(aEntry, "generation"),
+                           Text(aEntry, "author"),
+                           Text(aEntry, "summary"),
+                           Text(aEntry, "change_id"));
+  });
+}
+
+std::string
+RenderStatus(const Json& aAnswer)
+{
+  std::string text = absl::StrCat("instance ",
+                                  Text(aAnswer, "id"),
+                                  " is ",
+                                  Text(aAnswer, "state"),
+                                  "\ngeneration ",
+                                  Text(aAnswer, "generation"),
+                                  " with ",
+                                  Text(aAnswer, "services"),
+                                  " services, ",
+                                  RenderInForce(Member(aAnswer, "in_force")),
+                                  "\ndata centres out: ",
+                                  Joined(Member(aAnswer, "data_centres_out")),
+                                  "\nupstreams drained: ",
+                                  Joined(Member(aAnswer, "upstreams_drained")),
+                                  "\n");
+  return text + EachOf(aAnswer, "members", [](const Json& aMember) {
+           bool suspected = Member(aMember, "suspected") == Json(true);
+           return absl::StrFormat("  %-16s %-12s %-8s generation %s  %s%s\n",
+                                  Text(aMember, "id"),
+                                  Text(aMember, "data_centre"),
+                                  Text(aMember, "state"),
+                                  Text(aMember, "generation"),
+                                  Text(aMember, "public_address"),
+                                  suspected ? "  suspected" : "");
+         });
+}
+
+std::string
+RenderAddresses(const Json& aAnswer)
+{
+  return EachOf(aAnswer,
+                "addresses",
+                [](const Json& aAddress) {
+                  return absl::StrFormat("%-22s %-16s %s\n",
+                                         Text(aAddress, "address"),
+                                         Text(aAddress, "data_centre"),
+                                         Text(aAddress, "instance"));
+                }) +
+         absl::StrCat("keep for ", Text(aAnswer, "lifetime_ms"), " ms\n");
+}
+
+std::string
+RenderService(const Json& aService)
+{
+  const Json& coverage = Member(aService, "coverage");
+  std::string missing = EachOf(coverage, "missing", [](const Json& aShard) {
+    return absl::StrCat(
+      ", missing ", Text(aShard, "shard"), " (", Text(aShard, "reason"), ")");
+  });
+  std::string text = absl::StrCat(Text(aService, "service"),
+                                  ": index version ",
+                                  Text(aService, "index_version"),
+                                  ", ",
+                                  Text(coverage, "answered"),
+                                  " of ",
+                                  Text(coverage, "shards"),
+                                  " shards",
+                                  missing,
+                                  "\n");
+  return text + EachOf(aService, "hits", [](const Json& aHit) {
+           return absl::StrFormat("  %-10s %s  %s\n",
+                                  Text(aHit, "score"),
+                                  Text(aHit, "document"),
+                                  Text(aHit, "text"));
+         });
+}
+
+std::string
+RenderQuery(const Json& aAnswer)
+{
+  bool whole = Member(aAnswer, "whole") == Json(true);
+  return absl::StrCat(EachOf(aAnswer, "services", RenderService),
+                      whole ? "whole" : "partial",
+                      ", request ",
+                      Text(aAnswer, "request_id"),
+                      "\n");
+}
+
+std::string
+RenderFiling(const Json& aAnswer)
+{
+  bool repeated = Member(aAnswer, "repeated") == Json(true);
+  std::string text =
+    absl::StrCat(Text(aAnswer, "outcome"),
+                 repeated ? " (before, by this request id)" : "",
+                 ", request ",
+                 Text(aAnswer, "request_id"),
+                 "\n");
+  std::string result = Text(aAnswer, "result");
+  return result.empty() ? text : absl::StrCat(text, result, "\n");
+}
+
+std::string
+RenderReport(const Json& aAnswer)
+{
+  std::string text = Text(aAnswer, "text");
+  return text.empty() ? absl::StrCat(aAnswer.dump(2), "\n") : text;
+}
+
+std::string
+RenderFinding(const Json& aFinding)
+{
+  std::string allowed = Text(aFinding, "allowed");
+  return absl::StrCat(Text(aFinding, "file"),
+                      ":",
+                      Text(aFinding, "line"),
+                      ":",
+                      Text(aFinding, "column"),
+                      ": ",
+                      Text(aFinding, "key"),
+                      ": ",
+                      Text(aFinding, "problem"),
+                      allowed.empty() ? "" : " (allowed: ",
+                      allowed,
+                      allowed.empty() ? "\n" : ")\n");
+}
+
+} // namespace
+
+std::string
+RenderAnswer(Command aCommand, const Json& aAnswer)
+{
+  switch (aCommand) {
+    case Command::kPublish:
+    case Command::kDataCentre:
+    case Command::kUpstream:
+    case Command::kRollback:
+      return RenderChange(aAnswer);
+    case Command::kHistory:
+      return RenderHistory(aAnswer);
+    case Command::kStatus:
+      return RenderStatus(aAnswer);
+    case Command::kWhere:
+      return RenderAddresses(aAnswer);
+    case Command::kQuery:
+      return RenderQuery(aAnswer);
+    case Command::kFile:
+      return RenderFiling(aAnswer);
+    case Command::kReport:
+      return RenderReport(aAnswer);
+    case Command::kCheck:
+      break;
+  }
+  return {};
+}
+
+std::string
+RenderError(int aStatus, const Json& aAnswer)
+{
+  std::string findings = EachOf(aAnswer, "findings", RenderFinding);
+  std::string code = Text(aAnswer, "code");
+  std::string outcome = Text(aAnswer, "outcome");
+  std::string message = findings.empty() ? Text(aAnswer, "message") : "";
+  return absl::StrCat(findings,
+                      "error: ",
+                      code.empty() ? absl::StrCat("HTTP ", aStatus) : code,
+                      message.empty() ? "" : ": ",
+                      message,
+                      outcome.empty() ? "" : " (outcome: ",
+                      outcome,
+                      outcome.empty() ? "\n" : ")\n");
+}
+
+std::string
+RenderInForce(const Json& aInForce)
+{
+  std::string text = absl::StrCat(
+    "in force on ", Text(aInForce, "on"), " of ", Text(aInForce, "of"));
+  const Json& missing = Member(aInForce, "missing");
+  if (missing.is_array() && !missing.empty()) {
+    absl::StrAppend(&text, ", missing: ", Joined(missing));
+  }
+  return text;
+}
+
+} // namespace ebonykeel::cli
