--- a/packages/core/membership/detection.cc
+++ b/packages/core/membership/detection.cc
@@ -2,14 +2,19 @@
 #include <algorithm>
 #include <set>
 
+#include "absl/random/distributions.h"
+
 #include "core/membership/membership.h"
 
 namespace ebonykeel {
 namespace {
 
-// After so many detection delays one that is still joining, and not listed by
-// the platform, is given up.
-constexpr int64_t kStuckJoiningDelays = 4;
+// Pings in a row without an answer after which an unlisted one is silent.
+constexpr uint32_t kSilentAfterFailures = 2;
+// Pings a heartbeat that the whole fleet sends to an unlisted one.
+constexpr double kVerifyingPings = 8;
+// How many detection delays it has to stay silent and without monitors.
+constexpr int64_t kAbandonedDelays = 2;
 
 } // namespace
 
@@ -154,14 +159,15 @@
 void
 Membership::JudgeAbandoned(TimePoint aNow)
 {
+  const std::set<InstanceId> abandoned = FindAbandoned(aNow);
   std::vector<InstanceId> dead;
-  for (const auto& [id, peer] : m_peers) {
-    const InstanceRecord& record = peer.m_record;
-    const bool unlisted =
-      !m_seeds.contains(id) && m_listReceivedAt != TimePoint::min();
-    const bool abandoned = unlisted && (IsStuckJoining(peer, aNow) ||
-                                        HasNoMonitorLeft(record, aNow));
-    if (abandoned) {
+  for (auto& [id, peer] : m_peers) {
+    if (!abandoned.contains(id)) {
+      peer.m_abandonedSince = TimePoint::max();
+      continue;
+    }
+    peer.m_abandonedSince = std::min(peer.m_abandonedSince, aNow);
+    if (aNow - peer.m_abandonedSince >= kAbandonedDelays * DetectionDelay()) {
       dead.push_back(id);
     }
   }
@@ -170,22 +176,39 @@
   }
 }
 
-bool
-Membership::IsStuckJoining(const Peer& aPeer, TimePoint aNow) const
-{
-  return aPeer.m_record.m_state == InstanceState::kJoining &&
-         aNow - aPeer.m_changedAt >= kStuckJoiningDelays * DetectionDelay();
-}
-
-bool
-Membership::HasNoMonitorLeft(const InstanceRecord& aRecord,
-                             TimePoint aNow) const
+std::set<InstanceId>
+Membership::FindAbandoned(TimePoint aNow)
 {
-  return aRecord.m_state != InstanceState::kDead &&
-         !aRecord.m_monitors.empty() &&
-         std::ranges::all_of(aRecord.m_monitors, [&](const InstanceRef& aRef) {
-           return IsGone(aRef, aNow);
-         });
+  std::set<InstanceId> silent;
+  if (m_listReceivedAt == TimePoint::min()) {
+    return silent;
+  }
+  const double verifyShare =
+    std::min(1.0, kVerifyingPings / static_cast<double>(m_peers.size() + 1));
+  for (auto& [id, peer] : m_peers) {
+    const bool unlisted =
+      !m_seeds.contains(id) &&
+      aNow - peer.m_changedAt >= kAbandonedDelays * DetectionDelay();
+    if (peer.m_record.m_state == InstanceState::kDead || !unlisted) {
+      continue;
+    }
+    // The fleet together asks each one a few times a heartbeat.
+    peer.m_pingSoon |= absl::Bernoulli(m_bitGen, verifyShare);
+    if (peer.m_failures >= kSilentAfterFailures) {
+      silent.insert(id);
+    }
+  }
+  // Whoever has a monitor left that may yet vote is left to that monitor.
+  const auto hasMonitorLeft = [&](const InstanceId& aId) {
+    const InstanceRecord& record = m_peers.at(aId).m_record;
+    return record.m_state != InstanceState::kJoining &&
+           std::ranges::any_of(record.m_monitors, [&](const InstanceRef& aRef) {
+             return !silent.contains(aRef.m_id) && !IsGone(aRef, aNow);
+           });
+  };
+  while (std::erase_if(silent, hasMonitorLeft) > 0) {
+  }
+  return silent;
 }
 
 void
--- a/packages/core/membership/membership.cc
+++ b/packages/core/membership/membership.cc
@@ -225,7 +225,7 @@
     peer.m_pingSoon |=
       IsMonitorOf(m_self, InstanceRef{ id, peer.m_record.m_incarnation });
   }
-  m_nextTick = std::min(m_nextTick, NextOwed(aNow));
+  m_nextTick = aNow;
 }
 
 void
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -42,6 +42,11 @@
 //    has passed since its quorum's pings; it needs no message for that. Tick()
 //    then gives it a new incarnation, as kJoining.
 //
+// Dead monitors cannot vote, so an instance whose monitors are all gone, or
+// silent in the same way, would stay for ever. It is dead when the platform's
+// list does not name it, this instance's own pings to it fail, and no monitor
+// of it is left that could vote, all for 2 (m_lease + m_margin).
+//
 // When two instances can both hold a lease for what is one's alone. A death is
 // declared of a holder whose lease still runs only if:
 //  1. a clock runs wrong: the rates of a target's and a monitor's monotonic
@@ -51,7 +56,9 @@
 //     meanwhile changed its monitors with the word of one that is now gone,
 //     while the one who judges, and everybody that it hears of, still has the
 //     target's older record, for m_lease + m_margin or longer;
-//  3. the instance never met the others: it started with a platform's list
+//  3. it and all its monitors are cut off from the one who judges, and the
+//     platform's list names none of them although they live;
+//  4. the instance never met the others: it started with a platform's list
 //     that names none of them for m_joinWait, and so runs alone (see below).
 //
 // Small fleets. One instance alone holds its lease as long as it knows of
@@ -73,6 +80,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -238,6 +246,8 @@
     uint64_t m_knownSequence = 0;
     uint32_t m_failures = 0;
     TimePoint m_avoidUntil = TimePoint::min();
+    // Since when neither the list nor any monitor can tell of its life.
+    TimePoint m_abandonedSince = TimePoint::max();
     // A ping is owed at once: urgent news, or views that differ.
     bool m_pingSoon = false;
     std::vector<uint64_t> m_partDigests;
@@ -285,9 +295,7 @@
   void AddSuspicion(const Suspicion& aSuspicion);
   void JudgeSuspected(TimePoint aNow);
   void JudgeAbandoned(TimePoint aNow);
-  [[nodiscard]] bool IsStuckJoining(const Peer& aPeer, TimePoint aNow) const;
-  [[nodiscard]] bool HasNoMonitorLeft(const InstanceRecord& aRecord,
-                                      TimePoint aNow) const;
+  [[nodiscard]] std::set<InstanceId> FindAbandoned(TimePoint aNow);
   void DeclareDead(const InstanceId& aId, TimePoint aNow);
   [[nodiscard]] bool IsDeadByVotes(const InstanceRecord& aTarget,
                                    TimePoint aNow) const;
