Test membership's promises one by one

Detection within the bound, silence after a pause, two instances with a cut link, one alone, a graceful handover without a gap, a split between regions, the loss of one of three data centres, bounded messages; unit tests of the lease's start, incarnations, stale gossip and the choice of monitors.

--- /dev/null
+++ b/packages/core/membership/membership_test.cc
@@ -0,0 +1,255 @@
+#include "core/membership/membership.h"
+
+#include <algorithm>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+InstanceRecord
+MakeRecord(std::string_view aId, BootId aIncarnation)
+{
+  return { .m_id = InstanceId(aId),
+           .m_incarnation = aIncarnation,
+           .m_peerAddress = absl::StrCat(std::string(aId), ":1"),
+           .m_dataCentre = DataCentre("oviedo"),
+           .m_region = Region("north"),
+           .m_state = InstanceState::kActive,
+           .m_sequence = 5 };
+}
+
+// A message of `aRecord`'s instance that carries its record.
+Gossip
+MessageOf(const InstanceRecord& aRecord)
+{
+  return { .m_sender = { aRecord.m_id, aRecord.m_incarnation },
+           .m_senderSequence = aRecord.m_sequence,
+           .m_senderState = aRecord.m_state,
+           .m_records = { aRecord } };
+}
+
+// The acknowledgement of a ping that `aMembership` sent just now.
+Gossip
+AckFrom(const InstanceRecord& aRecord, const Membership& aMembership)
+{
+  Gossip ack = MessageOf(aRecord);
+  ack.m_ackedIncarnation = aMembership.Self().m_incarnation;
+  ack.m_knownSequence = aMembership.Self().m_sequence;
+  ack.m_knownEpoch = aMembership.Self().m_monitorEpoch;
+  return ack;
+}
+
+// An instance with two monitors, "b" and "c", that holds its lease.
+struct Trio
+{
+  std::mt19937_64 m_random{ 1 };
+  InstanceRecord m_b = MakeRecord("b", 10);
+  InstanceRecord m_c = MakeRecord("c", 20);
+  Membership m_a{ MembershipSettings(), MakeRecord("a", 30), m_random, kStart };
+
+  Trio()
+  {
+    Learn(m_b);
+    Learn(m_c);
+    Tick(kStart);
+    Ack(m_b, kStart, kStart);
+    Ack(m_c, kStart, kStart);
+  }
+
+  void Learn(const InstanceRecord& aRecord)
+  {
+    static_cast<void>(m_a.OnPing(MessageOf(aRecord), kStart));
+  }
+  void Tick(TimePoint aNow) { static_cast<void>(m_a.Tick(aNow)); }
+  void Ack(const InstanceRecord& aFrom, TimePoint aSentAt, TimePoint aNow)
+  {
+    m_a.OnAck(aFrom.m_id, aSentAt, AckFrom(aFrom, m_a), aNow);
+  }
+};
+
+DOCTEST_TEST_CASE(
+  "a quorum for the lease and one for a death have a monitor in "
+  "common")
+{
+  for (size_t monitors = 1; monitors <= 9; ++monitors) {
+    DOCTEST_CHECK(LeaseQuorum(monitors) >= 1);
+    DOCTEST_CHECK(LeaseQuorum(monitors) + DeathQuorum(monitors) > monitors);
+    DOCTEST_CHECK(DeathQuorum(monitors) <= monitors);
+  }
+  DOCTEST_CHECK(LeaseQuorum(0) == 0);
+}
+
+DOCTEST_TEST_CASE("the lease counts from the sending of the ping, not from its "
+                  "acknowledgement")
+{
+  Trio trio;
+  DOCTEST_REQUIRE(trio.m_a.HoldsLease(kStart));
+  const TimePoint sentAt = kStart + Seconds(1);
+  const TimePoint ackedAt = kStart + Milliseconds(2900);
+  trio.Tick(sentAt);
+  trio.Ack(trio.m_b, sentAt, ackedAt);
+  const TimePoint end = sentAt + MembershipSettings().m_lease;
+  DOCTEST_CHECK(trio.m_a.LeaseUntil() == end);
+  DOCTEST_CHECK(trio.m_a.HoldsLease(end - Milliseconds(1)));
+  DOCTEST_CHECK_FALSE(trio.m_a.HoldsLease(end));
+}
+
+DOCTEST_TEST_CASE("after its lease an instance takes a new incarnation, and an "
+                  "acknowledgement of the old one gives nothing back")
+{
+  Trio trio;
+  const BootId before = trio.m_a.Self().m_incarnation;
+  const Gossip late = AckFrom(trio.m_b, trio.m_a);
+  const TimePoint woken = kStart + Seconds(20);
+  DOCTEST_CHECK_FALSE(trio.m_a.HoldsLease(woken));
+  trio.m_a.OnAck(trio.m_b.m_id, woken - Milliseconds(1), late, woken);
+  DOCTEST_CHECK(trio.m_a.Self().m_incarnation > before);
+  DOCTEST_CHECK(trio.m_a.Self().m_state == InstanceState::kJoining);
+  DOCTEST_CHECK_FALSE(trio.m_a.HoldsLease(woken));
+  DOCTEST_CHECK(trio.m_a.CurrentLease().m_until == TimePoint::min());
+}
+
+DOCTEST_TEST_CASE("a monitor that suspects grants no lease any more")
+{
+  Trio trio;
+  const TimePoint now = kStart + Seconds(1);
+  for (const InstanceRecord* monitor : { &trio.m_b, &trio.m_c }) {
+    Gossip ack = AckFrom(*monitor, trio.m_a);
+    ack.m_suspectedEpoch = trio.m_a.Self().m_monitorEpoch;
+    trio.m_a.OnAck(monitor->m_id, now, ack, now);
+  }
+  DOCTEST_CHECK(trio.m_a.LeaseUntil() <= kStart + MembershipSettings().m_lease);
+}
+
+DOCTEST_TEST_CASE("an instance that is named dead or superseded goes above it")
+{
+  Trio trio;
+  InstanceRecord rumour = trio.m_a.Self();
+  rumour.m_incarnation += 7;
+  Gossip message = MessageOf(trio.m_b);
+  message.m_records.push_back(rumour);
+  static_cast<void>(trio.m_a.OnPing(message, kStart));
+  DOCTEST_CHECK(trio.m_a.Self().m_incarnation > rumour.m_incarnation);
+  const BootId before = trio.m_a.Self().m_incarnation;
+  rumour = trio.m_a.Self();
+  rumour.m_state = InstanceState::kDead;
+  message.m_records = { rumour };
+  static_cast<void>(trio.m_a.OnPing(message, kStart));
+  DOCTEST_CHECK(trio.m_a.Self().m_incarnation > before);
+  DOCTEST_CHECK_FALSE(trio.m_a.HoldsLease(kStart));
+}
+
+DOCTEST_TEST_CASE(
+  "stale gossip does not bring the dead back; a new incarnation "
+  "does")
+{
+  Trio trio;
+  const auto stateOfC = [&] {
+    return trio.m_a.View().Find(InstanceId("c"))->m_state;
+  };
+  InstanceRecord dead = trio.m_c;
+  dead.m_state = InstanceState::kDead;
+  trio.Learn(dead);
+  DOCTEST_CHECK(stateOfC() == InstanceState::kDead);
+  InstanceRecord stale = trio.m_c;
+  stale.m_sequence += 100;
+  trio.Learn(stale);
+  DOCTEST_CHECK(stateOfC() == InstanceState::kDead);
+  InstanceRecord back = trio.m_c;
+  ++back.m_incarnation;
+  trio.Learn(back);
+  DOCTEST_CHECK(stateOfC() == InstanceState::kActive);
+}
+
+DOCTEST_TEST_CASE("the dead are forgotten after the horizon, and only when the "
+                  "platform's list no longer names them")
+{
+  Trio trio;
+  InstanceRecord dead = trio.m_c;
+  dead.m_state = InstanceState::kDead;
+  trio.Learn(dead);
+  const std::vector<ListedInstance> listed{ { .m_id = dead.m_id,
+                                              .m_region = dead.m_region } };
+  const TimePoint later = kStart + MembershipSettings().m_forgetAfter;
+  trio.m_a.OnInstanceList({}, later - Seconds(1));
+  DOCTEST_CHECK(trio.m_a.View().Find(dead.m_id) != nullptr);
+  trio.m_a.OnInstanceList(listed, later);
+  DOCTEST_CHECK(trio.m_a.View().Find(dead.m_id) != nullptr);
+  trio.m_a.OnInstanceList({}, later);
+  DOCTEST_CHECK(trio.m_a.View().Find(dead.m_id) == nullptr);
+}
+
+DOCTEST_TEST_CASE("the view's version changes with members only")
+{
+  Trio trio;
+  const uint64_t before = trio.m_a.View().m_version;
+  trio.m_a.SetLoad(0.5F);
+  trio.m_a.SetGeneration(4);
+  Gossip message = MessageOf(trio.m_b);
+  message.m_statusSequence = 9;
+  message.m_generation = 6;
+  message.m_load = 0.7F;
+  static_cast<void>(trio.m_a.OnPing(message, kStart));
+  DOCTEST_CHECK(trio.m_a.View().m_version == before);
+  DOCTEST_CHECK(trio.m_a.View().Find(trio.m_b.m_id)->m_generation == 6);
+  DOCTEST_CHECK(trio.m_a.FindNewestGeneration().m_generation == 6);
+  DOCTEST_CHECK(trio.m_a.FindNewestGeneration().m_holder == trio.m_b.m_id);
+  InstanceRecord leaving = trio.m_b;
+  leaving.m_state = InstanceState::kLeaving;
+  ++leaving.m_sequence;
+  trio.Learn(leaving);
+  DOCTEST_CHECK(trio.m_a.View().m_version > before);
+}
+
+DOCTEST_TEST_CASE(
+  "an instance runs alone only after a list that names no other "
+  "one of its region, and the wait")
+{
+  std::mt19937_64 random(1);
+  const MembershipSettings settings;
+  const std::vector<ListedInstance> other{ { .m_id = InstanceId("b"),
+                                             .m_region = Region("north") } };
+  const TimePoint waited = kStart + settings.m_joinWait;
+  Membership unlisted(settings, MakeRecord("a", 1), random, kStart);
+  static_cast<void>(unlisted.Tick(waited));
+  DOCTEST_CHECK_FALSE(unlisted.HoldsLease(waited));
+  Membership notAlone(settings, MakeRecord("a", 1), random, kStart);
+  notAlone.OnInstanceList(other, waited);
+  static_cast<void>(notAlone.Tick(waited));
+  DOCTEST_CHECK_FALSE(notAlone.HoldsLease(waited));
+  Membership alone(settings, MakeRecord("a", 1), random, kStart);
+  alone.OnInstanceList({}, waited - Seconds(1));
+  static_cast<void>(alone.Tick(waited - Seconds(1)));
+  DOCTEST_CHECK_FALSE(alone.HoldsLease(waited - Seconds(1)));
+  static_cast<void>(alone.Tick(waited));
+  DOCTEST_CHECK(alone.HoldsLease(waited));
+}
+
+DOCTEST_TEST_CASE("monitors lie in three data centres where there are so many")
+{
+  std::mt19937_64 random(1);
+  Membership membership(
+    MembershipSettings(), MakeRecord("a", 1), random, kStart);
+  for (int index = 0; index < 12; ++index) {
+    InstanceRecord record = MakeRecord(absl::StrCat("b", index), 1);
+    record.m_dataCentre = DataCentre(absl::StrCat("dc", index % 4));
+    static_cast<void>(membership.OnPing(MessageOf(record), kStart));
+  }
+  static_cast<void>(membership.Tick(kStart));
+  std::vector<DataCentre> dataCentres;
+  for (const InstanceRef& monitor : membership.Self().m_monitors) {
+    dataCentres.push_back(membership.View().Find(monitor.m_id)->m_dataCentre);
+  }
+  std::ranges::sort(dataCentres);
+  DOCTEST_CHECK(dataCentres.size() == 3);
+  DOCTEST_CHECK(std::ranges::adjacent_find(dataCentres) == dataCentres.end());
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/ownership/takeover_test.cc
+++ b/packages/core/ownership/takeover_test.cc
@@ -303,5 +303,213 @@
   }));
 }
 
+const auto kNoCheck = [] {};
+
+// A fleet that has settled, with the machines given.
+std::unique_ptr<Schedule>
+MakeSettled(size_t aMachines, size_t aDataCentres, uint32_t aSeed)
+{
+  auto schedule = std::make_unique<Schedule>(ScheduleOptions{
+    .m_seed = aSeed, .m_machines = aMachines, .m_dataCentres = aDataCentres });
+  for (size_t index = 0; index < aMachines; ++index) {
+    schedule->Start(index);
+  }
+  schedule->RunUntil(Seconds(12), kNoCheck);
+  return schedule;
+}
+
+InstanceState
+StateSeenBy(const Machine& aWitness, const Machine& aTarget)
+{
+  const InstanceRecord* record =
+    aWitness.m_membership->View().Find(aTarget.m_self.m_id);
+  return record == nullptr ? InstanceState::kDead : record->m_state;
+}
+
+bool
+AllSeeDead(const Schedule& aSchedule, const Machine& aTarget)
+{
+  return std::ranges::all_of(aSchedule.Machines(), [&](const auto& aMachine) {
+    return !aMachine->m_up ||
+           StateSeenBy(*aMachine, aTarget) == InstanceState::kDead;
+  });
+}
+
+bool
+HoldsLeaseNow(const Schedule& aSchedule, size_t aMachine)
+{
+  const Machine& machine = *aSchedule.Machines()[aMachine];
+  return machine.m_membership->HoldsLease(aSchedule.LocalNow(machine));
+}
+
+uint32_t
+TotalSlots(const Schedule& aSchedule, const Machine& aMachine)
+{
+  uint32_t slots = 0;
+  for (const UpstreamId& upstream : aSchedule.Upstreams()) {
+    slots += aSchedule.Slots(aMachine, upstream);
+  }
+  return slots;
+}
+
+DOCTEST_TEST_CASE("a crashed instance is dead to all within the bound and its "
+                  "upstreams are owned again")
+{
+  DOCTEST_CHECK(rc::check([] {
+    const auto machines = *rc::gen::inRange<size_t>(3, 9);
+    const auto seed = *rc::gen::arbitrary<uint32_t>();
+    const auto victim = *rc::gen::inRange<size_t>(0, machines);
+    const auto schedule =
+      MakeSettled(machines, *rc::gen::inRange<size_t>(1, 4), seed);
+    schedule->Crash(victim);
+    const MembershipSettings settings;
+    // Clocks differ by up to 2%; a fleet this small spreads in a few rounds.
+    const Duration judged =
+      settings.m_lease + settings.m_margin + settings.m_heartbeat;
+    const Duration bound = judged + judged / 50 + 2 * settings.m_heartbeat;
+    schedule->RunUntil(schedule->Now() + bound, kNoCheck);
+    RC_ASSERT(AllSeeDead(*schedule, *schedule->Machines()[victim]));
+    schedule->RunUntil(schedule->Now() + Seconds(2), kNoCheck);
+    RC_ASSERT(CountOwned(*schedule) == schedule->Upstreams().size());
+  }));
+}
+
+DOCTEST_TEST_CASE("an instance that was paused past its lease does not act on "
+                  "waking, takes a new incarnation and comes back")
+{
+  const auto schedule = MakeSettled(5, 3, 3);
+  const Machine& paused = *schedule->Machines()[2];
+  const BootId before = paused.m_membership->Self().m_incarnation;
+  DOCTEST_REQUIRE(TotalSlots(*schedule, paused) > 0);
+  schedule->Pause(2);
+  // Before the lease is over the others must not have taken anything.
+  schedule->RunUntil(schedule->Now() + Seconds(2), kNoCheck);
+  DOCTEST_CHECK(FindOverlap(*schedule).empty());
+  schedule->RunUntil(schedule->Now() + Seconds(8), kNoCheck);
+  DOCTEST_CHECK(TotalSlots(*schedule, paused) == 0);
+  DOCTEST_CHECK(CountOwned(*schedule) == schedule->Upstreams().size());
+  schedule->Resume(2);
+  DOCTEST_CHECK(TotalSlots(*schedule, paused) == 0);
+  schedule->RunUntil(schedule->Now() + Seconds(6), kNoCheck);
+  DOCTEST_CHECK(paused.m_membership->Self().m_incarnation > before);
+  DOCTEST_CHECK(TotalSlots(*schedule, paused) > 0);
+}
+
+DOCTEST_TEST_CASE("of two instances whose link is cut neither acts, until the "
+                  "link or the platform's list settles it")
+{
+  const auto schedule = MakeSettled(2, 1, 3);
+  DOCTEST_REQUIRE(HoldsLeaseNow(*schedule, 0));
+  schedule->Cut(0, 1);
+  schedule->Cut(1, 0);
+  schedule->RunUntil(schedule->Now() + Seconds(4), kNoCheck);
+  DOCTEST_CHECK_FALSE(HoldsLeaseNow(*schedule, 0));
+  DOCTEST_CHECK_FALSE(HoldsLeaseNow(*schedule, 1));
+  schedule->RunUntil(schedule->Now() + Seconds(60), kNoCheck);
+  DOCTEST_CHECK_FALSE(HoldsLeaseNow(*schedule, 0));
+  DOCTEST_CHECK_FALSE(HoldsLeaseNow(*schedule, 1));
+  schedule->Heal();
+  schedule->RunUntil(schedule->Now() + Seconds(10), kNoCheck);
+  DOCTEST_CHECK(HoldsLeaseNow(*schedule, 0));
+  DOCTEST_CHECK(CountOwned(*schedule) == schedule->Upstreams().size());
+  // One crashes: the other goes on once the list has dropped it.
+  schedule->Crash(1);
+  schedule->RunUntil(schedule->Now() + Seconds(30), kNoCheck);
+  DOCTEST_CHECK(HoldsLeaseNow(*schedule, 0));
+  DOCTEST_CHECK(CountOwned(*schedule) == schedule->Upstreams().size());
+}
+
+DOCTEST_TEST_CASE("an instance alone acts, and stops after a pause")
+{
+  const auto schedule = MakeSettled(1, 1, 3);
+  DOCTEST_CHECK(HoldsLeaseNow(*schedule, 0));
+  schedule->Pause(0);
+  schedule->RunUntil(schedule->Now() + Seconds(4), kNoCheck);
+  DOCTEST_CHECK_FALSE(HoldsLeaseNow(*schedule, 0));
+}
+
+DOCTEST_TEST_CASE(
+  "a graceful stop hands every upstream over without a wait and "
+  "without two holders")
+{
+  DOCTEST_CHECK(rc::check([] {
+    const auto machines = *rc::gen::inRange<size_t>(3, 9);
+    const auto seed = *rc::gen::arbitrary<uint32_t>();
+    const auto schedule =
+      MakeSettled(machines, *rc::gen::inRange<size_t>(1, 4), seed);
+    const auto leaving = *rc::gen::inRange<size_t>(0, machines);
+    std::string broken;
+    schedule->StopGracefully(leaving);
+    schedule->RunUntil(schedule->Now() + Milliseconds(500), [&] {
+      broken = broken.empty() ? FindOverlap(*schedule) : broken;
+    });
+    RC_ASSERT(broken.empty());
+    RC_ASSERT(TotalSlots(*schedule, *schedule->Machines()[leaving]) == 0U);
+    RC_ASSERT(CountOwned(*schedule) == schedule->Upstreams().size());
+    schedule->RunUntil(schedule->Now() + Seconds(4), kNoCheck);
+    RC_ASSERT(AllSeeDead(*schedule, *schedule->Machines()[leaving]));
+  }));
+}
+
+DOCTEST_TEST_CASE(
+  "regions that lose each other keep their leases and upstreams")
+{
+  Schedule schedule(ScheduleOptions{
+    .m_seed = 3, .m_machines = 8, .m_dataCentres = 4, .m_regions = 2 });
+  for (size_t index = 0; index < 8; ++index) {
+    schedule.Start(index);
+  }
+  std::string broken;
+  const auto check = [&] {
+    broken = broken.empty() ? FindOverlap(schedule) : broken;
+  };
+  schedule.RunUntil(Seconds(12), check);
+  for (size_t left = 0; left < 8; left += 2) {
+    for (size_t right = 1; right < 8; right += 2) {
+      schedule.Cut(left, right);
+      schedule.Cut(right, left);
+    }
+  }
+  for (int minute = 0; minute < 3; ++minute) {
+    schedule.RunUntil(schedule.Now() + Seconds(60), check);
+    DOCTEST_CHECK(CountOwned(schedule) == schedule.Upstreams().size());
+    for (size_t index = 0; index < 8; ++index) {
+      DOCTEST_CHECK(HoldsLeaseNow(schedule, index));
+    }
+  }
+  schedule.Heal();
+  schedule.RunUntil(schedule.Now() + Seconds(20), check);
+  DOCTEST_CHECK(CountOwned(schedule) == schedule.Upstreams().size());
+  DOCTEST_CHECK(broken == "");
+}
+
+DOCTEST_TEST_CASE("of three data centres one is lost: the rest goes on")
+{
+  const auto schedule = MakeSettled(9, 3, 4);
+  for (size_t index = 0; index < 9; index += 3) {
+    schedule->Crash(index);
+  }
+  schedule->RunUntil(schedule->Now() + Seconds(8), kNoCheck);
+  for (size_t index = 0; index < 9; index += 3) {
+    DOCTEST_CHECK(AllSeeDead(*schedule, *schedule->Machines()[index]));
+  }
+  for (const size_t index : { 1, 2, 4, 5, 7, 8 }) {
+    DOCTEST_CHECK(HoldsLeaseNow(*schedule, index));
+  }
+  DOCTEST_CHECK(CountOwned(*schedule) == schedule->Upstreams().size());
+}
+
+DOCTEST_TEST_CASE("no message is larger than 8 KiB")
+{
+  constexpr size_t kLargestMessage = 8192;
+  const auto schedule = MakeSettled(40, 3, 5);
+  for (size_t index = 0; index < 40; index += 3) {
+    schedule->Crash(index);
+  }
+  schedule->RunUntil(schedule->Now() + Seconds(10), kNoCheck);
+  DOCTEST_MESSAGE("largest: ", schedule->LargestMessage());
+  DOCTEST_CHECK(schedule->LargestMessage() < kLargestMessage);
+}
+
 } // namespace
 } // namespace ebonykeel
