Prove the gate's limits against an upstream that the test follows itself

Cause: the gate counted what it believed held; nothing compared that with what the upstream really works on, abandoned work included.

--- a/packages/core/upstream/upstream_gate_property_test.cc
+++ b/packages/core/upstream/upstream_gate_property_test.cc
@@ -206,6 +206,7 @@
     RC_ASSERT(m_idle + m_busy + m_closing <= kConnectionLimit / 2);
     uint32_t limit = m_answers < kAnswersPerStep ? 1 : kSlots;
     RC_ASSERT(RealWork() + Inherited() <= limit);
+    RC_ASSERT(RealWork() <= m_permit.m_allowed);
   }
 
   void TakeCancel(WorkId aWork)
