--- a/packages/core/filing/claim.cc
+++ b/packages/core/filing/claim.cc
@@ -5,6 +5,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/escaping.h"
+#include "core/base/stable_hash.h"
 #include "nlohmann/json.hpp"
 
 namespace ebonykeel {
@@ -162,19 +163,9 @@
 uint32_t
 BucketOf(const ClaimKey& aKey, uint32_t aBuckets)
 {
-  // FNV-1a: claims outlive the process, so the hash may not be seeded.
-  constexpr uint64_t kOffset = 14695981039346656037ULL;
-  constexpr uint64_t kPrime = 1099511628211ULL;
-  uint64_t hash = kOffset;
-  auto add = [&hash](std::string_view aText) {
-    for (char byte : aText) {
-      hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
-    }
-    hash = (hash ^ 0xFFU) * kPrime;
-  };
-  add(aKey.m_caller.View());
-  add(aKey.m_request.View());
-  return static_cast<uint32_t>((hash ^ (hash >> 32U)) % aBuckets);
+  uint64_t hash =
+    StableHash(aKey.m_request.View(), StableHash(aKey.m_caller.View()));
+  return static_cast<uint32_t>(hash % aBuckets);
 }
 
 } // namespace ebonykeel
--- a/packages/core/filing/filing_property_test.cc
+++ b/packages/core/filing/filing_property_test.cc
@@ -400,6 +400,9 @@
     attempt.m_answer = aAnswer;
     if (aAnswer.m_outcome == Outcome::kNotRun) {
       RC_ASSERT(!attempt.m_executed);
+      RC_ASSERT(aAnswer.m_earlierUnknown ||
+                !m_executed.contains(attempt.m_key));
+      RC_ASSERT(aAnswer.m_reason != FilingReason::kHeldByOther);
     }
     if (aAnswer.m_outcome == Outcome::kRan) {
       RC_ASSERT(m_executed.contains(attempt.m_key));
--- a/packages/core/filing/filing_run.cc
+++ b/packages/core/filing/filing_run.cc
@@ -277,7 +277,10 @@
 FilingRun::Refuse(FilingReason aReason, FilingActions& aActions)
 {
   m_state = State::kEnded;
-  Answer({ .m_outcome = Outcome::kNotRun, .m_reason = aReason }, aActions);
+  Answer({ .m_outcome = Outcome::kNotRun,
+           .m_reason = aReason,
+           .m_earlierUnknown = true },
+         aActions);
 }
 
 void
--- a/packages/core/filing/filing_run.h
+++ b/packages/core/filing/filing_run.h
@@ -112,6 +112,7 @@
 
 struct FilingAnswer
 {
+  // Whether this attempt ran, or with `kRan` an earlier one.
   Outcome m_outcome = Outcome::kNotRun;
   FilingReason m_reason = FilingReason::kNone;
   // With `kRefused`: why.
@@ -121,6 +122,9 @@
   bool m_repeated = false;
   // False when the recorded result was too long to be kept.
   bool m_resultKept = true;
+  // With `kNotRun`: no claim was read, so that an earlier attempt under the
+  // same id, if there was one, may have run.
+  bool m_earlierUnknown = false;
 };
 
 // Call `ClaimBatcher::Acquire`.
