Add the TCP relay stand-in

Tests of silent connections, cuts and delays need something between two ends. The relay forwards any number of targets in one process and can cut, freeze, silence one direction, silence the connections that are open while new ones work, and delay with jitter that keeps the order of bytes.

--- /dev/null
+++ b/packages/standins/relay/relay_policy_test.cc
@@ -0,0 +1,49 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "standins/relay/relay_policy.h"
+
+namespace ebonykeel::standins {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(Seconds(100));
+
+DOCTEST_TEST_CASE("silence takes one direction or the old connections")
+{
+  std::mt19937_64 random(7);
+  RelayPolicy policy(random);
+  DOCTEST_CHECK_FALSE(policy.Drops(Direction::kToTarget, 1));
+  policy.SetMode(RelayMode::kSilenceTo);
+  DOCTEST_CHECK(policy.Drops(Direction::kToTarget, 1));
+  DOCTEST_CHECK_FALSE(policy.Drops(Direction::kFromTarget, 1));
+  policy.SetMode(RelayMode::kPass);
+  policy.SilenceUpTo(2);
+  DOCTEST_CHECK(policy.Drops(Direction::kToTarget, 2));
+  DOCTEST_CHECK(policy.Drops(Direction::kFromTarget, 1));
+  DOCTEST_CHECK_FALSE(policy.Drops(Direction::kToTarget, 3));
+}
+
+DOCTEST_TEST_CASE("jitter never reorders bytes")
+{
+  std::mt19937_64 random(7);
+  RelayPolicy policy(random);
+  policy.SetDelay(Milliseconds(1), Milliseconds(5));
+  TimePoint previous = kStart;
+  for (int i = 0; i < 1000; ++i) {
+    TimePoint now = kStart + std::chrono::microseconds(10 * i);
+    TimePoint release = policy.ReleaseTime(now, previous);
+    DOCTEST_CHECK(release >= previous);
+    DOCTEST_CHECK(release >= now + Milliseconds(1));
+    previous = release;
+  }
+}
+
+DOCTEST_TEST_CASE("modes are named")
+{
+  DOCTEST_CHECK(ParseRelayMode("silence_from") == RelayMode::kSilenceFrom);
+  DOCTEST_CHECK_FALSE(ParseRelayMode("slow").has_value());
+}
+
+} // namespace
+} // namespace ebonykeel::standins
--- a/packages/standins/support/http_listener.cc
+++ b/packages/standins/support/http_listener.cc
@@ -1,16 +1,11 @@
 #include "standins/support/http_listener.h"
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <string>
 #include <utility>
 
-#include <uv.h>
-
 #include "absl/strings/ascii.h"
-#include "absl/strings/str_cat.h"
+#include "standins/support/sockets.h"
 
 namespace ebonykeel::standins {
 namespace {
@@ -68,14 +63,6 @@
     .then([&aStream, aBytes]() { return WriteForever(aStream, aBytes); });
 }
 
-// Makes the peer see a reset when `aStream` is closed.
-void
-AbortOnClose(kj::AsyncIoStream& aStream)
-{
-  linger option{ .l_onoff = 1, .l_linger = 0 };
-  aStream.setsockopt(SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-}
-
 } // namespace
 
 Reply
@@ -222,20 +209,12 @@
 absl::StatusOr<uint16_t>
 HttpListener::Listen(const Endpoint& aEndpoint)
 {
-  sockaddr_in address{};
-  if (uv_ip4_addr(aEndpoint.m_host.c_str(), aEndpoint.m_port, &address) != 0) {
-    return absl::InvalidArgumentError(
-      absl::StrCat(aEndpoint.m_host, " is not an IP number"));
-  }
-  kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions([&]() {
-    m_receiver = m_loop.Io()
-                   .provider->getNetwork()
-                   .getSockaddr(&address, sizeof(address))
-                   ->listen();
-  });
-  KJ_IF_MAYBE (exception, failure) {
-    return absl::UnavailableError(exception->getDescription().cStr());
+  absl::StatusOr<kj::Own<kj::ConnectionReceiver>> receiver =
+    ListenTcp(m_loop, aEndpoint);
+  if (!receiver.ok()) {
+    return receiver.status();
   }
+  m_receiver = kj::mv(*receiver);
   m_accepts = AcceptAll().eagerlyEvaluate(nullptr);
   return m_receiver->getPort();
 }
