--- a/packages/node/filing/filing_service.cc
+++ b/packages/node/filing/filing_service.cc
@@ -254,7 +254,9 @@
                        .m_payload = input.m_payload,
                        .m_shard = target->m_shard,
                        .m_upstream = target->m_upstream };
-  m_tasks.add(SendToOwner(std::move(request), aNotAfter).then(finish));
+  // kj keeps a reference to a callback that is an lvalue.
+  m_tasks.add(
+    SendToOwner(std::move(request), aNotAfter).then(std::move(finish)));
 }
 
 kj::Promise<DispatchResult>
--- a/packages/node/upstream/upstream_protocol.cc
+++ b/packages/node/upstream/upstream_protocol.cc
@@ -251,6 +251,7 @@
                           { "x-deadline-ms", DeadlineHeader(aRemaining) },
                           { "x-service", aRequest.m_service.Text() },
                           { "x-shard", aRequest.m_shard.Text() },
+                          { "x-caller", aRequest.m_caller.Text() },
                           { "x-operation", aRequest.m_operation } },
            .m_body = aRequest.m_payload };
 }
--- a/packages/node/upstream/upstream_service.cc
+++ b/packages/node/upstream/upstream_service.cc
@@ -25,6 +25,22 @@
 template<typename... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+// Returns what is known of a reply that was not believed, for the log.
+std::string
+DescribeReply(const HttpReply& aReply)
+{
+  constexpr size_t kShown = 120;
+  if (!aReply.m_status.ok()) {
+    return std::string(aReply.m_status.message());
+  }
+  return absl::StrCat("status ",
+                      aReply.m_response.m_status,
+                      ", ",
+                      aReply.m_response.m_body.size(),
+                      " bytes: ",
+                      aReply.m_response.m_body.substr(0, kShown));
+}
+
 // Whether the upstream may go on with work that ended like this.
 bool
 MayStillRun(UpstreamResultKind aKind)
@@ -325,7 +341,7 @@
     ++m_counters.m_badAnswers;
     LogEvent(Event::kUpstreamBadAnswer,
              { { "upstream", aUpstream.Text() },
-               { "problem", std::string(aReply.m_status.message()) } });
+               { "problem", DescribeReply(aReply) } });
   }
   if (MayStillRun(result.m_kind)) {
     FinishLater(*owned, found->second);
--- a/packages/runtime/peer/links.cc
+++ b/packages/runtime/peer/links.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <kj/debug.h>
+
 #include "absl/strings/str_cat.h"
 
 namespace ebonykeel {
@@ -17,19 +19,14 @@
   auto found = m_links.find(aAddress);
   if (found == m_links.end()) {
     auto link = kj::refcounted<Link>();
-    link->m_opening = Open(aAddress, *link).fork();
+    link->m_peer = Open(aAddress, *link).fork();
     found = m_links.emplace(std::string(aAddress), kj::mv(link)).first;
   }
   Link& link = *found->second;
-  KJ_IF_MAYBE (opening, link.m_opening) {
-    return opening->addBranch().then([held = kj::addRef(link)]() mutable {
-      return held->m_client->bootstrap().castAs<wire::Peer>();
-    });
-  }
-  return link.m_client->bootstrap().castAs<wire::Peer>();
+  return KJ_ASSERT_NONNULL(link.m_peer).addBranch().attach(kj::addRef(link));
 }
 
-kj::Promise<void>
+kj::Promise<wire::Peer::Client>
 PeerLinks::Open(std::string_view aAddress, Link& aLink)
 {
   std::string address(aAddress);
@@ -40,16 +37,33 @@
       return aParsed->connect().attach(kj::mv(aParsed));
     })
     .then(
-      [&aLink](kj::Own<kj::AsyncIoStream> aStream) {
+      [this, &aLink, address](kj::Own<kj::AsyncIoStream> aStream) {
         aLink.m_client = kj::heap<capnp::TwoPartyClient>(*aStream);
         aLink.m_stream = kj::mv(aStream);
+        aLink.m_disconnected =
+          aLink.m_client->onDisconnect()
+            .then([this, address, &aLink]() { DropLink(address, aLink); })
+            .eagerlyEvaluate(nullptr);
+        // Asked for once: the capability stays usable, if only to fail, when
+        // the connection is gone, whereas asking again would then throw.
+        return aLink.m_client->bootstrap().castAs<wire::Peer>();
       },
-      [this, address](kj::Exception&& aException) {
-        Drop(address);
+      [this, &aLink, address](
+        kj::Exception&& aException) -> wire::Peer::Client {
+        DropLink(address, aLink);
         kj::throwFatalException(kj::mv(aException));
       });
 }
 
+void
+PeerLinks::DropLink(const std::string& aAddress, const Link& aLink)
+{
+  auto found = m_links.find(aAddress);
+  if (found != m_links.end() && found->second.get() == &aLink) {
+    Drop(aAddress);
+  }
+}
+
 void
 PeerLinks::Drop(std::string_view aAddress)
 {
@@ -69,8 +83,8 @@
   : m_server(kj::mv(aPeer))
   , m_listening(nullptr)
 {
-  std::string address = absl::StrCat(
-    absl::string_view(aHost.data(), aHost.size()), ":", aPort);
+  std::string address =
+    absl::StrCat(absl::string_view(aHost.data(), aHost.size()), ":", aPort);
   m_receiver = aLoop.Io()
                  .provider->getNetwork()
                  .parseAddress(kj::StringPtr(address.c_str(), address.size()))
--- a/packages/runtime/peer/links.h
+++ b/packages/runtime/peer/links.h
@@ -42,11 +42,14 @@
   {
     kj::Own<kj::AsyncIoStream> m_stream;
     kj::Own<capnp::TwoPartyClient> m_client;
-    // Resolves when the connection is open; null afterwards.
-    kj::Maybe<kj::ForkedPromise<void>> m_opening;
+    // Resolves with the peer when the connection is open.
+    kj::Maybe<kj::ForkedPromise<wire::Peer::Client>> m_peer;
+    kj::Maybe<kj::Promise<void>> m_disconnected;
   };
 
-  kj::Promise<void> Open(std::string_view aAddress, Link& aLink);
+  kj::Promise<wire::Peer::Client> Open(std::string_view aAddress, Link& aLink);
+  // Drops `aLink` unless another link has taken its place.
+  void DropLink(const std::string& aAddress, const Link& aLink);
 
   Loop& m_loop;
   std::map<std::string, kj::Own<Link>, std::less<>> m_links;
--- a/packages/standins/upstream/upstream_service.cc
+++ b/packages/standins/upstream/upstream_service.cc
@@ -175,7 +175,9 @@
                                    { { "operation", operation },
                                      { "upstream", m_settings.m_id } } } })));
   };
-  return Run(aRequest, kj::Function<void()>(execute), answer);
+  // kj::Function keeps a reference to an lvalue, so both are moved.
+  return Run(
+    aRequest, kj::Function<void()>(kj::mv(execute)), kj::mv(answer));
 }
 
 kj::Promise<Reply>
