Report service-level burn

Cause: operators need to see, for each service, how fast its service level is used up and by what. Weighed: one ring for the whole window against two. A bucket takes 32 bytes, so a ring of 24 h with 1 min buckets takes 46,080 bytes a service and node, two rings of 60 and 96 buckets take 4,992 (arithmetic).

--- a/packages/core/config/configuration_tracker.cc
+++ b/packages/core/config/configuration_tracker.cc
@@ -15,7 +15,6 @@
 
 using internal::AttemptCall;
 using internal::AttemptStep;
-using internal::ChangeAttempt;
 using internal::CurrentRead;
 
 constexpr char kStoreSource[] = "store";
--- a/packages/core/config/configuration_tracker_test.cc
+++ b/packages/core/config/configuration_tracker_test.cc
@@ -176,6 +176,11 @@
     }
     return std::pair(reads, watches);
   };
+  Bench former;
+  former.Boot(1);
+  (void)former.m_tracker.SetWatcher(true, kStart);
+  DOCTEST_CHECK(former.m_tracker.SetWatcher(false, kStart).empty());
+  DOCTEST_CHECK(former.m_tracker.NextTimer() >= kStart + Seconds(60));
   auto [reads, watches] = callsInTenMinutes(false);
   DOCTEST_CHECK(reads <= 10);
   DOCTEST_CHECK(watches == 0);
--- /dev/null
+++ b/packages/core/slo/burn_counts.h
@@ -0,0 +1,86 @@
+// Counts of good and bad requests over sliding windows, in a ring of buckets.
+//
+//   BurnRing ring(Seconds(3600), 60);
+//   ring.Add(now, BurnCause::kLate);
+//   BurnCounts counts = ring.Count(now, Seconds(300));
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+// Why a request was not good.
+enum class BurnCause
+{
+  // It took longer than the latency target.
+  kLate,
+  // It covered too few shards.
+  kUncovered,
+  // It was refused and did not run.
+  kRefused,
+  // It failed, or its outcome is not known.
+  kFailed,
+};
+inline constexpr size_t kBurnCauses = 4;
+
+// Returns the stable name of `aCause`, such as "late".
+[[nodiscard]] std::string_view
+BurnCauseName(BurnCause aCause);
+
+struct BurnCounts
+{
+  uint64_t m_good = 0;
+  // By cause.
+  std::array<uint64_t, kBurnCauses> m_bad{};
+
+  [[nodiscard]] uint64_t Bad() const;
+  [[nodiscard]] uint64_t Total() const { return m_good + Bad(); }
+  void Add(const BurnCounts& aOther);
+
+  friend bool operator==(const BurnCounts&, const BurnCounts&) = default;
+};
+
+// Returns how fast the allowed share of bad requests is used up: 1 means
+// exactly as fast as `aObjective` allows, 0 that nothing is. `aObjective` is
+// in (0, 1).
+[[nodiscard]] double
+BurnRate(const BurnCounts& aCounts, double aObjective);
+
+// Counts over the newest `aSpan`, in `aBuckets` steps. Its size is fixed. Time
+// must not go back by more than the span.
+class BurnRing
+{
+public:
+  BurnRing(Duration aSpan, size_t aBuckets);
+
+  // Counts one request; good if there is no cause.
+  void Add(TimePoint aNow, std::optional<BurnCause> aCause);
+
+  // Returns the counts of the newest `aWindow`, at most the ring's span. Its
+  // start is exact to one bucket.
+  [[nodiscard]] BurnCounts Count(TimePoint aNow, Duration aWindow) const;
+
+  [[nodiscard]] Duration Span() const;
+
+private:
+  struct Bucket
+  {
+    int64_t m_number = -1;
+    uint32_t m_good = 0;
+    std::array<uint32_t, kBurnCauses> m_bad{};
+  };
+
+  [[nodiscard]] int64_t NumberOf(TimePoint aTime) const;
+
+  Duration m_width;
+  std::vector<Bucket> m_buckets;
+};
+
+} // namespace ebonykeel
