Bound the waits of the tracker's tests and clear the linter's findings

Cause: with the call timeouts switched off, the unit test looped until ctest stopped it in place of failing at once. Changed: the waits end after 60 s of the test's own time. Seen: lint clean for the tracker's files, both tracker tests pass.

--- a/packages/core/config/configuration_tracker_property_test.cc
+++ b/packages/core/config/configuration_tracker_property_test.cc
@@ -44,11 +44,11 @@
   int m_afterMs = 0;
 };
 
-void
-showValue(const Step& aStep, std::ostream& aOut)
+std::ostream&
+operator<<(std::ostream& aOut, const Step& aStep)
 {
-  aOut << "{" << aStep.m_kind << " at " << aStep.m_instance << " after "
-       << aStep.m_afterMs << " ms}";
+  return aOut << "{" << aStep.m_kind << " at " << aStep.m_instance << " after "
+              << aStep.m_afterMs << " ms}";
 }
 
 rc::Gen<Step>
@@ -318,7 +318,7 @@
     });
   }
 
-  void CheckWatch(int aAt, int aRun, WatchStore aWatch, TimePoint aEnd)
+  void CheckWatch(int aAt, int aRun, const WatchStore& aWatch, TimePoint aEnd)
   {
     if (m_outage) {
       return;
@@ -330,7 +330,8 @@
       return Reply(
         aAt, aRun, { aWatch.m_token, StoreStatus::kUnchanged, 0, "" }, 20);
     }
-    After(Milliseconds(20), [=, this] { CheckWatch(aAt, aRun, aWatch, aEnd); });
+    After(Milliseconds(20),
+          [=, this, watch = aWatch] { CheckWatch(aAt, aRun, watch, aEnd); });
   }
 
   void Do(int aAt, const WriteStore& aWrite)
@@ -345,7 +346,7 @@
         --m_loseReplies;
         return;
       }
-      Reply(aAt, run, std::move(reply), 20);
+      Reply(aAt, run, reply, 20);
     });
   }
 
@@ -380,15 +381,14 @@
   }
 
   // Delivers a reply, sometimes twice.
-  void Reply(int aAt, int aRun, StoreReply aReply, int aMaxDelayMs)
+  void Reply(int aAt, int aRun, const StoreReply& aReply, int aMaxDelayMs)
   {
     int copies = OneIn(8) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       int maxDelay = i == 0 ? aMaxDelayMs : 5000;
-      After(Delay(maxDelay), [=, this] {
+      After(Delay(maxDelay), [=, this, reply = aReply] {
         if (m_instances[aAt]->m_run == aRun) {
-          Perform(aAt,
-                  m_instances[aAt]->m_tracker->OnStoreReply(aReply, m_now));
+          Perform(aAt, m_instances[aAt]->m_tracker->OnStoreReply(reply, m_now));
         }
       });
     }
--- a/packages/core/config/configuration_tracker_test.cc
+++ b/packages/core/config/configuration_tracker_test.cc
@@ -93,6 +93,18 @@
       .at(0);
   }
 
+  // Advances until an action of this type is asked for, and returns all that
+  // were asked for on the way. Returns too when `aEnd` has passed.
+  template<typename Action>
+  ConfigurationActions TickUntil(TimePoint aEnd)
+  {
+    ConfigurationActions all;
+    while (m_now < aEnd && Only<Action>(all).empty()) {
+      std::ranges::move(Tick(), std::back_inserter(all));
+    }
+    return all;
+  }
+
   // Advances to the next timer.
   ConfigurationActions Tick()
   {
@@ -206,12 +218,10 @@
   Bench bench;
   bench.Boot(1);
   auto watch = Only<WatchStore>(bench.m_tracker.SetWatcher(true, kStart)).at(0);
-  ConfigurationActions actions;
-  while (Only<WatchStore>(actions).empty()) {
-    actions = bench.Tick();
-  }
+  ConfigurationActions actions =
+    bench.TickUntil<WatchStore>(kStart + Seconds(60));
   DOCTEST_CHECK(bench.m_now <= kStart + Milliseconds(3200));
-  DOCTEST_CHECK(Only<WatchStore>(actions)[0].m_token != watch.m_token);
+  DOCTEST_CHECK(Only<WatchStore>(actions).at(0).m_token != watch.m_token);
 }
 
 DOCTEST_TEST_CASE("a change is accepted and in force here at once")
@@ -272,11 +282,9 @@
   Bench bench;
   bench.Boot(1);
   (void)bench.StartWrite(Request(7, "mine"), 1);
-  std::vector<ChangeReply> replies;
-  while (replies.empty()) {
-    replies = Only<ChangeReply>(bench.Tick());
-  }
-  DOCTEST_CHECK(replies[0].m_outcome == ChangeOutcome::kUnknown);
+  auto replies =
+    Only<ChangeReply>(bench.TickUntil<ChangeReply>(kStart + Seconds(60)));
+  DOCTEST_CHECK(replies.at(0).m_outcome == ChangeOutcome::kUnknown);
   DOCTEST_CHECK(bench.m_now <= kStart + Seconds(8));
 }
 
@@ -285,13 +293,11 @@
   Bench bench;
   bench.Boot(1);
   (void)bench.m_tracker.RequestChange(Request(7, "mine"), bench.m_now);
-  std::vector<ChangeReply> replies;
-  while (replies.empty()) {
-    ConfigurationActions actions = bench.Tick();
-    DOCTEST_CHECK(Only<WriteStore>(actions).empty());
-    replies = Only<ChangeReply>(actions);
-  }
-  DOCTEST_CHECK(replies[0].m_outcome == ChangeOutcome::kStoreUnreachable);
+  ConfigurationActions actions =
+    bench.TickUntil<ChangeReply>(kStart + Seconds(60));
+  DOCTEST_CHECK(Only<WriteStore>(actions).empty());
+  DOCTEST_CHECK(Only<ChangeReply>(actions).at(0).m_outcome ==
+                ChangeOutcome::kStoreUnreachable);
 }
 
 DOCTEST_TEST_CASE("a change that names another base or was made is not made")
