--- a/packages/core/membership/detection.cc
+++ b/packages/core/membership/detection.cc
@@ -219,7 +219,7 @@
   dead.m_changingMonitors = false;
   dead.m_monitors.clear();
   dead.m_previousMonitors.clear();
-  TakeRecord(dead, aNow);
+  TakeRecord(dead, true, aNow);
 }
 
 bool
--- a/packages/core/membership/membership.cc
+++ b/packages/core/membership/membership.cc
@@ -156,7 +156,7 @@
     // Another process has had this name; the sender has to know.
     AddRecord(ack, aPing.m_sender.m_id);
   }
-  if (aPing.m_digest != ack.m_digest) {
+  if (aPing.m_digest != ack.m_digest && WantsSync(aPing.m_senderState)) {
     AddDiffering(ack, aPing.m_partDigests);
   }
   m_nextTick = std::min(m_nextTick, NextOwed(aNow));
@@ -190,7 +190,7 @@
   if (aAck.m_digest != Digest() && !aAck.m_partDigests.empty()) {
     const bool progress = digestBefore != Digest();
     peer.m_partDigests = aAck.m_partDigests;
-    peer.m_pingSoon |= progress || m_self.m_state == InstanceState::kJoining;
+    peer.m_pingSoon |= progress || !peer.m_sentParts;
   }
   ReviewMonitors(aNow);
   ActivateIfLeased(aNow);
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -251,6 +251,8 @@
     // A ping is owed at once: urgent news, or views that differ.
     bool m_pingSoon = false;
     std::vector<uint64_t> m_partDigests;
+    // The last ping to it compared the parts.
+    bool m_sentParts = false;
   };
 
   // This instance as monitor of another.
@@ -317,9 +319,10 @@
   [[nodiscard]] Gossip MakeGossip(const Peer* aPeer);
   void AddNews(Gossip& aGossip);
   void AddRecord(Gossip& aGossip, const InstanceId& aId) const;
+  [[nodiscard]] bool WantsSync(InstanceState aOtherState) const;
   void AddDiffering(Gossip& aGossip, std::span<const uint64_t> aTheirParts);
   void TakeGossip(const Gossip& aGossip, TimePoint aNow);
-  void TakeRecord(const InstanceRecord& aRecord, TimePoint aNow);
+  void TakeRecord(const InstanceRecord& aRecord, bool aIsNews, TimePoint aNow);
   void ReplaceRecord(Peer& aPeer,
                      const InstanceRecord& aRecord,
                      TimePoint aNow);
--- a/packages/core/membership/membership_test.cc
+++ b/packages/core/membership/membership_test.cc
@@ -251,5 +251,127 @@
   DOCTEST_CHECK(std::ranges::adjacent_find(dataCentres) == dataCentres.end());
 }
 
+// A target with the monitors "x", "y" and "z", as "a" sees it.
+InstanceRecord
+MakeWatched()
+{
+  InstanceRecord target = MakeRecord("t", 50);
+  target.m_monitorEpoch = 2;
+  target.m_monitors = { { InstanceId("x"), 1 },
+                        { InstanceId("y"), 1 },
+                        { InstanceId("z"), 1 } };
+  return target;
+}
+
+// Lets "a" hear of votes by these monitors, each for the epochs given, and
+// returns what it then takes the target for.
+InstanceState
+StateAfterVotes(const InstanceRecord& aTarget,
+                const std::vector<std::string_view>& aVoters,
+                uint32_t aFromEpoch,
+                uint32_t aToEpoch)
+{
+  Trio trio;
+  for (const char* name : { "x", "y", "z", "w" }) {
+    trio.Learn(MakeRecord(name, 1));
+  }
+  trio.Learn(aTarget);
+  Gossip message = MessageOf(trio.m_b);
+  for (const std::string_view voter : aVoters) {
+    message.m_suspicions.push_back(
+      { .m_monitor = { InstanceId(voter), 1 },
+        .m_target = { aTarget.m_id, aTarget.m_incarnation },
+        .m_fromEpoch = aFromEpoch,
+        .m_toEpoch = aToEpoch });
+  }
+  static_cast<void>(trio.m_a.OnPing(message, kStart));
+  return trio.m_a.View().Find(aTarget.m_id)->m_state;
+}
+
+DOCTEST_TEST_CASE(
+  "a death takes the votes of a quorum of the monitors that the "
+  "target named, for the epoch in which it named them")
+{
+  const InstanceRecord target = MakeWatched();
+  const auto kActive = InstanceState::kActive;
+  const auto kDead = InstanceState::kDead;
+  DOCTEST_CHECK(StateAfterVotes(target, { "x" }, 2, 2) == kActive);
+  DOCTEST_CHECK(StateAfterVotes(target, { "x", "w" }, 2, 2) == kActive);
+  DOCTEST_CHECK(StateAfterVotes(target, { "x", "y" }, 1, 1) == kActive);
+  DOCTEST_CHECK(StateAfterVotes(target, { "x", "y" }, 3, 3) == kActive);
+  DOCTEST_CHECK(StateAfterVotes(target, { "x", "y" }, 1, 2) == kDead);
+  DOCTEST_CHECK(StateAfterVotes(target, { "x", "y" }, 2, 3) == kDead);
+  InstanceRecord joining = target;
+  joining.m_state = InstanceState::kJoining;
+  DOCTEST_CHECK(StateAfterVotes(joining, { "x", "y", "z" }, 2, 2) ==
+                InstanceState::kJoining);
+  InstanceRecord changing = target;
+  changing.m_monitorEpoch = 3;
+  changing.m_changingMonitors = true;
+  changing.m_previousMonitors = target.m_monitors;
+  changing.m_monitors = { { InstanceId("w"), 1 }, { InstanceId("z"), 1 } };
+  DOCTEST_CHECK(StateAfterVotes(changing, { "x", "y" }, 2, 2) == kDead);
+  DOCTEST_CHECK(StateAfterVotes(changing, { "w" }, 3, 3) == kActive);
+  changing.m_changingMonitors = false;
+  DOCTEST_CHECK(StateAfterVotes(changing, { "x", "y" }, 2, 2) == kActive);
+}
+
+DOCTEST_TEST_CASE("while it changes monitors an instance needs the old ones, "
+                  "until they know of the new")
+{
+  Trio trio;
+  const auto ack = [&](const InstanceRecord& aFrom, TimePoint aAt) {
+    trio.Tick(aAt);
+    trio.Ack(aFrom, aAt, aAt);
+  };
+  const InstanceRecord added = MakeRecord("d", 40);
+  InstanceRecord left = trio.m_c;
+  left.m_state = InstanceState::kLeaving;
+  ++left.m_sequence;
+  trio.Learn(left);
+  trio.Learn(added);
+  const TimePoint changedAt = kStart + Seconds(1);
+  trio.Tick(changedAt);
+  DOCTEST_REQUIRE(trio.m_a.Self().m_changingMonitors);
+  const TimePoint before = trio.m_a.LeaseUntil();
+  ack(added, kStart + Seconds(2));
+  DOCTEST_CHECK(trio.m_a.LeaseUntil() == before);
+  DOCTEST_CHECK(trio.m_a.Self().m_changingMonitors);
+  ack(left, kStart + Milliseconds(2500));
+  DOCTEST_CHECK_FALSE(trio.m_a.Self().m_changingMonitors);
+  DOCTEST_CHECK(trio.m_a.LeaseUntil() > before);
+}
+
+DOCTEST_TEST_CASE(
+  "a monitor that voted acknowledges the same epoch no more, and "
+  "a later one again")
+{
+  Trio trio;
+  InstanceRecord target = MakeRecord("t", 50);
+  target.m_monitorEpoch = 1;
+  target.m_monitors = { { InstanceId("a"), trio.m_a.Self().m_incarnation },
+                        { InstanceId("x"), 1 } };
+  trio.Learn(target);
+  const MembershipSettings settings;
+  TimePoint now = kStart;
+  const TimePoint voted = kStart + settings.m_lease + settings.m_margin;
+  while (now < voted) {
+    now += Milliseconds(500);
+    trio.Tick(now);
+    trio.Ack(trio.m_b, now, now);
+    trio.Ack(trio.m_c, now, now);
+    DOCTEST_CHECK(trio.m_a.HoldsLease(now));
+    DOCTEST_CHECK(trio.m_a.IsSuspected(target.m_id) == (now >= voted));
+  }
+  const Gossip refused = trio.m_a.OnPing(MessageOf(target), now);
+  DOCTEST_CHECK(refused.m_suspectedEpoch == 1);
+  ++target.m_monitorEpoch;
+  ++target.m_sequence;
+  const Gossip granted = trio.m_a.OnPing(MessageOf(target), now);
+  DOCTEST_CHECK(granted.m_knownEpoch == 2);
+  DOCTEST_CHECK(granted.m_suspectedEpoch < 2);
+  DOCTEST_CHECK_FALSE(trio.m_a.IsSuspected(target.m_id));
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/core/membership/spreading.cc
+++ b/packages/core/membership/spreading.cc
@@ -26,6 +26,14 @@
   return StableHash(aId.View()) % Membership::kDigestParts;
 }
 
+// Returns whether `aRecord` tells of an end, of which all should know soon.
+bool
+IsUrgent(const InstanceRecord& aRecord)
+{
+  return aRecord.m_state == InstanceState::kLeaving ||
+         aRecord.m_state == InstanceState::kDead;
+}
+
 // Returns the keys of up to `aLimit` news that are sent most often still, and
 // counts one sending of each.
 template<typename Key>
@@ -183,6 +191,14 @@
   }
 }
 
+bool
+Membership::WantsSync(InstanceState aOtherState) const
+{
+  // While news is under way, views differ as a matter of course.
+  return m_recordNews.empty() || aOtherState == InstanceState::kJoining ||
+         m_self.m_state == InstanceState::kJoining;
+}
+
 void
 Membership::AddDiffering(Gossip& aGossip, std::span<const uint64_t> aTheirParts)
 {
@@ -215,8 +231,10 @@
 void
 Membership::TakeGossip(const Gossip& aGossip, TimePoint aNow)
 {
+  // Records that repair a difference between two views are news to few.
+  const bool isNews = aGossip.m_partDigests.empty();
   for (const InstanceRecord& record : aGossip.m_records) {
-    TakeRecord(record, aNow);
+    TakeRecord(record, isNews, aNow);
   }
   TakeStatus({ .m_instance = aGossip.m_sender,
                .m_statusSequence = aGossip.m_statusSequence,
@@ -239,7 +257,9 @@
 }
 
 void
-Membership::TakeRecord(const InstanceRecord& aRecord, TimePoint aNow)
+Membership::TakeRecord(const InstanceRecord& aRecord,
+                       bool aIsNews,
+                       TimePoint aNow)
 {
   if (aRecord.m_id == m_self.m_id) {
     RefuteOwnRecord(aRecord, aNow);
@@ -259,7 +279,9 @@
     ReplaceRecord(found->second, aRecord, aNow);
   }
   ToggleDigest(aRecord);
-  Spread(aRecord.m_id);
+  if (aIsNews || IsUrgent(aRecord)) {
+    Spread(aRecord.m_id);
+  }
   m_viewStale = true;
   UpdateWatch(aRecord, aNow);
 }
@@ -345,6 +367,7 @@
     AddDiffering(action.m_gossip, aPeer.m_partDigests);
     aPeer.m_partDigests.clear();
   }
+  aPeer.m_sentParts = !action.m_gossip.m_partDigests.empty();
   aPeer.m_pingSoon = false;
   aActions.push_back(std::move(action));
 }
--- a/packages/core/ownership/holder.cc
+++ b/packages/core/ownership/holder.cc
@@ -70,6 +70,7 @@
   m_records.clear();
   for (const InstanceRecord& record : aView.m_records) {
     m_records.emplace(record.m_id, record);
+    m_regionOf[record.m_dataCentre] = record.m_region;
   }
   m_generation = aConfiguration.m_generation;
   const std::shared_ptr<const OwnerMap> former =
@@ -89,6 +90,7 @@
         configured.insert(upstream.m_id);
         Entry& entry = m_entries[upstream.m_id];
         entry.m_slots = service.m_slots;
+        entry.m_dataCentre = upstream.m_dataCentre;
         entry.m_longestDeadline = service.m_deadline;
         const InstanceId& former = aFormer.OwnerOf(upstream.m_id);
         if (!former.empty() && former != m_owners->OwnerOf(upstream.m_id)) {
@@ -268,12 +270,16 @@
   // One that is joining may by now be active; a silent one never came so far.
   const bool joiningWaitedOut =
     aNow - aEntry.m_attemptStartedAt >= m_settings.m_joiningPatience;
+  const auto region = m_regionOf.find(aEntry.m_dataCentre);
+  const Region& upstreamRegion =
+    region == m_regionOf.end() ? m_region : region->second;
   for (const auto& [id, record] : m_records) {
     const bool mayHold = record.m_state == InstanceState::kJoining
                            ? !joiningWaitedOut
                            : record.m_state != InstanceState::kDead;
-    const bool concerned =
-      record.m_region == m_region || id == aEntry.m_formerOwner;
+    const bool concerned = record.m_region == m_region ||
+                           record.m_region == upstreamRegion ||
+                           id == aEntry.m_formerOwner;
     if (mayHold && concerned) {
       need({ id, record.m_incarnation }, record.m_peerAddress);
     }
--- a/packages/core/ownership/holder.h
+++ b/packages/core/ownership/holder.h
@@ -9,7 +9,8 @@
 //       holder.AllowedSlots(id, membership.CurrentLease(), now)) { ... }
 //
 // How an upstream changes hands. The instance that the owner map names asks
-// every instance of its region that is not dead, the upstream's former owner,
+// every instance of its and the upstream's region that is not dead, the
+// upstream's former owner,
 // and whoever lately asked for it. Each answers (of those that are joining only
 // for `m_joiningPatience`, since they hold nothing unless they became active
 // meanwhile):
@@ -185,6 +186,7 @@
   {
     // Configured, and named to be this instance's by its map or by a notice.
     bool m_wanted = false;
+    DataCentre m_dataCentre;
     // The last other instance that the map named.
     InstanceId m_formerOwner;
     TimePoint m_invitedUntil = TimePoint::min();
@@ -264,6 +266,7 @@
   std::shared_ptr<const OwnerMap> m_owners;
   Generation m_generation = 0;
   std::map<InstanceId, InstanceRecord> m_records;
+  std::map<DataCentre, Region> m_regionOf;
   uint64_t m_viewVersion = 0;
   std::map<UpstreamId, Entry> m_entries;
 };
