--- /dev/null
+++ b/packages/core/ownership/holder_test.cc
@@ -0,0 +1,265 @@
+#include "core/ownership/holder.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr Lease kLongLease{ .m_incarnation = 1, .m_until = TimePoint::max() };
+const UpstreamId kUpstream("u0");
+
+InstanceRecord
+MakeRecord(std::string_view aId)
+{
+  return { .m_id = InstanceId(aId),
+           .m_incarnation = 1,
+           .m_peerAddress = absl::StrCat(std::string(aId), ":1"),
+           .m_dataCentre = DataCentre("oviedo"),
+           .m_region = Region("north"),
+           .m_state = InstanceState::kActive };
+}
+
+Configuration
+MakeConfiguration()
+{
+  UpstreamConfig upstream{ .m_id = kUpstream,
+                           .m_dataCentre = DataCentre("oviedo") };
+  ShardConfig shard{ .m_name = ShardName("s"), .m_replicas = { upstream } };
+  return { .m_generation = 1,
+           .m_services = { { .m_name = ServiceName("desk"),
+                             .m_shards = { shard },
+                             .m_slots = 3,
+                             .m_deadline = Milliseconds(400) } } };
+}
+
+MembershipView
+MakeView(std::vector<InstanceRecord> aRecords)
+{
+  std::ranges::sort(aRecords, {}, &InstanceRecord::m_id);
+  return { .m_version = 1, .m_records = std::move(aRecords) };
+}
+
+// Shows a holder a view in which only `aOwner` can own the upstream.
+void
+ShowOwner(Holder& aHolder,
+          const MembershipView& aView,
+          std::string_view aOwner,
+          TimePoint aNow)
+{
+  const Configuration configuration = MakeConfiguration();
+  std::vector<InstanceRecord> eligible = aView.m_records;
+  std::erase_if(eligible, [&](const InstanceRecord& aRecord) {
+    return aRecord.m_id.View() != aOwner;
+  });
+  aHolder.OnView(std::make_shared<const OwnerMap>(
+                   BuildOwnerMap(configuration, eligible)),
+                 aView,
+                 configuration,
+                 aNow);
+}
+
+AcquireReply
+MakeReply(const AcquireAction& aAsk, AcquireOutcome aOutcome)
+{
+  AcquireReply reply{ .m_responder = { aAsk.m_target, 1 },
+                      .m_requesterIncarnation =
+                        aAsk.m_request.m_requester.m_incarnation };
+  for (const AcquireRequestItem& item : aAsk.m_request.m_items) {
+    reply.m_items.push_back({ .m_upstream = item.m_upstream,
+                              .m_attempt = item.m_attempt,
+                              .m_outcome = aOutcome });
+  }
+  return reply;
+}
+
+// "a" as owner of the upstream, with "b" and "c" in its view.
+struct Owner
+{
+  MembershipView m_view =
+    MakeView({ MakeRecord("a"), MakeRecord("b"), MakeRecord("c") });
+  Holder m_holder{ HolderSettings(), InstanceId("a") };
+  std::vector<AcquireAction> m_asks;
+
+  Owner()
+  {
+    ShowOwner(m_holder, m_view, "a", kStart);
+    m_asks = m_holder.Tick(kStart);
+  }
+
+  [[nodiscard]] uint32_t Slots(TimePoint aNow, Lease aLease = kLongLease) const
+  {
+    return m_holder.AllowedSlots(kUpstream, aLease, aNow);
+  }
+};
+
+DOCTEST_TEST_CASE("an owner starts when all have answered, with one slot until "
+                  "the longest deadline has passed")
+{
+  Owner owner;
+  DOCTEST_REQUIRE(owner.m_asks.size() == 2);
+  DOCTEST_CHECK(owner.m_holder.StateOf(kUpstream, kStart) ==
+                HoldState::kAcquiring);
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[0], AcquireOutcome::kNotHeld),
+                         kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 0);
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[1], AcquireOutcome::kNotHeld),
+                         kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 1);
+  DOCTEST_CHECK(owner.m_holder.StateOf(kUpstream, kStart) ==
+                HoldState::kRamping);
+  DOCTEST_CHECK(owner.Slots(kStart + Milliseconds(399)) == 1);
+  DOCTEST_CHECK(owner.Slots(kStart + Milliseconds(400)) == 3);
+}
+
+DOCTEST_TEST_CASE("the lease and its incarnation are checked at each sending")
+{
+  Owner owner;
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[0], AcquireOutcome::kReleased),
+                         kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 3);
+  const TimePoint until = kStart + Seconds(3);
+  DOCTEST_CHECK(owner.Slots(until - Milliseconds(1),
+                            { .m_incarnation = 1, .m_until = until }) == 3);
+  DOCTEST_CHECK(
+    owner.Slots(until, { .m_incarnation = 1, .m_until = until }) == 0);
+  DOCTEST_CHECK(owner.Slots(kStart, { .m_incarnation = 2, .m_until = until }) ==
+                0);
+}
+
+DOCTEST_TEST_CASE("a released upstream starts with the slots that the "
+                  "predecessor's requests leave, until they have ended")
+{
+  Owner owner;
+  AcquireReply reply = MakeReply(owner.m_asks[0], AcquireOutcome::kReleased);
+  reply.m_items[0].m_inFlight = 2;
+  reply.m_items[0].m_remaining = Milliseconds(200);
+  reply.m_items[0].m_warm = true;
+  owner.m_holder.OnReply(reply, kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 1);
+  DOCTEST_CHECK(owner.m_holder.WasWarm(kUpstream));
+  const TimePoint polled = kStart + Milliseconds(50);
+  const auto polls = owner.m_holder.Tick(polled);
+  DOCTEST_REQUIRE(polls.size() == 1);
+  DOCTEST_CHECK(polls[0].m_target == owner.m_asks[0].m_target);
+  owner.m_holder.OnReply(MakeReply(polls[0], AcquireOutcome::kNotHeld), polled);
+  DOCTEST_CHECK(owner.Slots(polled) == 3);
+}
+
+DOCTEST_TEST_CASE("answers to another attempt or incarnation, refusals and "
+                  "silence do not start an owner")
+{
+  Owner owner;
+  AcquireReply late = MakeReply(owner.m_asks[0], AcquireOutcome::kReleased);
+  ++late.m_items[0].m_attempt;
+  owner.m_holder.OnReply(late, kStart);
+  AcquireReply former = MakeReply(owner.m_asks[0], AcquireOutcome::kReleased);
+  ++former.m_requesterIncarnation;
+  owner.m_holder.OnReply(former, kStart);
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[0], AcquireOutcome::kRefused),
+                         kStart);
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[1], AcquireOutcome::kNotHeld),
+                         kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 0);
+  const auto again = owner.m_holder.Tick(kStart + HolderSettings().m_askEvery);
+  DOCTEST_REQUIRE(again.size() == 1);
+  DOCTEST_CHECK(again[0].m_target == owner.m_asks[0].m_target);
+}
+
+DOCTEST_TEST_CASE("who asked an answering instance before must be asked too")
+{
+  Owner owner;
+  AcquireReply reply = MakeReply(owner.m_asks[0], AcquireOutcome::kNotHeld);
+  reply.m_items[0].m_others.push_back(
+    { .m_instance = { InstanceId("z"), 5 }, .m_peerAddress = "z:1" });
+  owner.m_holder.OnReply(reply, kStart);
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[1], AcquireOutcome::kNotHeld),
+                         kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 0);
+  const auto asks = owner.m_holder.Tick(kStart);
+  DOCTEST_REQUIRE(asks.size() == 1);
+  DOCTEST_CHECK(asks[0].m_target == InstanceId("z"));
+  AcquireReply answer = MakeReply(asks[0], AcquireOutcome::kNotHeld);
+  answer.m_responder.m_incarnation = 5;
+  owner.m_holder.OnReply(answer, kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 1);
+}
+
+DOCTEST_TEST_CASE("a holder keeps what its map names as its own, releases the "
+                  "rest when asked, and repeats a lost release once")
+{
+  Owner owner;
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[0], AcquireOutcome::kReleased),
+                         kStart);
+  owner.m_holder.OnSent(kUpstream, kStart + Milliseconds(300));
+  AcquireRequest request{ .m_requester = { InstanceId("b"), 1 },
+                          .m_requesterPeerAddress = "b:1",
+                          .m_items = { { .m_upstream = kUpstream,
+                                         .m_attempt = 9 } } };
+  const auto ask = [&] {
+    return owner.m_holder.OnAcquire(request, kStart).m_items[0];
+  };
+  DOCTEST_CHECK(ask().m_outcome == AcquireOutcome::kRefused);
+  DOCTEST_CHECK(owner.Slots(kStart) == 3);
+
+  ShowOwner(owner.m_holder, owner.m_view, "b", kStart);
+  DOCTEST_CHECK(owner.Slots(kStart) == 3);
+  const AcquireReplyItem released = ask();
+  DOCTEST_CHECK(released.m_outcome == AcquireOutcome::kReleased);
+  DOCTEST_CHECK(released.m_attempt == 9);
+  DOCTEST_CHECK(released.m_inFlight == 1);
+  DOCTEST_CHECK(released.m_remaining == Milliseconds(300));
+  DOCTEST_CHECK(owner.Slots(kStart) == 0);
+  DOCTEST_CHECK(ask().m_outcome == AcquireOutcome::kReleased);
+  // Once the requester has held it, the release is used up.
+  request.m_items[0].m_heldEpoch = released.m_epoch + 1;
+  DOCTEST_CHECK(ask().m_outcome == AcquireOutcome::kNotHeld);
+}
+
+DOCTEST_TEST_CASE("a new incarnation holds nothing of the old one's")
+{
+  Owner owner;
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[0], AcquireOutcome::kReleased),
+                         kStart);
+  MembershipView view = owner.m_view;
+  view.m_records[0].m_incarnation = 2;
+  ShowOwner(owner.m_holder, view, "a", kStart);
+  DOCTEST_CHECK(
+    owner.Slots(kStart,
+                { .m_incarnation = 2, .m_until = TimePoint::max() }) == 0);
+}
+
+DOCTEST_TEST_CASE("a dead instance need not answer")
+{
+  Owner owner;
+  owner.m_holder.OnReply(MakeReply(owner.m_asks[0], AcquireOutcome::kNotHeld),
+                         kStart);
+  MembershipView view = owner.m_view;
+  view.m_records[2].m_state = InstanceState::kDead;
+  ShowOwner(owner.m_holder, view, "a", kStart);
+  static_cast<void>(owner.m_holder.Tick(kStart));
+  DOCTEST_CHECK(owner.Slots(kStart) == 1);
+}
+
+DOCTEST_TEST_CASE("a notice lets the successor ask before its view says so")
+{
+  Holder holder(HolderSettings(), InstanceId("a"));
+  const MembershipView view = MakeView({ MakeRecord("a"), MakeRecord("b") });
+  ShowOwner(holder, view, "b", kStart);
+  DOCTEST_CHECK(holder.Tick(kStart).empty());
+  holder.OnHandOver({ .m_sender = { InstanceId("b"), 1 },
+                      .m_senderPeerAddress = "b:1",
+                      .m_upstreams = { kUpstream } },
+                    kStart);
+  const auto asks = holder.Tick(kStart);
+  DOCTEST_REQUIRE(asks.size() == 1);
+  holder.OnReply(MakeReply(asks[0], AcquireOutcome::kReleased), kStart);
+  DOCTEST_CHECK(holder.AllowedSlots(kUpstream, kLongLease, kStart) == 3);
+}
+
+} // namespace
+} // namespace ebonykeel
