Check the query machine's promises under random faults

A simulated fleet under a paused clock loses, repeats, crosses, refuses and delays sub-answers, switches versions, repartitions, withdraws data centres and drains upstreams while queries run. One checker for each promise reads the recorded history and recomputes what the answer should say.

The first run hung: once the latency target had passed without sufficient coverage, the run stayed due at that time for ever; a shard that waited for a retry kept its old hedge time with the same effect. Both mended, and the world now reports a timer that does nothing and stays due.

Recovery (retries, hedges, restart) moves to a file of its own.

Seen red in query_run_test, each with the mechanism switched off: origin check of an answer, closed sub-queries, partial counted as partial, deadline timer, replaced try at a restart, hedge budget, retry budget, silence detection.

--- a/packages/core/query/query_run.cc
+++ b/packages/core/query/query_run.cc
@@ -11,17 +11,6 @@
 constexpr Duration kAnswerReserve = Milliseconds(3);
 // The largest part of the caller's time that is kept, as its divisor.
 constexpr int kAnswerReserveDivisor = 5;
-// A sub-query unanswered for this many hedge delays is taken for lost.
-constexpr int kSilentDelays = 4;
-constexpr Duration kShortestSilence = Milliseconds(20);
-// A sub-query is taken for lost after at most this part of the time left.
-constexpr int kSilenceDivisor = 3;
-// A restart on another snapshot needs this part of the query's time.
-constexpr int kRestartDivisor = 4;
-// Sub-queries sent for one shard on one snapshot.
-constexpr size_t kMostRequests = 4;
-// The wait before a replica that failed is asked again; doubles each time.
-constexpr Duration kRetryBackoff = Milliseconds(4);
 
 TimePoint
 AnswerBy(const QueryRequest& aRequest)
@@ -31,16 +20,6 @@
          std::min(kAnswerReserve, total / kAnswerReserveDivisor);
 }
 
-// Whether work refused for this reason never reached an upstream, so that
-// sending it elsewhere adds no load.
-bool
-MovesWithoutLoad(MissingReason aReason)
-{
-  return aReason == MissingReason::kWithdrawn ||
-         aReason == MissingReason::kVersionNotHeld ||
-         aReason == MissingReason::kNoOwner;
-}
-
 void
 Earlier(std::optional<TimePoint>& aNext, std::optional<TimePoint> aOther)
 {
@@ -267,79 +246,6 @@
   }
 }
 
-// Sends the shard to another replica, or to the same one after a pause, or
-// gives it up.
-void
-QueryRun::Recover(Position aPosition, TimePoint aNow, Actions& aActions)
-{
-  ServicePart& part = m_parts[aPosition.m_part];
-  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
-  shard.m_retryAt.reset();
-  if (shard.m_requests.size() >= kMostRequests) {
-    shard.m_givenUp = true;
-    return;
-  }
-  ReplicaChoice choice =
-    ChooseReplica(part, shard, Attempt::kRetry, false, aNow);
-  if (choice.m_replica != nullptr) {
-    bool allowed =
-      MovesWithoutLoad(shard.m_reason) || m_dependencies.m_retries.TryTake();
-    if (allowed) {
-      Send(aPosition, *choice.m_replica, Attempt::kRetry, aNow, aActions);
-    } else {
-      shard.m_givenUp = true;
-    }
-    return;
-  }
-  if (choice.m_reason == MissingReason::kVersionNotHeld &&
-      Restart(aPosition.m_part, aNow, aActions)) {
-    return;
-  }
-  RetryLater(part, shard, choice.m_reason, aNow);
-}
-
-void
-QueryRun::RetryLater(ServicePart& aPart,
-                     ShardState& aShard,
-                     MissingReason aReason,
-                     TimePoint aNow)
-{
-  Duration pause = kRetryBackoff * (1 << (aShard.m_requests.size() - 1));
-  ReplicaChoice again =
-    ChooseReplica(aPart, aShard, Attempt::kRetry, true, aNow);
-  bool late = aNow + pause >= m_answerBy;
-  if (again.m_replica == nullptr || late) {
-    bool better = aShard.m_reason == MissingReason::kNone ||
-                  aReason != MissingReason::kUnreachable;
-    aShard.m_reason = better ? aReason : aShard.m_reason;
-    aShard.m_givenUp = true;
-    return;
-  }
-  aShard.m_retryAt = aNow + pause;
-}
-
-bool
-QueryRun::Restart(size_t aPart, TimePoint aNow, Actions& aActions)
-{
-  ServicePart& part = m_parts[aPart];
-  Duration total = m_answerBy - m_request.m_arrival;
-  if (part.m_abandoned || m_answerBy - aNow < total / kRestartDivisor) {
-    return false;
-  }
-  std::optional<ServiceSnapshot> other =
-    m_dependencies.m_snapshots.PinOther(part.m_try.m_snapshot, aNow);
-  if (!other) {
-    return false;
-  }
-  for (ShardState& shard : part.m_try.m_shards) {
-    CancelOpen(part, shard, aNow, aActions);
-  }
-  part.m_abandoned = std::exchange(part.m_try, ServiceTry(*other));
-  ++m_counts.m_restarts;
-  SendFirst(aPart, aNow, aActions);
-  return true;
-}
-
 void
 QueryRun::CancelOpen(const ServicePart& aPart,
                      ShardState& aShard,
@@ -361,49 +267,6 @@
   }
 }
 
-ReplicaChoice
-QueryRun::ChooseReplica(const ServicePart& aPart,
-                        const ShardState& aShard,
-                        Attempt aAttempt,
-                        bool aAgain,
-                        TimePoint aNow)
-{
-  std::vector<UpstreamId> excluded;
-  if (!aAgain) {
-    excluded = aShard.Tried();
-  }
-  IndexVersion version = aPart.m_try.m_snapshot.Version();
-  size_t behind = 0;
-  size_t allowed = 0;
-  for (const UpstreamConfig& replica : aShard.m_shard->m_replicas) {
-    if (!m_dependencies.m_selector.Allows(replica)) {
-      continue;
-    }
-    ++allowed;
-    if (!m_dependencies.m_snapshots.MayHold(replica.m_id, version, aNow)) {
-      ++behind;
-      excluded.push_back(replica.m_id);
-    }
-  }
-  if (allowed > 0 && behind == allowed) {
-    return { nullptr, MissingReason::kVersionNotHeld };
-  }
-  return m_dependencies.m_selector.Choose(
-    *aShard.m_shard, excluded, aAttempt, aNow);
-}
-
-Duration
-QueryRun::SilentAfter(const ServicePart& aPart, TimePoint aNow) const
-{
-  Duration longest = (m_answerBy - aNow) / kSilenceDivisor;
-  const ServiceName& service = aPart.m_try.m_snapshot.m_service->m_name;
-  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
-  if (!delay) {
-    return longest;
-  }
-  return std::min(longest, std::max(*delay * kSilentDelays, kShortestSilence));
-}
-
 std::vector<QueryAction>
 QueryRun::OnTimer(TimePoint aNow)
 {
@@ -419,122 +282,6 @@
   return actions;
 }
 
-// Sends retries whose pause is over, and retries for what fell silent.
-void
-QueryRun::CheckShardTimers(TimePoint aNow, Actions& aActions)
-{
-  for (size_t part = 0; part < m_parts.size(); ++part) {
-    if (m_parts[part].m_done) {
-      continue;
-    }
-    for (size_t index = 0; index < m_parts[part].m_try.m_shards.size();
-         ++index) {
-      CheckShardTimer({ part, index }, aNow, aActions);
-    }
-  }
-}
-
-void
-QueryRun::CheckShardTimer(Position aPosition, TimePoint aNow, Actions& aActions)
-{
-  ServicePart& part = m_parts[aPosition.m_part];
-  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
-  if (shard.Settled()) {
-    return;
-  }
-  if (shard.m_retryAt && *shard.m_retryAt <= aNow) {
-    RetrySame(aPosition, aNow, aActions);
-    return;
-  }
-  bool fellSilent = false;
-  for (SubRequest& request : shard.m_requests) {
-    bool due =
-      request.m_open && !request.m_silent && request.m_silentAt <= aNow;
-    if (due) {
-      request.m_silent = true;
-      fellSilent = true;
-      m_dependencies.m_selector.OnSilent(request.m_upstream, aNow);
-    }
-  }
-  bool allSilent = std::ranges::all_of(shard.m_requests, [](const auto& aOne) {
-    return !aOne.m_open || aOne.m_silent;
-  });
-  if (fellSilent && allSilent && shard.m_requests.size() < kMostRequests) {
-    ReplicaChoice choice =
-      ChooseReplica(part, shard, Attempt::kRetry, false, aNow);
-    if (choice.m_replica != nullptr && m_dependencies.m_retries.TryTake()) {
-      Send(aPosition, *choice.m_replica, Attempt::kRetry, aNow, aActions);
-    }
-  }
-}
-
-void
-QueryRun::RetrySame(Position aPosition, TimePoint aNow, Actions& aActions)
-{
-  ServicePart& part = m_parts[aPosition.m_part];
-  ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
-  shard.m_retryAt.reset();
-  ReplicaChoice choice =
-    ChooseReplica(part, shard, Attempt::kRetry, true, aNow);
-  if (choice.m_replica != nullptr && m_dependencies.m_retries.TryTake()) {
-    Send(aPosition, *choice.m_replica, Attempt::kRetry, aNow, aActions);
-    return;
-  }
-  shard.m_givenUp = true;
-}
-
-// Hedges the shards that are overdue, if they are so few that stragglers and
-// not a general slowness must be the cause.
-void
-QueryRun::SendHedges(TimePoint aNow, Actions& aActions)
-{
-  std::vector<Position> overdue;
-  for (size_t part = 0; part < m_parts.size(); ++part) {
-    if (m_parts[part].m_done) {
-      continue;
-    }
-    const std::vector<ShardState>& shards = m_parts[part].m_try.m_shards;
-    for (size_t index = 0; index < shards.size(); ++index) {
-      const ShardState& shard = shards[index];
-      bool due = !shard.Settled() && shard.Waiting() && shard.m_hedgeAt &&
-                 *shard.m_hedgeAt <= aNow;
-      if (due) {
-        overdue.push_back({ part, index });
-      }
-    }
-  }
-  HedgePolicy& hedges = m_dependencies.m_hedges;
-  bool general = overdue.size() > hedges.QueryCap(Shards());
-  for (Position position : overdue) {
-    ServicePart& part = m_parts[position.m_part];
-    ShardState& shard = part.m_try.m_shards[position.m_shard];
-    shard.m_hedgeAt.reset();
-    if (general) {
-      Postpone(part, shard, aNow);
-      continue;
-    }
-    if (shard.m_requests.size() >= kMostRequests) {
-      continue;
-    }
-    ReplicaChoice choice =
-      ChooseReplica(part, shard, Attempt::kHedge, false, aNow);
-    if (choice.m_replica != nullptr &&
-        hedges.TryTake(m_counts.m_hedges, Shards())) {
-      Send(position, *choice.m_replica, Attempt::kHedge, aNow, aActions);
-    }
-  }
-}
-
-void
-QueryRun::Postpone(const ServicePart& aPart, ShardState& aShard, TimePoint aNow)
-{
-  const ServiceName& service = aPart.m_try.m_snapshot.m_service->m_name;
-  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
-  if (delay) {
-    aShard.m_hedgeAt = aNow + *delay;
-  }
-}
-
 bool
 QueryRun::PartDone(const ServicePart& aPart, TimePoint aNow) const
 {
@@ -558,6 +305,7 @@
 QueryRun::SettleParts(TimePoint aNow, Actions& aActions)
 {
   for (ServicePart& part : m_parts) {
+    part.m_targetPassed = aNow >= part.m_latencyTarget;
     if (part.m_done || !PartDone(part, aNow)) {
       continue;
     }
@@ -583,7 +331,7 @@
     if (part.m_done) {
       continue;
     }
-    if (part.m_preference == Preference::kLatency) {
+    if (part.m_preference == Preference::kLatency && !part.m_targetPassed) {
       Earlier(next, part.m_latencyTarget);
     }
     for (const ShardState& shard : part.m_try.m_shards) {
--- a/packages/core/query/query_run.h
+++ b/packages/core/query/query_run.h
@@ -159,6 +159,7 @@
     std::optional<ServiceTry> m_abandoned;
     Preference m_preference = Preference::kCoverage;
     TimePoint m_latencyTarget;
+    bool m_targetPassed = false;
     bool m_done = false;
   };
   // Where a sub-query belongs.
@@ -195,6 +196,7 @@
                   ShardState& aShard,
                   MissingReason aReason,
                   TimePoint aNow);
+  void RetrySilent(Position aPosition, TimePoint aNow, Actions& aActions);
   void RetrySame(Position aPosition, TimePoint aNow, Actions& aActions);
   [[nodiscard]] bool Restart(size_t aPart, TimePoint aNow, Actions& aActions);
   void CancelOpen(const ServicePart& aPart,
@@ -204,7 +206,10 @@
   void CheckShardTimers(TimePoint aNow, Actions& aActions);
   void CheckShardTimer(Position aPosition, TimePoint aNow, Actions& aActions);
   void SendHedges(TimePoint aNow, Actions& aActions);
-  void Postpone(const ServicePart& aPart, ShardState& aShard, TimePoint aNow);
+  void SendHedge(Position aPosition, TimePoint aNow, Actions& aActions);
+  void Postpone(Position aPosition, TimePoint aNow);
+  [[nodiscard]] std::vector<Position> Overdue(TimePoint aNow) const;
+  [[nodiscard]] bool MarkSilent(ShardState& aShard, TimePoint aNow);
   void SettleParts(TimePoint aNow, Actions& aActions);
   [[nodiscard]] ReplicaChoice ChooseReplica(const ServicePart& aPart,
                                             const ShardState& aShard,
--- /dev/null
+++ b/packages/core/query/query_run_test.cc
@@ -0,0 +1,111 @@
+#include "core/query/query_run.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "core/query/testing/world.h"
+
+namespace ebonykeel {
+namespace {
+
+using testing::Breaches;
+using testing::Faults;
+using testing::History;
+using testing::World;
+
+constexpr size_t kQueries = 12;
+constexpr QuantileHedgingOptions kHedging{ .m_quantile = 0.9,
+                                           .m_budgetShare = 0.05,
+                                           .m_budgetBurst = 10,
+                                           .m_minimumSamples = 20 };
+constexpr double kSomeRetryShare = 0.1;
+constexpr double kSomeRetryBurst = 30;
+
+History
+RunWorld(const Faults& aFaults)
+{
+  QuantileHedging hedges(kHedging);
+  RetryBudget retries(kSomeRetryShare, kSomeRetryBurst);
+  return World(aFaults, hedges, retries).Run(kQueries);
+}
+
+Faults
+AnyFaults()
+{
+  auto percent = [](int aMost) { return *rc::gen::inRange(0, aMost); };
+  return { .m_seed = *rc::gen::arbitrary<uint64_t>(),
+           .m_lost = percent(15),
+           .m_repeated = percent(30),
+           .m_crossed = percent(20),
+           .m_refused = percent(25),
+           .m_partial = percent(15),
+           .m_straggling = percent(10),
+           .m_newVersion = *rc::gen::arbitrary<bool>(),
+           .m_repartition = *rc::gen::arbitrary<bool>(),
+           .m_withdrawal = *rc::gen::arbitrary<bool>(),
+           .m_drain = *rc::gen::arbitrary<bool>(),
+           .m_preference =
+             *rc::gen::element(Preference::kCoverage, Preference::kLatency) };
+}
+
+void
+Expect(const Breaches& aBreaches)
+{
+  if (!aBreaches.empty()) {
+    RC_FAIL(aBreaches.front());
+  }
+}
+
+DOCTEST_TEST_CASE("every promise holds under random faults and changes")
+{
+  DOCTEST_CHECK(rc::check("query promises", [] {
+    History history = RunWorld(AnyFaults());
+    Expect(CheckSingleSnapshot(history));
+    Expect(CheckTrueCoverage(history));
+    Expect(CheckOwnAnswer(history));
+    Expect(CheckAnsweredByDeadline(history));
+    Expect(CheckNoWorkWhereTakenOut(history));
+  }));
+}
+
+DOCTEST_TEST_CASE("hedges and retries stay within their budgets")
+{
+  DOCTEST_CHECK(rc::check("extra load", [] {
+    // Moves away from where no work was done are free of budget, so here
+    // nothing is refused or changed, only lost, late and partial.
+    Faults faults{ .m_seed = *rc::gen::arbitrary<uint64_t>(),
+                   .m_lost = *rc::gen::inRange(0, 60),
+                   .m_partial = *rc::gen::inRange(0, 60),
+                   .m_straggling = *rc::gen::inRange(0, 60) };
+    Expect(CheckExtraLoad(RunWorld(faults),
+                          kHedging.m_budgetShare,
+                          kHedging.m_budgetBurst,
+                          kSomeRetryShare,
+                          kSomeRetryBurst));
+  }));
+}
+
+bool
+AllWhole(const History& aHistory)
+{
+  return std::ranges::all_of(aHistory.m_events, [](const auto& aEvent) {
+    return aEvent.m_kind != testing::Event::Kind::kFinish ||
+           aEvent.m_finish.Whole();
+  });
+}
+
+DOCTEST_TEST_CASE("without faults every answer is whole")
+{
+  DOCTEST_CHECK(AllWhole(RunWorld({})));
+}
+
+DOCTEST_TEST_CASE("a withdrawn data centre leaves every answer whole")
+{
+  DOCTEST_CHECK(rc::check("withdrawal", [] {
+    uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+    RC_ASSERT(AllWhole(RunWorld({ .m_seed = seed, .m_withdrawal = true })));
+  }));
+}
+
+} // namespace
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/query/testing/history.cc
@@ -0,0 +1,296 @@
+#include "core/query/testing/history.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace ebonykeel::testing {
+namespace {
+
+using Kind = Event::Kind;
+// The shard maps of all configurations, by service and index version.
+using ShardMaps =
+  std::map<std::pair<ServiceName, IndexVersion>, std::set<ShardName>>;
+
+struct Origin
+{
+  std::string m_text;
+  std::string m_service;
+  IndexVersion m_version = 0;
+  std::string m_shard;
+};
+
+Origin
+OriginOf(const Hit& aHit)
+{
+  std::vector<std::string> parts = absl::StrSplit(aHit.m_document, '|');
+  parts.resize(4);
+  return { parts[0], parts[1], std::stoull("0" + parts[2]), parts[3] };
+}
+
+ShardMaps
+MapsOf(const History& aHistory)
+{
+  ShardMaps maps;
+  for (const Event& event : aHistory.m_events) {
+    if (event.m_kind != Kind::kConfiguration) {
+      continue;
+    }
+    for (const ServiceConfig& service : event.m_configuration->m_services) {
+      for (const ShardConfig& shard : service.m_shards) {
+        maps[{ service.m_name, service.m_indexVersion }].insert(shard.m_name);
+      }
+    }
+  }
+  return maps;
+}
+
+// Calls `aCheck(finish event, service answer)` for each part of each answer.
+template<typename Check>
+void
+ForEachPart(const History& aHistory, Check aCheck)
+{
+  for (const Event& event : aHistory.m_events) {
+    if (event.m_kind == Kind::kFinish) {
+      for (const ServiceAnswer& part : event.m_finish.m_services) {
+        aCheck(event, part);
+      }
+    }
+  }
+}
+
+struct Searched
+{
+  std::set<ShardName> m_whole;
+  std::set<ShardName> m_partial;
+};
+
+// Recomputes from the events which shards `aQuery` had searched at `aVersion`.
+Searched
+SearchedShards(const History& aHistory,
+               size_t aQuery,
+               const ServiceName& aService,
+               IndexVersion aVersion)
+{
+  Searched searched;
+  std::map<std::string, SubQuery> open;
+  for (const Event& event : aHistory.m_events) {
+    if (event.m_query != aQuery) {
+      continue;
+    }
+    if (event.m_kind == Kind::kSend) {
+      open.emplace(event.m_send.m_subQuery.m_id, event.m_send.m_subQuery);
+    }
+    if (event.m_kind == Kind::kCancel) {
+      open.erase(event.m_cancelled);
+    }
+    auto sent = open.find(event.m_answer.m_id);
+    if (event.m_kind != Kind::kDeliver || sent == open.end()) {
+      continue;
+    }
+    SubQuery asked = sent->second;
+    open.erase(sent);
+    const SubAnswer& answer = event.m_answer;
+    bool counts = answer.m_reason == MissingReason::kNone &&
+                  answer.m_upstream == asked.m_upstream &&
+                  answer.m_shard == asked.m_shard &&
+                  answer.m_indexVersion == asked.m_indexVersion &&
+                  asked.m_service == aService &&
+                  asked.m_indexVersion == aVersion;
+    if (counts) {
+      (answer.m_whole ? searched.m_whole : searched.m_partial)
+        .insert(asked.m_shard);
+    }
+  }
+  return searched;
+}
+
+} // namespace
+
+Hit
+HitFor(const SubQuery& aSubQuery, double aScore)
+{
+  return { .m_document = absl::StrCat(aSubQuery.m_text,
+                                      "|",
+                                      aSubQuery.m_service.Text(),
+                                      "|",
+                                      aSubQuery.m_indexVersion,
+                                      "|",
+                                      aSubQuery.m_shard.Text()),
+           .m_score = aScore };
+}
+
+Breaches
+CheckSingleSnapshot(const History& aHistory)
+{
+  Breaches breaches;
+  ShardMaps maps = MapsOf(aHistory);
+  ForEachPart(aHistory, [&](const Event&, const ServiceAnswer& aPart) {
+    const auto& map = maps[{ aPart.m_service, aPart.m_indexVersion }];
+    if (aPart.m_coverage.m_shards != map.size()) {
+      breaches.push_back(absl::StrCat("not the version's shard map: ",
+                                      aPart.m_coverage.m_shards));
+    }
+    for (const Hit& hit : aPart.m_hits) {
+      Origin origin = OriginOf(hit);
+      bool same = origin.m_version == aPart.m_indexVersion &&
+                  map.contains(ShardName(origin.m_shard));
+      if (!same) {
+        breaches.push_back(absl::StrCat("mixed in: ", hit.m_document));
+      }
+    }
+  });
+  return breaches;
+}
+
+Breaches
+CheckTrueCoverage(const History& aHistory)
+{
+  Breaches breaches;
+  ShardMaps maps = MapsOf(aHistory);
+  ForEachPart(aHistory, [&](const Event& aEvent, const ServiceAnswer& aPart) {
+    Searched searched = SearchedShards(
+      aHistory, aEvent.m_query, aPart.m_service, aPart.m_indexVersion);
+    std::set<ShardName> missing =
+      maps[{ aPart.m_service, aPart.m_indexVersion }];
+    std::erase_if(missing, [&](const ShardName& aShard) {
+      return searched.m_whole.contains(aShard);
+    });
+    std::set<ShardName> stated;
+    for (const MissingShard& shard : aPart.m_coverage.m_missing) {
+      bool partial = searched.m_partial.contains(shard.m_shard);
+      bool reasoned = shard.m_reason != MissingReason::kNone;
+      if (!stated.insert(shard.m_shard).second || partial == reasoned ||
+          shard.m_partial != partial) {
+        breaches.push_back(
+          absl::StrCat("wrong missing shard ", shard.m_shard.Text()));
+      }
+    }
+    if (stated != missing ||
+        aPart.m_coverage.m_answered != searched.m_whole.size()) {
+      breaches.push_back(absl::StrCat("stated answered ",
+                                      aPart.m_coverage.m_answered,
+                                      ", searched ",
+                                      searched.m_whole.size()));
+    }
+  });
+  return breaches;
+}
+
+Breaches
+CheckOwnAnswer(const History& aHistory)
+{
+  Breaches breaches;
+  ForEachPart(aHistory, [&](const Event& aEvent, const ServiceAnswer& aPart) {
+    const QueryRequest& request = aHistory.m_queries[aEvent.m_query];
+    std::set<std::string> seen;
+    for (const Hit& hit : aPart.m_hits) {
+      Origin origin = OriginOf(hit);
+      bool own = origin.m_text == request.m_text &&
+                 origin.m_service == aPart.m_service.Text() &&
+                 seen.insert(hit.m_document).second;
+      if (!own) {
+        breaches.push_back(
+          absl::StrCat(request.m_text, " got ", hit.m_document));
+      }
+    }
+    if (aEvent.m_finish.m_requestId != request.m_requestId) {
+      breaches.emplace_back("another request's answer");
+    }
+  });
+  return breaches;
+}
+
+Breaches
+CheckAnsweredByDeadline(const History& aHistory)
+{
+  Breaches breaches;
+  std::vector<int> answers(aHistory.m_queries.size(), 0);
+  for (const Event& event : aHistory.m_events) {
+    if (event.m_kind == Kind::kFinish) {
+      ++answers[event.m_query];
+      if (event.m_at >= aHistory.m_queries[event.m_query].m_deadline) {
+        breaches.emplace_back("answered after the deadline");
+      }
+    }
+    bool acts = event.m_kind == Kind::kSend || event.m_kind == Kind::kCancel;
+    if (acts && answers[event.m_query] > 0) {
+      breaches.emplace_back("acted after its answer");
+    }
+  }
+  if (std::ranges::any_of(answers, [](int aCount) { return aCount != 1; })) {
+    breaches.emplace_back("not answered exactly once");
+  }
+  if (aHistory.m_timersStillDue > 0) {
+    breaches.emplace_back("a timer does nothing and stays due");
+  }
+  return breaches;
+}
+
+Breaches
+CheckExtraLoad(const History& aHistory,
+               double aHedgeShare,
+               double aHedgeBurst,
+               double aRetryShare,
+               double aRetryBurst)
+{
+  Breaches breaches;
+  std::set<std::string> ids;
+  std::map<std::string, size_t> asked;
+  std::map<Attempt, double> sent;
+  for (const Event& event : aHistory.m_events) {
+    if (event.m_kind != Kind::kSend) {
+      continue;
+    }
+    const SubQuery& subQuery = event.m_send.m_subQuery;
+    ++sent[event.m_send.m_attempt];
+    std::string shard =
+      absl::StrCat(event.m_query, HitFor(subQuery, 0).m_document);
+    if (!ids.insert(subQuery.m_id).second || ++asked[shard] > 4) {
+      breaches.push_back(absl::StrCat("sent too often: ", shard));
+    }
+    // Bounds hold at each prefix; the first attempts of the query that sends
+    // are all before its hedges and retries.
+    double first = sent[Attempt::kFirst];
+    if (sent[Attempt::kHedge] > aHedgeShare * first + aHedgeBurst) {
+      breaches.emplace_back("too many hedges");
+    }
+    if (sent[Attempt::kRetry] > aRetryShare * first + aRetryBurst) {
+      breaches.emplace_back("too many retries");
+    }
+  }
+  return breaches;
+}
+
+Breaches
+CheckNoWorkWhereTakenOut(const History& aHistory)
+{
+  Breaches breaches;
+  ConfigurationPtr inForce;
+  std::map<UpstreamId, DataCentre> places;
+  for (const Event& event : aHistory.m_events) {
+    if (event.m_kind == Kind::kConfiguration) {
+      inForce = event.m_configuration;
+      for (const ServiceConfig& service : inForce->m_services) {
+        for (const ShardConfig& shard : service.m_shards) {
+          for (const UpstreamConfig& replica : shard.m_replicas) {
+            places[replica.m_id] = replica.m_dataCentre;
+          }
+        }
+      }
+    }
+    if (event.m_kind != Kind::kSend) {
+      continue;
+    }
+    const UpstreamId& upstream = event.m_send.m_subQuery.m_upstream;
+    bool out = inForce->m_drainedUpstreams.contains(upstream) ||
+               inForce->m_withdrawnDataCentres.contains(places[upstream]);
+    if (out) {
+      breaches.push_back(absl::StrCat("sent to ", upstream.Text()));
+    }
+  }
+  return breaches;
+}
+
+} // namespace ebonykeel::testing
--- /dev/null
+++ b/packages/core/query/testing/world.h
@@ -0,0 +1,70 @@
+// A simulated fleet under a paused clock that answers, loses, repeats, crosses
+// and refuses sub-queries, and changes its configuration while queries run.
+// For tests only; the same parameters give the same history.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "core/query/testing/history.h"
+
+namespace ebonykeel::testing {
+
+// What goes wrong, each in percent of sub-queries, and what changes.
+struct Faults
+{
+  uint64_t m_seed = 1;
+  int m_lost = 0;
+  int m_repeated = 0;
+  int m_crossed = 0;
+  int m_refused = 0;
+  int m_partial = 0;
+  int m_straggling = 0;
+  bool m_newVersion = false;
+  bool m_repartition = false;
+  bool m_withdrawal = false;
+  bool m_drain = false;
+  Preference m_preference = Preference::kCoverage;
+};
+
+// Runs queries over two services until all are answered.
+class World
+{
+public:
+  World(const Faults& aFaults, HedgePolicy& aHedges, RetryBudget& aRetries);
+
+  // Returns what happened while `aQueries` queries started 3 ms apart.
+  [[nodiscard]] History Run(size_t aQueries);
+
+private:
+  void Change(const std::function<void(Configuration&)>& aEdit);
+  void ScheduleChanges();
+  void Repartition(ServiceConfig& aService);
+  void StartQuery();
+  void Perform(size_t aQuery, const std::vector<QueryAction>& aActions);
+  void Answer(size_t aQuery, const SubQuery& aSubQuery);
+  void Deliver(size_t aQuery, const SubAnswer& aAnswer);
+  [[nodiscard]] SubAnswer AnswerFor(const SubQuery& aSubQuery);
+  [[nodiscard]] SubAnswer Cross(SubAnswer aAnswer);
+  [[nodiscard]] bool Happens(int aPercent);
+  void At(TimePoint aTime, std::function<void()> aEvent);
+  void RunTimers();
+
+  Faults m_faults;
+  std::mt19937_64 m_random;
+  TimePoint m_now;
+  SnapshotTracker m_snapshots;
+  AdaptiveSelector m_selector;
+  QueryDependencies m_dependencies;
+  std::multimap<TimePoint, std::function<void()>> m_events;
+  std::vector<std::unique_ptr<QueryRun>> m_runs;
+  std::vector<SubQuery> m_sent;
+  std::map<UpstreamId, std::set<IndexVersion>> m_held;
+  Configuration m_configuration;
+  History m_history;
+};
+
+} // namespace ebonykeel::testing
