Hold a flooding caller to spare capacity; test admission

Fair queueing decides order but not how many slots are busy when a burst of the others arrives; the spare part does. A flow that was passed over starts at the current virtual time, so it saves up nothing.

--- a/packages/core/admission/admission.cc
+++ b/packages/core/admission/admission.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace ebonykeel {
 namespace {
@@ -11,6 +10,8 @@
 constexpr double kRunTimeGain = 0.001;
 // Finished requests between two looks for idle callers.
 constexpr uint64_t kPruneEvery = 256;
+// How often callers that are no longer active are forgotten.
+constexpr Duration kForgetEvery = Milliseconds(100);
 
 } // namespace
 
@@ -107,12 +108,7 @@
     gain = 1;
   }
   m_runTimeNanoseconds += gain * (runTime - m_runTimeNanoseconds);
-  m_runningCost -= ticket.m_cost;
-  auto caller = m_runningOf.find(ticket.m_caller);
-  caller->second -= ticket.m_cost;
-  if (caller->second == 0) {
-    m_runningOf.erase(caller);
-  }
+  ChangeRunning(ticket.m_caller, -int64_t{ ticket.m_cost }, aNow);
   m_running.erase(found);
   ++m_finished;
   if (m_finished % kPruneEvery == 0) {
@@ -148,30 +144,57 @@
 void
 Admission::NoteActivity(const CallerName& aCaller, TimePoint aNow)
 {
-  if (m_active[0].m_at.has_value() && m_active[0].m_caller != aCaller) {
-    m_active[1] = std::exchange(m_active[0], Activity{});
+  m_usages[aCaller].m_lastOffer = aNow;
+  if (aNow - m_forgotAt >= kForgetEvery) {
+    ForgetInactive(aNow);
   }
-  m_active[0] = { aCaller, aNow };
 }
 
-bool
-Admission::OthersActive(const CallerName& aCaller, TimePoint aNow) const
+void
+Admission::ForgetInactive(TimePoint aNow)
 {
-  return std::ranges::any_of(m_active, [&](const Activity& aActivity) {
-    return aActivity.m_at.has_value() && aActivity.m_caller != aCaller &&
-           aNow - *aActivity.m_at < m_options.m_activeFor;
+  m_forgotAt = aNow;
+  absl::erase_if(m_usages, [&](const auto& aEntry) {
+    const Usage& usage = aEntry.second;
+    return usage.m_running == 0 &&
+           aNow - usage.m_lastOffer > m_options.m_activeFor;
   });
 }
 
+void
+Admission::ChangeRunning(const CallerName& aCaller, int64_t aBy, TimePoint aNow)
+{
+  Usage& usage = m_usages[aCaller];
+  usage.m_average = AverageRunning(usage, aNow);
+  usage.m_averageAt = aNow;
+  usage.m_running = static_cast<uint32_t>(usage.m_running + aBy);
+  m_runningCost = static_cast<uint32_t>(m_runningCost + aBy);
+}
+
+double
+Admission::AverageRunning(const Usage& aUsage, TimePoint aNow) const
+{
+  double windows = std::chrono::duration<double>(aNow - aUsage.m_averageAt) /
+                   std::chrono::duration<double>(m_options.m_usageWindow);
+  double kept = std::exp(-windows);
+  return aUsage.m_average * kept + aUsage.m_running * (1 - kept);
+}
+
+// A caller over its share runs only while enough stays free for the others.
 bool
 Admission::CallerMayRun(const AdmissionTicket& aTicket, TimePoint aNow) const
 {
-  auto running = m_runningOf.find(aTicket.m_caller);
-  if (running == m_runningOf.end() || !OthersActive(aTicket.m_caller, aNow)) {
+  auto usage = m_usages.find(aTicket.m_caller);
+  bool alone = usage == m_usages.end() || m_usages.size() < 2;
+  if (alone || m_runningCost == 0) {
     return true;
   }
-  double most = m_options.m_callerRunningShare * m_options.m_runningCost;
-  return running->second + aTicket.m_cost <= most;
+  double all = m_options.m_runningCost;
+  double share = all / static_cast<double>(m_usages.size());
+  double average = AverageRunning(usage->second, aNow);
+  return average <= m_options.m_overShare * share ||
+         m_runningCost + aTicket.m_cost <=
+           all * (1 - m_options.m_reservedShare);
 }
 
 bool
@@ -205,8 +228,8 @@
       continue;
     }
     internal::QueuedTicket started = m_queue.Start(id);
-    m_runningCost += started.m_ticket.m_cost;
-    m_runningOf[started.m_ticket.m_caller] += started.m_ticket.m_cost;
+    ChangeRunning(
+      started.m_ticket.m_caller, int64_t{ started.m_ticket.m_cost }, aNow);
     m_running.emplace(id, Running{ started.m_ticket, aNow });
     aEvents.push_back({ .m_id = id, .m_waited = aNow - started.m_since });
   }
--- a/packages/core/admission/admission.h
+++ b/packages/core/admission/admission.h
@@ -14,7 +14,6 @@
 //   ... at NextTimer():    Perform(admission.OnTimer(now));
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -85,9 +84,13 @@
   uint32_t m_queueLength = 1000;
   // The part of the queue that one caller may fill, in (0, 1].
   double m_callerQueueShare = 0.5;
-  // The part of the running cost that one caller may have while other callers
-  // are active, in (0, 1].
-  double m_callerRunningShare = 0.5;
+  // A caller is over its share when it ran, on average over `m_usageWindow`,
+  // more than this multiple of the running cost divided by the active callers.
+  double m_overShare = 1.25;
+  Duration m_usageWindow = Seconds(2);
+  // The part of the running cost, in [0, 1), that a caller over its share must
+  // leave free for the others.
+  double m_reservedShare = 0.3;
   // How long a caller counts as active after its last request.
   Duration m_activeFor = Seconds(1);
 };
@@ -127,15 +130,21 @@
     AdmissionTicket m_ticket;
     TimePoint m_since;
   };
-  struct Activity
+  // What one caller has been running.
+  struct Usage
   {
-    CallerName m_caller;
-    std::optional<TimePoint> m_at;
+    uint32_t m_running = 0;
+    // The moving average of the running cost, as of `m_averageAt`.
+    double m_average = 0;
+    TimePoint m_averageAt;
+    TimePoint m_lastOffer;
   };
 
+  void ChangeRunning(const CallerName& aCaller, int64_t aBy, TimePoint aNow);
+  [[nodiscard]] double AverageRunning(const Usage& aUsage,
+                                      TimePoint aNow) const;
   void NoteActivity(const CallerName& aCaller, TimePoint aNow);
-  [[nodiscard]] bool OthersActive(const CallerName& aCaller,
-                                  TimePoint aNow) const;
+  void ForgetInactive(TimePoint aNow);
   [[nodiscard]] bool CallerMayRun(const AdmissionTicket& aTicket,
                                   TimePoint aNow) const;
   [[nodiscard]] bool Fits(const AdmissionTicket& aTicket) const;
@@ -152,10 +161,10 @@
   AdmissionOptions m_options;
   internal::FairQueue m_queue;
   absl::flat_hash_map<uint64_t, Running> m_running;
-  absl::flat_hash_map<CallerName, uint32_t> m_runningOf;
   uint32_t m_runningCost = 0;
-  // The two callers that were last active, the newest first.
-  std::array<Activity, 2> m_active;
+  // The active callers.
+  absl::flat_hash_map<CallerName, Usage> m_usages;
+  TimePoint m_forgotAt;
   // The moving average of how long a unit of cost runs; zero if unknown.
   double m_runTimeNanoseconds = 0;
   uint64_t m_finished = 0;
--- /dev/null
+++ b/packages/core/admission/admission_test.cc
@@ -0,0 +1,298 @@
+#include "core/admission/admission.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart;
+
+AdmissionTicket
+Ticket(uint64_t aId,
+       const char* aCaller,
+       Priority aPriority = Priority::kInteractive,
+       TimePoint aDeadline = kStart + Seconds(10))
+{
+  return { .m_id = aId,
+           .m_caller = CallerName(aCaller),
+           .m_group = GroupName("desk"),
+           .m_priority = aPriority,
+           .m_cost = 10,
+           .m_deadline = aDeadline };
+}
+
+DOCTEST_TEST_CASE("what fits runs at once, the rest waits its turn")
+{
+  Admission admission({ .m_runningCost = 20 });
+  DOCTEST_CHECK(admission.Offer(Ticket(1, "a"), kStart).m_verdict ==
+                Verdict::kAdmit);
+  DOCTEST_CHECK(admission.Offer(Ticket(2, "b"), kStart).m_verdict ==
+                Verdict::kAdmit);
+  DOCTEST_CHECK(admission.Offer(Ticket(3, "c"), kStart).m_verdict ==
+                Verdict::kQueue);
+  auto events = admission.OnFinished(1, kStart + Milliseconds(5));
+  DOCTEST_REQUIRE(events.size() == 1);
+  DOCTEST_CHECK(events[0].m_id == 3);
+  DOCTEST_CHECK(events[0].m_verdict == Verdict::kAdmit);
+  DOCTEST_CHECK(events[0].m_waited == Milliseconds(5));
+}
+
+DOCTEST_TEST_CASE("a full queue gives up the lowest priority first")
+{
+  Admission admission({ .m_runningCost = 10, .m_queueLength = 2 });
+  (void)admission.Offer(Ticket(1, "a"), kStart);
+  (void)admission.Offer(Ticket(2, "b", Priority::kInteractive), kStart);
+  (void)admission.Offer(Ticket(3, "c", Priority::kBatch), kStart);
+  auto filing = admission.Offer(Ticket(4, "d", Priority::kFiling), kStart);
+  DOCTEST_CHECK(filing.m_verdict == Verdict::kQueue);
+  DOCTEST_REQUIRE(filing.m_others.size() == 1);
+  DOCTEST_CHECK(filing.m_others[0].m_id == 3);
+  DOCTEST_CHECK(filing.m_others[0].m_reason == RefusalReason::kShed);
+  auto batch = admission.Offer(Ticket(5, "e", Priority::kBatch), kStart);
+  DOCTEST_CHECK(batch.m_verdict == Verdict::kRefuse);
+  DOCTEST_CHECK(batch.m_reason == RefusalReason::kQueueFull);
+}
+
+DOCTEST_TEST_CASE("a caller's filings go before its queries")
+{
+  Admission admission({ .m_runningCost = 10 });
+  (void)admission.Offer(Ticket(1, "a"), kStart);
+  (void)admission.Offer(Ticket(2, "a", Priority::kBatch), kStart);
+  (void)admission.Offer(Ticket(3, "a", Priority::kFiling), kStart);
+  DOCTEST_CHECK(admission.OnFinished(1, kStart)[0].m_id == 3);
+}
+
+DOCTEST_TEST_CASE("a queue that outlasts the deadline refuses on arrival")
+{
+  Admission admission({ .m_runningCost = 10 });
+  (void)admission.Offer(Ticket(1, "a"), kStart);
+  (void)admission.OnFinished(1, kStart + Milliseconds(100));
+  TimePoint now = kStart + Milliseconds(100);
+  (void)admission.Offer(Ticket(2, "a"), now);
+  (void)admission.Offer(Ticket(3, "a"), now);
+  auto late = admission.Offer(
+    Ticket(4, "a", Priority::kInteractive, now + Milliseconds(150)), now);
+  DOCTEST_CHECK(late.m_verdict == Verdict::kRefuse);
+  DOCTEST_CHECK(late.m_reason == RefusalReason::kWouldMissDeadline);
+  auto other = admission.Offer(
+    Ticket(5, "b", Priority::kInteractive, now + Milliseconds(250)), now);
+  DOCTEST_CHECK(other.m_verdict == Verdict::kQueue);
+}
+
+DOCTEST_TEST_CASE("a deadline that passes in the queue is a refusal")
+{
+  Admission admission({ .m_runningCost = 10 });
+  (void)admission.Offer(Ticket(1, "a"), kStart);
+  TimePoint deadline = kStart + Milliseconds(30);
+  (void)admission.Offer(Ticket(2, "b", Priority::kFiling, deadline), kStart);
+  DOCTEST_CHECK(admission.NextTimer() == deadline);
+  auto events = admission.OnTimer(deadline);
+  DOCTEST_REQUIRE(events.size() == 1);
+  DOCTEST_CHECK(events[0].m_reason == RefusalReason::kDeadlinePassed);
+}
+
+DOCTEST_TEST_CASE("one caller cannot fill the queue")
+{
+  Admission admission({ .m_runningCost = 10, .m_queueLength = 10 });
+  (void)admission.Offer(Ticket(1, "a"), kStart);
+  uint64_t id = 2;
+  for (; id < 30; ++id) {
+    (void)admission.Offer(Ticket(id, "a", Priority::kFiling), kStart);
+  }
+  DOCTEST_CHECK(admission.Queued() == 5);
+}
+
+// Every ticket ends exactly once, what was refused never ran, and the running
+// cost stays bounded, whatever is offered.
+DOCTEST_TEST_CASE("refusals are true under random offers")
+{
+  DOCTEST_CHECK(rc::check("true refusals", [] {
+    std::mt19937_64 random(*rc::gen::arbitrary<uint64_t>());
+    AdmissionOptions options{ .m_runningCost = 60, .m_queueLength = 12 };
+    Admission admission(options);
+    std::map<uint64_t, Verdict> last;
+    std::map<uint64_t, uint32_t> running;
+    TimePoint now = kStart;
+    auto apply = [&](uint64_t aId, Verdict aVerdict, uint32_t aCost) {
+      bool ended = last.contains(aId) && last[aId] != Verdict::kQueue;
+      RC_ASSERT(!ended);
+      last[aId] = aVerdict;
+      if (aVerdict == Verdict::kAdmit) {
+        running[aId] = aCost;
+      }
+    };
+    std::map<uint64_t, uint32_t> costs;
+    auto applyAll = [&](const std::vector<AdmissionEvent>& aEvents) {
+      for (const AdmissionEvent& event : aEvents) {
+        apply(event.m_id, event.m_verdict, costs[event.m_id]);
+      }
+    };
+    for (uint64_t id = 1; id < 200; ++id) {
+      now += std::chrono::microseconds(random() % 4000);
+      AdmissionTicket ticket{
+        .m_id = id,
+        .m_caller = CallerName(absl::StrCat("c", random() % 4)),
+        .m_group = GroupName(absl::StrCat("g", random() % 2)),
+        .m_priority = static_cast<Priority>(random() % 3),
+        .m_cost = static_cast<uint32_t>(1 + random() % 30),
+        .m_deadline = now + Milliseconds(random() % 60)
+      };
+      costs[id] = ticket.m_cost;
+      auto decision = admission.Offer(ticket, now);
+      apply(id, decision.m_verdict, ticket.m_cost);
+      applyAll(decision.m_others);
+      if (!running.empty() && random() % 2 == 0) {
+        uint64_t over = running.begin()->first;
+        running.erase(running.begin());
+        applyAll(admission.OnFinished(over, now));
+      }
+      applyAll(admission.OnTimer(now));
+      uint32_t sum = 0;
+      for (const auto& [one, cost] : running) {
+        sum += cost;
+      }
+      RC_ASSERT(sum == admission.RunningCost());
+      RC_ASSERT(sum <= options.m_runningCost);
+      RC_ASSERT(admission.Queued() <= options.m_queueLength);
+      RC_ASSERT(!admission.NextTimer() || *admission.NextTimer() > now);
+    }
+    while (!running.empty()) {
+      uint64_t over = running.begin()->first;
+      running.erase(running.begin());
+      applyAll(admission.OnFinished(over, now));
+    }
+    for (const auto& [id, verdict] : last) {
+      RC_ASSERT(verdict != Verdict::kQueue);
+    }
+  }));
+}
+
+struct Arrival
+{
+  TimePoint m_at;
+  AdmissionTicket m_ticket;
+  Duration m_runTime;
+};
+
+// Returns the waiting times of admitted tickets of all callers but "flood".
+std::vector<Duration>
+WaitsOfOthers(const std::vector<Arrival>& aArrivals, size_t& aRefused)
+{
+  Admission admission({ .m_runningCost = 400, .m_queueLength = 400 });
+  std::map<uint64_t, const Arrival*> byId;
+  std::multimap<TimePoint, std::function<void()>> events;
+  std::vector<Duration> waits;
+  TimePoint now;
+  std::function<void(const AdmissionEvent&)> apply;
+  apply = [&](const AdmissionEvent& aEvent) {
+    const Arrival& arrival = *byId.at(aEvent.m_id);
+    bool flood = arrival.m_ticket.m_caller == CallerName("flood");
+    if (aEvent.m_verdict == Verdict::kRefuse) {
+      aRefused += flood ? 0 : 1;
+      return;
+    }
+    if (!flood) {
+      waits.push_back(aEvent.m_waited);
+    }
+    events.emplace(now + arrival.m_runTime, [&, id = aEvent.m_id] {
+      std::ranges::for_each(admission.OnFinished(id, now), apply);
+    });
+  };
+  for (const Arrival& arrival : aArrivals) {
+    byId[arrival.m_ticket.m_id] = &arrival;
+    events.emplace(arrival.m_at, [&] {
+      auto decision = admission.Offer(arrival.m_ticket, now);
+      std::ranges::for_each(decision.m_others, apply);
+      if (decision.m_verdict != Verdict::kQueue) {
+        apply(
+          { .m_id = arrival.m_ticket.m_id, .m_verdict = decision.m_verdict });
+      }
+    });
+  }
+  while (!events.empty()) {
+    auto event = events.extract(events.begin());
+    now = event.key();
+    event.mapped()();
+    std::ranges::for_each(admission.OnTimer(now), apply);
+  }
+  return waits;
+}
+
+// Nine callers, of two groups, at `aLoad` of what can run; a tenth caller has
+// `aFlood` times the share of one of them.
+std::vector<Arrival>
+Arrivals(uint64_t aSeed, double aLoad, double aFlood)
+{
+  constexpr double kRunMilliseconds = 20;
+  constexpr uint32_t kCost = 40;
+  std::vector<Arrival> arrivals;
+  // 10 run at once, 20 ms each: 0.5 a millisecond at full load.
+  double each = aLoad * 0.5 / 10;
+  for (int caller = 0; caller < 10; ++caller) {
+    std::mt19937_64 random(aSeed + static_cast<uint64_t>(caller) * 7919);
+    bool flood = caller == 9;
+    std::exponential_distribution<double> gap(flood ? each * aFlood : each);
+    std::exponential_distribution<double> run(1 / kRunMilliseconds);
+    std::string name = flood ? "flood" : absl::StrCat("caller", caller);
+    double at = 0;
+    for (uint64_t number = 0; at < 60'000; ++number) {
+      at += gap(random);
+      TimePoint time = kStart + Duration(static_cast<int64_t>(at * 1'000'000));
+      arrivals.push_back(
+        { time,
+          { .m_id = number * 16 + static_cast<uint64_t>(caller),
+            .m_caller = CallerName(name),
+            .m_group = GroupName(caller % 2 == 0 ? "desk" : "portal"),
+            .m_cost = kCost,
+            .m_deadline = time + Milliseconds(500) },
+          Duration(static_cast<int64_t>(run(random) * 1'000'000)) });
+    }
+  }
+  return arrivals;
+}
+
+Duration
+Percentile99(std::vector<Duration> aValues)
+{
+  std::ranges::sort(aValues);
+  return aValues[aValues.size() * 99 / 100];
+}
+
+DOCTEST_TEST_CASE("a caller at ten times its share does not starve the others")
+{
+  for (double load : { 0.7, 0.9 }) {
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      size_t refusedBefore = 0;
+      size_t refusedDuring = 0;
+      Duration before =
+        Percentile99(WaitsOfOthers(Arrivals(seed, load, 1), refusedBefore));
+      Duration during =
+        Percentile99(WaitsOfOthers(Arrivals(seed, load, 10), refusedDuring));
+      DOCTEST_MESSAGE("load ",
+                      load,
+                      ": p99 wait of the others ",
+                      ToMillisecondsF(before),
+                      " ms, flooded ",
+                      ToMillisecondsF(during),
+                      " ms, refused ",
+                      refusedBefore,
+                      " and ",
+                      refusedDuring);
+      DOCTEST_CHECK(ToMillisecondsF(during) <= 1.2 * ToMillisecondsF(before));
+      DOCTEST_CHECK(refusedDuring <= refusedBefore);
+    }
+  }
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/admission/internal/fair_queue.cc
+++ b/packages/core/admission/internal/fair_queue.cc
@@ -95,8 +95,9 @@
   Caller& caller = group.m_callers[taken.m_ticket.m_caller];
   m_virtualTime = std::max(m_virtualTime, group.m_tag);
   group.m_virtualTime = std::max(group.m_virtualTime, caller.m_tag);
-  group.m_tag += taken.m_ticket.m_cost;
-  caller.m_tag += taken.m_ticket.m_cost;
+  // Whoever was passed over, since it was not accepted, saves up nothing.
+  group.m_tag = m_virtualTime + taken.m_ticket.m_cost;
+  caller.m_tag = group.m_virtualTime + taken.m_ticket.m_cost;
   return taken;
 }
 
