--- a/packages/core/filing/claim_batcher.h
+++ b/packages/core/filing/claim_batcher.h
@@ -28,7 +28,8 @@
 
 // Names one waiting request at one batcher. Never used twice.
 using ClaimTicket = uint64_t;
-// Names one call to the store. Never used twice by one batcher.
+// Names one call to the store. Never used twice by one batcher; another
+// batcher, such as that of an earlier run of the process, uses the same.
 using StoreCallId = uint64_t;
 
 struct ClaimBatcherSettings
--- a/packages/core/filing/filing_property_test.cc
+++ b/packages/core/filing/filing_property_test.cc
@@ -126,7 +126,7 @@
         Boot(instance);
         return;
       case 11:
-        m_instances[instance].m_pausedUntil = m_now + Milliseconds(aFirst * 2);
+        m_instances[instance].m_pausedUntil = m_now + 2 * Milliseconds(aFirst);
         return;
       case 12:
         m_outageUntil = m_now + Milliseconds(aFirst);
@@ -135,7 +135,7 @@
         m_guard.m_allowed = aSecond % 4 != 0;
         return;
       case 14:
-        RunUntil(m_now + Milliseconds(aFirst * 20));
+        RunUntil(m_now + 20 * Milliseconds(aFirst));
         return;
       case 15:
         // Two instances, the same id, the same instant.
@@ -157,8 +157,8 @@
                            .m_nonce = { m_random(), m_random() | 1U },
                            .m_digest = aDetail % 32 == 31 ? "other" : "payload",
                            .m_issuedAt = issuedAt,
-                           .m_deadline =
-                             m_now + Milliseconds(10 + (aDetail % 16) * 20) };
+                           .m_deadline = m_now + Milliseconds(10) +
+                                         (aDetail % 16) * Milliseconds(20) };
     FilingSettings settings{ .m_horizon = kHorizon,
                              .m_clockSkew = kSkew,
                              .m_claimTimeout = Milliseconds(150),
@@ -194,16 +194,24 @@
   }
 
   // Schedules an event that this run of the instance sees, unless it crashes.
-  void Deliver(int aInstance, Duration aDelay, Event aEvent)
+  void Deliver(int aInstance, Duration aDelay, const Event& aEvent)
   {
-    uint64_t incarnation = m_instances[aInstance].m_incarnation;
-    Schedule(aDelay, [this, aInstance, incarnation, aEvent] {
+    DeliverTo(aInstance, m_instances[aInstance].m_incarnation, aDelay, aEvent);
+  }
+
+  void DeliverTo(int aInstance,
+                 uint64_t aIncarnation,
+                 Duration aDelay,
+                 const Event& aEvent)
+  {
+    Schedule(aDelay, [this, aInstance, aIncarnation, aEvent] {
       Instance& instance = m_instances[aInstance];
-      if (instance.m_incarnation != incarnation) {
+      if (instance.m_incarnation != aIncarnation) {
         return;
       }
       if (m_now < instance.m_pausedUntil) {
-        Deliver(aInstance, instance.m_pausedUntil - m_now, aEvent);
+        DeliverTo(
+          aInstance, aIncarnation, instance.m_pausedUntil - m_now, aEvent);
         return;
       }
       aEvent();
@@ -295,9 +303,9 @@
     }
   }
 
-  void Reply(int aInstance, Duration aDelay, StoreReply aReply)
+  void Reply(int aInstance, uint64_t aIncarnation, const StoreReply& aReply)
   {
-    Deliver(aInstance, aDelay, [this, aInstance, aReply] {
+    DeliverTo(aInstance, aIncarnation, StoreDelay(), [this, aInstance, aReply] {
       ClaimBatcher& batcher = *m_instances[aInstance].m_batcher;
       Take(aInstance, batcher.OnStoreReply(aReply, At(aInstance)));
     });
@@ -319,7 +327,8 @@
     if (Lost()) {
       return;
     }
-    Schedule(StoreDelay(), [this, aInstance, aRead] {
+    uint64_t incarnation = m_instances[aInstance].m_incarnation;
+    Schedule(StoreDelay(), [this, aInstance, incarnation, aRead] {
       auto object = m_objects.find(aRead.m_key);
       StoreReply reply{ .m_call = aRead.m_call,
                         .m_kind = StoreReplyKind::kNotFound };
@@ -328,7 +337,7 @@
         reply.m_version = object->second.m_version;
         reply.m_value = object->second.m_value;
       }
-      Reply(aInstance, StoreDelay(), reply);
+      Reply(aInstance, incarnation, reply);
     });
   }
 
@@ -338,7 +347,8 @@
       return;
     }
     bool replyLost = Lost();
-    Schedule(StoreDelay(), [this, aInstance, aWrite, replyLost] {
+    uint64_t incarnation = m_instances[aInstance].m_incarnation;
+    Schedule(StoreDelay(), [this, aInstance, incarnation, aWrite, replyLost] {
       Object& object = m_objects[aWrite.m_key];
       StoreReply reply{ .m_call = aWrite.m_call,
                         .m_kind = StoreReplyKind::kConflict };
@@ -349,7 +359,7 @@
         reply.m_version = object.m_version;
       }
       if (!replyLost) {
-        Reply(aInstance, StoreDelay(), reply);
+        Reply(aInstance, incarnation, reply);
       }
     });
   }
