Let the gate ask for a predecessor's work, and count closed connections once

Cause: the node reports closed idle connections as idle, while the gate had already moved them to the abandoned ones, so that each drain left connections counted for ever; and it starts ownership without saying what the predecessor may have left, so that a cold upstream could hold two pieces of work.

Changed: surplus of one kind of closed connection counts for the other; SendPermit::PredecessorWork, 0 unless overridden, counts against the cold limit and is looked at again every 20 ms while work waits.

--- a/packages/core/upstream/upstream_gate.cc
+++ b/packages/core/upstream/upstream_gate.cc
@@ -170,8 +170,14 @@
                                   TimePoint aNow)
 {
   GateActions actions;
-  m_idleConnections -= std::min(aIdle, m_idleConnections);
-  m_lingeringConnections -= std::min(aLingering, m_lingeringConnections);
+  uint32_t idle = std::min(aIdle, m_idleConnections);
+  uint32_t lingering = std::min(aLingering, m_lingeringConnections);
+  uint32_t others = (aIdle - idle) + (aLingering - lingering);
+  m_idleConnections -= idle;
+  m_lingeringConnections -= lingering;
+  uint32_t otherLingering = std::min(others, m_lingeringConnections);
+  m_lingeringConnections -= otherLingering;
+  m_idleConnections -= std::min(others - otherLingering, m_idleConnections);
   Pump(aNow, actions);
   return actions;
 }
@@ -199,6 +205,9 @@
     for (TimePoint opening : { m_backoffUntil, m_inheritedUntil }) {
       next = opening > m_pumpedAt ? std::min(next, opening) : next;
     }
+    if (m_predecessorSeen) {
+      next = std::min(next, m_pumpedAt + m_settings.m_predecessorPoll);
+    }
   }
   if (m_owned && m_markedDraining && m_closures == 0) {
     next = std::min(next,
@@ -276,6 +285,7 @@
 UpstreamGate::Pump(TimePoint aNow, GateActions& aActions)
 {
   m_pumpedAt = aNow;
+  m_predecessorSeen = m_permit.PredecessorWork(m_upstream, aNow) > 0;
   AbandonOverdue(aNow, aActions);
   bool wasOwned =
     std::exchange(m_owned, m_permit.AllowedSlots(m_upstream, aNow) > 0);
@@ -523,7 +533,8 @@
 uint32_t
 UpstreamGate::Inherited(TimePoint aNow) const
 {
-  return aNow < m_inheritedUntil ? m_inheritedWork : 0;
+  uint32_t told = aNow < m_inheritedUntil ? m_inheritedWork : 0;
+  return std::max(told, m_permit.PredecessorWork(m_upstream, aNow));
 }
 
 } // namespace ebonykeel
--- a/packages/core/upstream/upstream_gate.h
+++ b/packages/core/upstream/upstream_gate.h
@@ -42,6 +42,15 @@
   // 0 when it does not own the upstream or its lease has lapsed.
   [[nodiscard]] virtual uint32_t AllowedSlots(const UpstreamId& aUpstream,
                                               TimePoint aNow) const = 0;
+
+  // Returns how much work a predecessor may still have at `aUpstream`. It
+  // counts against what the upstream bears, not against `AllowedSlots`.
+  [[nodiscard]] virtual uint32_t PredecessorWork(
+    const UpstreamId& /*aUpstream*/,
+    TimePoint /*aNow*/) const
+  {
+    return 0;
+  }
 };
 
 // What one upstream bears, over the whole fleet.
@@ -71,6 +80,8 @@
   Duration m_probeInterval = Seconds(1);
   // A probe that takes longer has failed.
   Duration m_probeTimeout = Milliseconds(500);
+  // How often it is looked whether a predecessor's work has ended.
+  Duration m_predecessorPoll = Milliseconds(20);
   // The part of the connection limit that one owner uses, so that the
   // connections of two owners fit during a handover; in (0, 1].
   double m_connectionShare = 0.5;
@@ -120,8 +131,8 @@
   WorkId m_work = 0;
 };
 
-// Close every idle connection to the upstream, and report them by
-// `OnConnectionsClosed`.
+// Close every idle connection to the upstream, and report how many those were
+// by `OnConnectionsClosed`; until then they count as open.
 struct GateCloseIdleConnections
 {};
 
@@ -196,8 +207,9 @@
                                       bool aClosed,
                                       TimePoint aNow);
 
-  // Tells that connections closed which carried no dispatched work:
-  // `aIdle` of the idle ones and `aLingering` of the abandoned ones.
+  // Tells that connections closed which carried no dispatched work: `aIdle`
+  // that were kept or told to be closed, and `aLingering` that were abandoned.
+  // More than are known of one kind count for the other.
   [[nodiscard]] GateActions OnConnectionsClosed(uint32_t aIdle,
                                                 uint32_t aLingering,
                                                 TimePoint aNow);
@@ -273,6 +285,8 @@
   bool m_owned = false;
   // When the state was last brought up to date.
   TimePoint m_pumpedAt;
+  // A predecessor's work was still running then.
+  bool m_predecessorSeen = false;
   uint32_t m_inheritedWork = 0;
   TimePoint m_inheritedUntil;
   std::optional<WarmthHint> m_hint;
--- a/packages/core/upstream/upstream_gate_test.cc
+++ b/packages/core/upstream/upstream_gate_test.cc
@@ -23,7 +23,14 @@
     return m_allowed;
   }
 
+  [[nodiscard]] uint32_t PredecessorWork(const UpstreamId& /*aUpstream*/,
+                                         TimePoint /*aNow*/) const override
+  {
+    return m_predecessor;
+  }
+
   uint32_t m_allowed = kSlots;
+  uint32_t m_predecessor = 0;
 };
 
 template<typename T>
@@ -213,6 +220,8 @@
   DOCTEST_REQUIRE(refused.size() == 1);
   DOCTEST_CHECK(refused[0].m_reason == MissingReason::kWithdrawn);
   DOCTEST_CHECK(Only<GateCloseIdleConnections>(actions).size() == 1);
+  (void)bench.m_gate.OnConnectionsClosed(1, 0, bench.m_now);
+  DOCTEST_CHECK(bench.m_gate.OpenConnections() == 0);
   DOCTEST_CHECK(Only<GateRefuse>(bench.Enqueue(3)).size() == 1);
 
   bench.m_now += GateSettings{}.m_probeInterval;
@@ -278,6 +287,20 @@
   DOCTEST_CHECK(Only<GateDispatch>(bench.m_gate.OnTimer(until)).size() == 1);
 }
 
+DOCTEST_TEST_CASE(
+  "the permit's news of a predecessor's work is looked at again")
+{
+  Bench bench;
+  bench.m_permit.m_predecessor = 1;
+  DOCTEST_CHECK(bench.Enqueue(1).empty());
+  bench.m_permit.m_predecessor = 0;
+  DOCTEST_REQUIRE(bench.m_gate.NextTimer() ==
+                  bench.m_now + GateSettings{}.m_predecessorPoll);
+  bench.m_now = *bench.m_gate.NextTimer();
+  auto sent = Only<GateDispatch>(bench.m_gate.OnTimer(bench.m_now));
+  DOCTEST_CHECK(sent.size() == 1);
+}
+
 DOCTEST_TEST_CASE("a shed pauses, and work that cannot wait so long moves on")
 {
   Bench bench;
