--- /dev/null
+++ b/packages/load/latency_histogram.h
@@ -0,0 +1,59 @@
+// Counts latencies in buckets whose width grows with the value, so that every
+// quantile is known to about one per cent at any size.
+//
+//   LatencyHistogram histogram;
+//   histogram.Add(Milliseconds(3));
+//   Duration p99 = histogram.Quantile(0.99);
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+// A bucket of the histogram: how many latencies are at most `m_upTo` and above
+// the bucket before.
+struct LatencyBucket
+{
+  Duration m_upTo;
+  uint64_t m_count = 0;
+};
+
+class LatencyHistogram
+{
+public:
+  LatencyHistogram();
+
+  // Negative latencies count as zero.
+  void Add(Duration aLatency);
+
+  // Returns the upper end of the bucket that holds the quantile `aShare`, in
+  // 0..1, and never more than the maximum; zero when empty.
+  [[nodiscard]] Duration Quantile(double aShare) const;
+  [[nodiscard]] Duration Max() const;
+  [[nodiscard]] Duration Mean() const;
+  [[nodiscard]] uint64_t Count() const;
+
+  // Returns the buckets that are not empty, in order.
+  [[nodiscard]] std::vector<LatencyBucket> Buckets() const;
+
+private:
+  using Statistics = boost::accumulators::accumulator_set<
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::mean,
+                               boost::accumulators::tag::max>>;
+
+  std::vector<uint64_t> m_counts;
+  Statistics m_statistics;
+};
+
+} // namespace ebonykeel
