Drive the configuration tracker in the node

The node's own watch loop is replaced by core's tracker: two watchers in each data centre, others learn from peers; a changed or lost reply, a conflict and a store that is behind are told apart. Data centre and upstream changes are made anew when another change won meanwhile; publications are not.

--- a/packages/core/config/configuration_tracker.cc
+++ b/packages/core/config/configuration_tracker.cc
@@ -83,7 +83,7 @@
 }
 
 ConfigurationActions
-ConfigurationTracker::OnStoreReply(const StoreReply& aReply, TimePoint aNow)
+ConfigurationTracker::OnStoreReply(const StoreCallReply& aReply, TimePoint aNow)
 {
   ConfigurationActions actions;
   auto answers = [&](const Recurring& aRecurring) {
@@ -228,7 +228,7 @@
 }
 
 CurrentRead
-ConfigurationTracker::TakeRead(const StoreReply& aReply,
+ConfigurationTracker::TakeRead(const StoreCallReply& aReply,
                                ConfigurationActions& aActions)
 {
   if (aReply.m_status == StoreStatus::kNotFound) {
@@ -277,7 +277,7 @@
 }
 
 void
-ConfigurationTracker::OnWatchDone(const StoreReply& aReply,
+ConfigurationTracker::OnWatchDone(const StoreCallReply& aReply,
                                   const CurrentRead& aRead,
                                   TimePoint aNow)
 {
@@ -300,7 +300,7 @@
 }
 
 void
-ConfigurationTracker::OnAttemptReply(const StoreReply& aReply,
+ConfigurationTracker::OnAttemptReply(const StoreCallReply& aReply,
                                      const CurrentRead& aRead,
                                      TimePoint aNow,
                                      ConfigurationActions& aActions)
@@ -399,7 +399,7 @@
     if (!recurring->m_pending || recurring->m_pending->m_timeout > aNow) {
       continue;
     }
-    StoreReply failed;
+    StoreCallReply failed;
     failed.m_token = recurring->m_pending->m_token;
     std::ranges::move(OnStoreReply(failed, aNow), std::back_inserter(aActions));
   }
--- a/packages/core/config/configuration_tracker.h
+++ b/packages/core/config/configuration_tracker.h
@@ -123,7 +123,7 @@
 
   // The reply to a ReadStore, WatchStore or WriteStore. Late and repeated
   // replies do no harm.
-  [[nodiscard]] ConfigurationActions OnStoreReply(const StoreReply& aReply,
+  [[nodiscard]] ConfigurationActions OnStoreReply(const StoreCallReply& aReply,
                                                   TimePoint aNow);
 
   // A peer's heartbeat said which generation is in force there.
@@ -170,13 +170,13 @@
   void Take(ConfigurationPtr aConfiguration,
             const std::string& aSource,
             ConfigurationActions& aActions);
-  internal::CurrentRead TakeRead(const StoreReply& aReply,
+  internal::CurrentRead TakeRead(const StoreCallReply& aReply,
                                  ConfigurationActions& aActions);
   void OnReadDone(const internal::CurrentRead& aRead, TimePoint aNow);
-  void OnWatchDone(const StoreReply& aReply,
+  void OnWatchDone(const StoreCallReply& aReply,
                    const internal::CurrentRead& aRead,
                    TimePoint aNow);
-  void OnAttemptReply(const StoreReply& aReply,
+  void OnAttemptReply(const StoreCallReply& aReply,
                       const internal::CurrentRead& aRead,
                       TimePoint aNow,
                       ConfigurationActions& aActions);
--- a/packages/core/config/configuration_tracker_property_test.cc
+++ b/packages/core/config/configuration_tracker_property_test.cc
@@ -298,7 +298,7 @@
     });
   }
 
-  StoreReply ReadReply(StoreToken aToken, const std::string& aKey)
+  StoreCallReply ReadReply(StoreToken aToken, const std::string& aKey)
   {
     if (m_badReplies > 0) {
       --m_badReplies;
@@ -341,7 +341,7 @@
       if (m_outage) {
         return;
       }
-      StoreReply reply = Apply(aWrite);
+      StoreCallReply reply = Apply(aWrite);
       if (m_loseReplies > 0) {
         --m_loseReplies;
         return;
@@ -350,7 +350,7 @@
     });
   }
 
-  StoreReply Apply(const WriteStore& aWrite)
+  StoreCallReply Apply(const WriteStore& aWrite)
   {
     SimulatedStore::Object& object = m_store.m_objects[aWrite.m_key];
     if (object.m_version != aWrite.m_ifVersion) {
@@ -381,7 +381,7 @@
   }
 
   // Delivers a reply, sometimes twice.
-  void Reply(int aAt, int aRun, const StoreReply& aReply, int aMaxDelayMs)
+  void Reply(int aAt, int aRun, const StoreCallReply& aReply, int aMaxDelayMs)
   {
     int copies = OneIn(8) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
--- a/packages/core/config/store_call.h
+++ b/packages/core/config/store_call.h
@@ -32,7 +32,7 @@
 
 // The reply to the call `m_token`. A read carries version and body, a write
 // the new version.
-struct StoreReply
+struct StoreCallReply
 {
   StoreToken m_token = 0;
   StoreStatus m_status = StoreStatus::kFailed;
--- a/packages/node/api/admin_api.cc
+++ b/packages/node/api/admin_api.cc
@@ -35,35 +35,35 @@
 }
 
 HttpResponse
-RefusedChange(const ChangeAnswer& aAnswer)
+RefusedChange(const ChangeReply& aReply)
 {
   std::string_view code = "invalid";
   int status = 400;
-  if (aAnswer.m_result.m_refusal == ChangeRefusal::kNoChange) {
+  if (aReply.m_refusal == ChangeRefusal::kNoChange) {
     code = "no_change";
     status = 409;
-  } else if (aAnswer.m_result.m_refusal == ChangeRefusal::kNotFound) {
+  } else if (aReply.m_refusal == ChangeRefusal::kNotFound) {
     code = "not_found";
     status = 404;
   }
   return ErrorResponse(
     { .m_status = status,
       .m_code = code,
-      .m_message = FormatFindings(aAnswer.m_result.m_findings),
-      .m_details = { { "findings", FindingsJson(aAnswer.m_result.m_findings) },
-                     { "generation", aAnswer.m_generation } } });
+      .m_message = FormatFindings(aReply.m_findings),
+      .m_details = { { "findings", FindingsJson(aReply.m_findings) },
+                     { "generation", aReply.m_generation } } });
 }
 
 HttpResponse
-UnacceptedChange(const ChangeAnswer& aAnswer)
+UnacceptedChange(const ChangeReply& aReply)
 {
-  switch (aAnswer.m_outcome) {
+  switch (aReply.m_outcome) {
     case ChangeOutcome::kConflict:
       return ErrorResponse(
         { .m_status = 409,
           .m_code = "conflict",
           .m_message = "another change was accepted first",
-          .m_details = { { "generation", aAnswer.m_generation } } });
+          .m_details = { { "generation", aReply.m_generation } } });
     case ChangeOutcome::kUnknown:
       return ErrorResponse(
         { .m_status = 504,
@@ -73,9 +73,8 @@
           .m_outcome = Outcome::kUnknown });
     default:
       return ErrorResponse({ .m_status = 503,
-                             .m_code = "store_unavailable",
-                             .m_message = "the platform's store cannot be "
-                                          "reached; nothing was changed" });
+                             .m_code = ChangeOutcomeName(aReply.m_outcome),
+                             .m_message = "nothing was changed" });
   }
 }
 
@@ -209,8 +208,9 @@
   Findings findings;
   Publication publication = ReadPublication(body, findings);
   if (!findings.empty()) {
-    return RefusedChange({ .m_result = { .m_refusal = ChangeRefusal::kInvalid,
-                                         .m_findings = std::move(findings) } });
+    return RefusedChange({ .m_outcome = ChangeOutcome::kRefused,
+                           .m_refusal = ChangeRefusal::kInvalid,
+                           .m_findings = std::move(findings) });
   }
   for (const InstanceRecord& record : m_membership.View().m_records) {
     publication.m_knownDataCentres.insert(record.m_dataCentre);
@@ -219,26 +219,16 @@
     publication.m_knownDataCentres.clear();
   }
   ChangeNote note = MakeNote(body, "");
-  Generation base = 0;
+  ChangeRequest request{ .m_changeId = note.m_changeId,
+                         .m_make = [publication,
+                                    note](const Configuration& aCurrent) {
+                           return PublishServices(aCurrent, publication, note);
+                         } };
   if (body.contains("base_generation") &&
       body["base_generation"].is_number_unsigned()) {
-    base = body["base_generation"].get<Generation>();
+    request.m_baseGeneration = body["base_generation"].get<Generation>();
   }
-  return Apply(
-    [publication, note, base](const Configuration& aCurrent) {
-      if (base != 0 && aCurrent.m_generation != base) {
-        Finding finding{ .m_key = "base_generation",
-                         .m_problem = absl::StrCat("is ",
-                                                   base,
-                                                   ", but generation ",
-                                                   aCurrent.m_generation,
-                                                   " was accepted since") };
-        return ChangeResult{ .m_refusal = ChangeRefusal::kInvalid,
-                             .m_findings = { std::move(finding) } };
-      }
-      return PublishServices(aCurrent, publication, note);
-    },
-    note);
+  return Apply(std::move(request));
 }
 
 kj::Promise<HttpResponse>
@@ -250,12 +240,14 @@
   }
   Withdrawal withdrawal = verb == "out" ? Withdrawal::kOut : Withdrawal::kIn;
   ChangeNote note = MakeNote(ParseObject(aRequest.m_body), "");
-  return Apply(
-    [dataCentre = DataCentre(name), withdrawal, note](
-      const Configuration& aCurrent) {
-      return SetDataCentre(aCurrent, dataCentre, withdrawal, note);
-    },
-    note);
+  return Apply({ .m_changeId = note.m_changeId,
+                 .m_make =
+                   [dataCentre = DataCentre(name), withdrawal, note](
+                     const Configuration& aCurrent) {
+                     return SetDataCentre(
+                       aCurrent, dataCentre, withdrawal, note);
+                   },
+                 .m_onConflict = OnConflict::kMakeAnew });
 }
 
 kj::Promise<HttpResponse>
@@ -267,12 +259,14 @@
   }
   Withdrawal withdrawal = verb == "drain" ? Withdrawal::kOut : Withdrawal::kIn;
   ChangeNote note = MakeNote(ParseObject(aRequest.m_body), "");
-  return Apply(
-    [upstream = UpstreamId(name), withdrawal, note](
-      const Configuration& aCurrent) {
-      return SetUpstreamDrained(aCurrent, upstream, withdrawal, note);
-    },
-    note);
+  return Apply({ .m_changeId = note.m_changeId,
+                 .m_make =
+                   [upstream = UpstreamId(name), withdrawal, note](
+                     const Configuration& aCurrent) {
+                     return SetUpstreamDrained(
+                       aCurrent, upstream, withdrawal, note);
+                   },
+                 .m_onConflict = OnConflict::kMakeAnew });
 }
 
 kj::Promise<HttpResponse>
@@ -293,11 +287,10 @@
             .m_code = "not_found",
             .m_message = "that generation is not in the history" });
       }
-      return Apply(
-        [aOld, note](const Configuration& aCurrent) {
-          return Rollback(aCurrent, *aOld, note);
-        },
-        note);
+      return Apply({ .m_changeId = note.m_changeId,
+                     .m_make = [aOld, note](const Configuration& aCurrent) {
+                       return Rollback(aCurrent, *aOld, note);
+                     } });
     });
 }
 
@@ -354,20 +347,22 @@
 }
 
 kj::Promise<HttpResponse>
-AdminApi::Apply(ChangeFunction aChange, const ChangeNote& aNote)
+AdminApi::Apply(ChangeRequest aRequest)
 {
-  return m_configuration.Change(std::move(aChange), aNote.m_changeId)
-    .then([this](ChangeAnswer&& aAnswer) {
-      if (aAnswer.m_outcome == ChangeOutcome::kRefused) {
-        return RefusedChange(aAnswer);
+  return m_configuration.Change(std::move(aRequest))
+    .then([this](ChangeReply&& aReply) {
+      if (aReply.m_outcome == ChangeOutcome::kRefused) {
+        return RefusedChange(aReply);
       }
-      if (aAnswer.m_outcome != ChangeOutcome::kAccepted) {
-        return UnacceptedChange(aAnswer);
+      if (aReply.m_outcome != ChangeOutcome::kAccepted) {
+        return UnacceptedChange(aReply);
       }
+      LogEvent(Event::kConfigurationAccepted,
+               { { "generation", absl::StrCat(aReply.m_generation) } });
       return JsonResponse(
         { { "accepted", true },
-          { "generation", aAnswer.m_generation },
-          { "in_force", m_status.InForce(aAnswer.m_generation) } });
+          { "generation", aReply.m_generation },
+          { "in_force", m_status.InForce(aReply.m_generation) } });
     });
 }
 
--- a/packages/node/api/admin_api.h
+++ b/packages/node/api/admin_api.h
@@ -41,8 +41,7 @@
   HistoryBefore(Generation aGeneration, size_t aCount, nlohmann::json aEntries);
   [[nodiscard]] ChangeNote MakeNote(const nlohmann::json& aBody,
                                     std::string aSummary);
-  [[nodiscard]] kj::Promise<HttpResponse> Apply(ChangeFunction aChange,
-                                                const ChangeNote& aNote);
+  [[nodiscard]] kj::Promise<HttpResponse> Apply(ChangeRequest aRequest);
 
   ConfigurationService& m_configuration;
   MembershipService& m_membership;
--- a/packages/node/cluster/membership_service.cc
+++ b/packages/node/cluster/membership_service.cc
@@ -169,9 +169,8 @@
     m_observer->OnMembershipChanged();
   }
   Membership::NewestGeneration newest = m_membership.FindNewestGeneration();
-  const InstanceRecord* holder = m_membership.View().Find(newest.m_holder);
-  if (holder != nullptr && newest.m_generation > Self().m_generation) {
-    m_observer->OnNewerGeneration(newest.m_generation, holder->m_peerAddress);
+  if (newest.m_generation > Self().m_generation) {
+    m_observer->OnNewerGeneration(newest.m_holder, newest.m_generation);
   }
 }
 
--- a/packages/node/cluster/membership_service.h
+++ b/packages/node/cluster/membership_service.h
@@ -32,8 +32,8 @@
   // The view has a new version, or the lease was gained or lost.
   virtual void OnMembershipChanged() = 0;
   // Another instance told of a generation above the one in force here.
-  virtual void OnNewerGeneration(Generation aGeneration,
-                                 const std::string& aPeerAddress) = 0;
+  virtual void OnNewerGeneration(const InstanceId& aPeer,
+                                 Generation aGeneration) = 0;
 };
 
 // All references must outlive the service.
--- a/packages/node/configuration/configuration_service.cc
+++ b/packages/node/configuration/configuration_service.cc
@@ -1,27 +1,89 @@
 #include "node/configuration/configuration_service.h"
 
+#include <algorithm>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include <kj/debug.h>
 
 #include "absl/strings/str_cat.h"
+#include "core/base/stable_hash.h"
 #include "core/config/configuration_json.h"
 #include "node/wire/convert.h"
 #include "runtime/log/events.h"
 
 namespace ebonykeel {
+namespace {
+
+// Instances of one data centre that hold a watch on the store.
+constexpr size_t kWatchersInDataCentre = 2;
+// Instances that are told of a new generation at once; gossip tells the rest.
+constexpr size_t kOfferFanOut = 6;
+
+StoreStatus
+ToStatus(StoreReadOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StoreReadOutcome::kFound:
+      return StoreStatus::kOk;
+    case StoreReadOutcome::kNotFound:
+      return StoreStatus::kNotFound;
+    case StoreReadOutcome::kUnchanged:
+      return StoreStatus::kUnchanged;
+    case StoreReadOutcome::kFailed:
+      return StoreStatus::kFailed;
+  }
+  return StoreStatus::kFailed;
+}
+
+StoreStatus
+ToStatus(StoreWriteOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StoreWriteOutcome::kWritten:
+      return StoreStatus::kOk;
+    case StoreWriteOutcome::kConflict:
+      return StoreStatus::kConflict;
+    case StoreWriteOutcome::kRefused:
+      return StoreStatus::kRefused;
+    case StoreWriteOutcome::kUnknown:
+      return StoreStatus::kFailed;
+  }
+  return StoreStatus::kFailed;
+}
+
+std::string
+ProblemName(ConfigurationProblem::Kind aKind)
+{
+  switch (aKind) {
+    case ConfigurationProblem::Kind::kUnreadable:
+      return "unreadable";
+    case ConfigurationProblem::Kind::kDivergent:
+      return "divergent";
+    case ConfigurationProblem::Kind::kStoreBehind:
+      return "store_behind";
+  }
+  return "unreadable";
+}
+
+} // namespace
 
 ConfigurationService::ConfigurationService(
   Loop& aLoop,
   PeerLinks& aLinks,
   ObjectStore& aStore,
   MembershipService& aMembership,
-  const ConfigurationServiceOptions& aOptions)
+  const ConfigurationServiceOptions& aOptions,
+  absl::BitGenRef aRandom)
   : m_loop(aLoop)
   , m_links(aLinks)
   , m_store(aStore)
   , m_membership(aMembership)
   , m_options(aOptions)
+  , m_tracker(aOptions.m_tracker, aRandom)
+  , m_alarm(aLoop.Clock(),
+            [this]() { Perform(m_tracker.OnTimer(m_loop.Clock().Now())); })
   , m_tasks(*this)
 {
 }
@@ -30,73 +92,37 @@
 ConfigurationService::Start(ConfigurationObserver& aObserver)
 {
   m_observer = &aObserver;
-  m_tasks.add(WatchForever());
+  Perform(m_tracker.Start(m_loop.Clock().Now()));
+  OnMembershipChanged();
+}
+
+const ConfigurationPtr&
+ConfigurationService::InForce() const
+{
+  return m_tracker.InForce();
 }
 
 void
-ConfigurationService::OnOffer(Generation aGeneration,
-                              const std::string& aPeerAddress)
+ConfigurationService::OnMembershipChanged()
 {
-  Generation have = m_inForce == nullptr ? 0 : m_inForce->m_generation;
-  if (aGeneration <= have || aGeneration <= m_fetching) {
-    return;
-  }
-  m_fetching = aGeneration;
-  auto call =
-    m_links.Connect(aPeerAddress).then([have](wire::Peer::Client aPeer) {
-      auto request = aPeer.configurationRequest();
-      request.setHave(have);
-      return request.send().then(
-        [](capnp::Response<wire::Peer::ConfigurationResults>&& aResults) {
-          return std::string(ToView(aResults.getBody()));
-        });
-    });
-  m_tasks.add(
-    m_loop.Clock()
-      .Timer()
-      .timeoutAfter(m_options.m_fetchTimeout.count() * kj::NANOSECONDS,
-                    kj::mv(call))
-      .then(
-        [this](std::string&& aBody) {
-          m_fetching = 0;
-          if (!aBody.empty()) {
-            Take(aBody, "peer");
-          }
-        },
-        [this, aPeerAddress](kj::Exception&& /* aException */) {
-          m_fetching = 0;
-          m_links.Drop(aPeerAddress);
-        }));
+  Perform(m_tracker.SetWatcher(IsWatcher(), m_loop.Clock().Now()));
 }
 
-kj::Promise<ChangeAnswer>
-ConfigurationService::Change(ChangeFunction aChange, std::string aChangeId)
+void
+ConfigurationService::OnPeerGeneration(const InstanceId& aPeer,
+                                       Generation aGeneration)
 {
-  return m_store.Read(kCurrentConfigurationKey)
-    .then([this, change = std::move(aChange), id = std::move(aChangeId)](
-            StoreRead&& aRead) -> kj::Promise<ChangeAnswer> {
-      if (aRead.m_outcome == StoreReadOutcome::kFailed ||
-          aRead.m_outcome == StoreReadOutcome::kUnchanged) {
-        return ChangeAnswer{ .m_outcome = ChangeOutcome::kUnavailable };
-      }
-      Configuration current;
-      if (aRead.m_outcome == StoreReadOutcome::kFound) {
-        absl::StatusOr<Configuration> decoded =
-          DecodeConfiguration(aRead.m_value);
-        if (!decoded.ok()) {
-          return ChangeAnswer{ .m_outcome = ChangeOutcome::kUnavailable };
-        }
-        current = *std::move(decoded);
-      }
-      ChangeResult result = change(current);
-      if (!result.m_next) {
-        return ChangeAnswer{ .m_outcome = ChangeOutcome::kRefused,
-                             .m_generation = current.m_generation,
-                             .m_result = std::move(result) };
-      }
-      Configuration next = *result.m_next;
-      return Write(std::move(next), aRead.m_version, std::move(result));
-    });
+  Perform(m_tracker.OnPeerGeneration(aPeer, aGeneration, m_loop.Clock().Now()));
+}
+
+kj::Promise<ChangeReply>
+ConfigurationService::Change(ChangeRequest aRequest)
+{
+  auto paf = kj::newPromiseAndFulfiller<ChangeReply>();
+  aRequest.m_request = ++m_lastRequest;
+  m_changes.emplace(aRequest.m_request, kj::mv(paf.fulfiller));
+  Perform(m_tracker.RequestChange(std::move(aRequest), m_loop.Clock().Now()));
+  return kj::mv(paf.promise);
 }
 
 kj::Promise<ConfigurationPtr>
@@ -122,78 +148,129 @@
   KJ_LOG(ERROR, "configuration task failed", aException);
 }
 
-kj::Promise<void>
-ConfigurationService::WatchForever()
+void
+ConfigurationService::Perform(ConfigurationActions aActions)
 {
-  return m_store
-    .Watch(kCurrentConfigurationKey, m_storeVersion, m_options.m_watch)
-    .then([this](StoreRead&& aRead) -> kj::Promise<void> {
-      bool failed = aRead.m_outcome == StoreReadOutcome::kFailed;
-      if (failed != m_storeFailing) {
-        m_storeFailing = failed;
-        if (failed) {
-          LogEvent(Event::kStoreFailed, { { "call", "watch" } });
-        } else {
-          LogEvent(Event::kStoreRecovered, {});
-        }
-      }
-      if (aRead.m_outcome == StoreReadOutcome::kFound) {
-        m_storeVersion = aRead.m_version;
-        Take(aRead.m_value, "store");
-      }
-      if (aRead.m_outcome == StoreReadOutcome::kUnchanged ||
-          aRead.m_outcome == StoreReadOutcome::kFound) {
-        return WatchForever();
-      }
-      return m_loop.Clock().After(m_options.m_retryPause).then([this]() {
-        return WatchForever();
-      });
-    });
+  for (ConfigurationAction& action : aActions) {
+    PerformOne(action);
+  }
+  m_alarm.Set(m_tracker.NextTimer());
 }
 
 void
-ConfigurationService::Take(std::string_view aBody, std::string_view aSource)
+ConfigurationService::PerformOne(ConfigurationAction& aAction)
 {
-  absl::StatusOr<Configuration> decoded = DecodeConfiguration(aBody);
-  if (!decoded.ok()) {
-    LogEvent(Event::kConfigurationRefused,
-             { { "reason", std::string(decoded.status().message()) },
-               { "source", std::string(aSource) } });
-    return;
+  if (auto* read = std::get_if<ReadStore>(&aAction)) {
+    Call(*read);
+  } else if (auto* watch = std::get_if<WatchStore>(&aAction)) {
+    Call(*watch);
+  } else if (auto* write = std::get_if<WriteStore>(&aAction)) {
+    Call(*write);
+  } else if (auto* inForce = std::get_if<PutInForce>(&aAction)) {
+    PutInForceHere(inForce->m_configuration);
+  } else if (auto* offer = std::get_if<OfferToPeers>(&aAction)) {
+    Offer(offer->m_generation);
+  } else if (auto* fetch = std::get_if<FetchFromPeer>(&aAction)) {
+    Fetch(fetch->m_peer);
+  } else if (auto* problem = std::get_if<ConfigurationProblem>(&aAction)) {
+    ReportProblem(*problem);
+  } else if (auto* reply = std::get_if<ChangeReply>(&aAction)) {
+    auto found = m_changes.find(reply->m_request);
+    if (found != m_changes.end()) {
+      found->second->fulfill(std::move(*reply));
+      m_changes.erase(found);
+    }
   }
-  if (m_inForce != nullptr &&
-      decoded->m_generation <= m_inForce->m_generation) {
-    return;
+}
+
+void
+ConfigurationService::Call(const ReadStore& aRead)
+{
+  m_tasks.add(m_store.Read(aRead.m_key)
+                .then([this, token = aRead.m_token](StoreRead&& aResult) {
+                  Reply({ .m_token = token,
+                          .m_status = ToStatus(aResult.m_outcome),
+                          .m_version = aResult.m_version,
+                          .m_body = std::move(aResult.m_value) });
+                }));
+}
+
+void
+ConfigurationService::Call(const WatchStore& aWatch)
+{
+  m_tasks.add(
+    m_store
+      .Watch(aWatch.m_key, aWatch.m_version, m_options.m_tracker.m_storeWatch)
+      .then([this, token = aWatch.m_token](StoreRead&& aResult) {
+        Reply({ .m_token = token,
+                .m_status = ToStatus(aResult.m_outcome),
+                .m_version = aResult.m_version,
+                .m_body = std::move(aResult.m_value) });
+      }));
+}
+
+void
+ConfigurationService::Call(const WriteStore& aWrite)
+{
+  m_tasks.add(m_store.Write(aWrite.m_key, aWrite.m_ifVersion, aWrite.m_body)
+                .then([this, token = aWrite.m_token](StoreWrite&& aResult) {
+                  Reply({ .m_token = token,
+                          .m_status = ToStatus(aResult.m_outcome),
+                          .m_version = aResult.m_version });
+                }));
+}
+
+void
+ConfigurationService::Reply(const StoreCallReply& aReply)
+{
+  bool failing = aReply.m_status == StoreStatus::kFailed ||
+                 aReply.m_status == StoreStatus::kRefused;
+  if (failing != std::exchange(m_storeFailing, failing)) {
+    if (failing) {
+      LogEvent(Event::kStoreFailed, { { "call", "configuration" } });
+    } else {
+      LogEvent(Event::kStoreRecovered, {});
+    }
   }
-  m_inForce = std::make_shared<const Configuration>(*std::move(decoded));
-  m_body = aBody;
+  Perform(m_tracker.OnStoreReply(aReply, m_loop.Clock().Now()));
+}
+
+void
+ConfigurationService::PutInForceHere(const ConfigurationPtr& aConfiguration)
+{
+  m_body = EncodeConfiguration(*aConfiguration);
   LogEvent(Event::kConfigurationInForce,
-           { { "generation", absl::StrCat(m_inForce->m_generation) },
-             { "services", absl::StrCat(m_inForce->m_services.size()) },
-             { "source", std::string(aSource) } });
-  m_membership.SetGeneration(m_inForce->m_generation);
-  m_observer->OnConfigurationInForce(m_inForce);
-  OfferToOthers();
+           { { "generation", absl::StrCat(aConfiguration->m_generation) },
+             { "services", absl::StrCat(aConfiguration->m_services.size()) },
+             { "author", aConfiguration->m_author },
+             { "summary", aConfiguration->m_summary } });
+  m_membership.SetGeneration(aConfiguration->m_generation);
+  m_observer->OnConfigurationInForce(aConfiguration);
 }
 
 void
-ConfigurationService::OfferToOthers()
+ConfigurationService::Offer(Generation aGeneration)
 {
   const InstanceRecord& self = m_membership.Self();
+  std::vector<std::string> addresses;
   for (const InstanceRecord& record : m_membership.View().m_records) {
-    bool worth = record.m_id != self.m_id &&
-                 record.m_state != InstanceState::kDead &&
-                 record.m_generation < m_inForce->m_generation;
-    if (!worth) {
-      continue;
+    if (record.m_id != self.m_id && record.m_state != InstanceState::kDead &&
+        record.m_generation < aGeneration) {
+      addresses.push_back(record.m_peerAddress);
     }
+  }
+  // Each instance tells others than its neighbours do.
+  std::ranges::sort(addresses, {}, [&self](const std::string& aAddress) {
+    return StableHash(aAddress, StableHash(self.m_id.View()));
+  });
+  addresses.resize(std::min(addresses.size(), kOfferFanOut));
+  for (const std::string& address : addresses) {
     m_tasks.add(
-      m_links.Connect(record.m_peerAddress)
-        .then([generation = m_inForce->m_generation,
-               address = self.m_peerAddress](wire::Peer::Client aPeer) {
+      m_links.Connect(address)
+        .then([aGeneration, id = self.m_id.Text()](wire::Peer::Client aPeer) {
           auto request = aPeer.offerRequest();
-          request.setGeneration(generation);
-          request.setPeerAddress(ToText(address));
+          request.setGeneration(aGeneration);
+          request.setInstance(ToText(id));
           return request.send().ignoreResult();
         })
         .catch_([](kj::Exception&& /* aException */) {
@@ -202,64 +279,64 @@
   }
 }
 
-kj::Promise<ChangeAnswer>
-ConfigurationService::Write(Configuration aNext,
-                            uint64_t aIfVersion,
-                            ChangeResult aResult)
+void
+ConfigurationService::Fetch(const InstanceId& aPeer)
 {
-  std::string body = EncodeConfiguration(aNext);
-  return m_store.Write(kCurrentConfigurationKey, aIfVersion, body)
-    .then([this, next = std::move(aNext), result = std::move(aResult), body](
-            StoreWrite&& aWrite) mutable -> kj::Promise<ChangeAnswer> {
-      switch (aWrite.m_outcome) {
-        case StoreWriteOutcome::kWritten: {
-          Generation generation = next.m_generation;
-          LogEvent(Event::kConfigurationAccepted,
-                   { { "generation", absl::StrCat(generation) },
-                     { "author", next.m_author },
-                     { "summary", next.m_summary } });
-          Take(body, "change");
-          m_tasks.add(
-            m_store.Write(ConfigurationHistoryKey(generation), 0, body)
-              .ignoreResult());
-          return ChangeAnswer{ .m_outcome = ChangeOutcome::kAccepted,
-                               .m_generation = generation,
-                               .m_result = std::move(result) };
-        }
-        case StoreWriteOutcome::kConflict:
-          return ChangeAnswer{ .m_outcome = ChangeOutcome::kConflict,
-                               .m_generation = next.m_generation };
-        case StoreWriteOutcome::kRefused:
-          return ChangeAnswer{ .m_outcome = ChangeOutcome::kUnavailable };
-        case StoreWriteOutcome::kUnknown:
-          break;
-      }
-      return ResolveLostReply(std::move(next), std::move(result));
-    });
+  const InstanceRecord* record = m_membership.FindLive(aPeer);
+  if (record == nullptr) {
+    return;
+  }
+  std::string address = record->m_peerAddress;
+  Generation have = m_tracker.InForceGeneration();
+  auto call = m_links.Connect(address).then([have](wire::Peer::Client aClient) {
+    auto request = aClient.configurationRequest();
+    request.setHave(have);
+    return request.send().then(
+      [](capnp::Response<wire::Peer::ConfigurationResults>&& aResults) {
+        return std::string(ToView(aResults.getBody()));
+      });
+  });
+  m_tasks.add(
+    m_loop.Clock()
+      .Timer()
+      .timeoutAfter(m_options.m_fetchTimeout.count() * kj::NANOSECONDS,
+                    kj::mv(call))
+      .then(
+        [this, aPeer](std::string&& aBody) {
+          if (!aBody.empty()) {
+            Perform(m_tracker.OnPeerConfiguration(
+              aPeer, aBody, m_loop.Clock().Now()));
+          }
+        },
+        [this, address](kj::Exception&& /* aException */) {
+          m_links.Drop(address);
+        }));
 }
 
-kj::Promise<ChangeAnswer>
-ConfigurationService::ResolveLostReply(Configuration aNext,
-                                       ChangeResult aResult)
+void
+ConfigurationService::ReportProblem(const ConfigurationProblem& aProblem)
 {
-  return m_store.Read(kCurrentConfigurationKey)
-    .then([this, next = std::move(aNext), result = std::move(aResult)](
-            StoreRead&& aRead) mutable {
-      if (aRead.m_outcome != StoreReadOutcome::kFound) {
-        return ChangeAnswer{ .m_outcome = ChangeOutcome::kUnknown };
-      }
-      absl::StatusOr<Configuration> decoded =
-        DecodeConfiguration(aRead.m_value);
-      if (!decoded.ok() || decoded->m_generation > next.m_generation) {
-        return ChangeAnswer{ .m_outcome = ChangeOutcome::kUnknown };
-      }
-      Take(aRead.m_value, "store");
-      bool mine = decoded->m_changeId == next.m_changeId;
-      return ChangeAnswer{ .m_outcome = mine ? ChangeOutcome::kAccepted
-                                             : ChangeOutcome::kConflict,
-                           .m_generation = decoded->m_generation,
-                           .m_result = std::move(result) };
-    });
+  LogEvent(Event::kConfigurationRefused,
+           { { "problem", ProblemName(aProblem.m_kind) },
+             { "source", aProblem.m_source },
+             { "detail", aProblem.m_detail } });
+}
+
+bool
+ConfigurationService::IsWatcher() const
+{
+  const InstanceRecord& self = m_membership.Self();
+  auto rank = [](const InstanceRecord& aRecord) {
+    return StableHash(aRecord.m_id.View());
+  };
+  auto before = [&self, &rank](const InstanceRecord& aRecord) {
+    return aRecord.m_id != self.m_id &&
+           aRecord.m_state == InstanceState::kActive &&
+           aRecord.m_dataCentre == self.m_dataCentre &&
+           rank(aRecord) < rank(self);
+  };
+  return std::ranges::count_if(m_membership.View().m_records, before) <
+         static_cast<std::ptrdiff_t>(kWatchersInDataCentre);
 }
 
 } // namespace ebonykeel
--- a/packages/node/configuration/configuration_service.h
+++ b/packages/node/configuration/configuration_service.h
@@ -1,15 +1,17 @@
 // Keeps the configuration in force on this instance, and makes changes to it.
 #pragma once
 
-#include <functional>
+#include <map>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include <kj/async.h>
 
+#include "absl/random/bit_gen_ref.h"
 #include "core/config/configuration.h"
-#include "core/config/configuration_change.h"
+#include "core/config/configuration_tracker.h"
 #include "node/cluster/membership_service.h"
+#include "runtime/loop/alarm.h"
 #include "runtime/loop/loop.h"
 #include "runtime/peer/links.h"
 #include "runtime/store/object_store.h"
@@ -26,36 +28,9 @@
     const ConfigurationPtr& aConfiguration) = 0;
 };
 
-enum class ChangeOutcome
-{
-  // The store confirmed the change.
-  kAccepted,
-  // The change itself was refused; see the findings.
-  kRefused,
-  // Another change won.
-  kConflict,
-  // The store gave no answer: the change may or may not have been made.
-  kUnknown,
-  // The store cannot be reached; the change was not made.
-  kUnavailable,
-};
-
-struct ChangeAnswer
-{
-  ChangeOutcome m_outcome = ChangeOutcome::kUnknown;
-  // The generation made, or the one that won.
-  Generation m_generation = 0;
-  ChangeResult m_result;
-};
-
-// Makes the next configuration from the current one.
-using ChangeFunction = std::function<ChangeResult(const Configuration&)>;
-
 struct ConfigurationServiceOptions
 {
-  Duration m_watch = Seconds(30);
-  // The pause after a call to the store that failed.
-  Duration m_retryPause = Milliseconds(500);
+  ConfigurationTrackerOptions m_tracker;
   // The bound of fetching a configuration from another instance.
   Duration m_fetchTimeout = Seconds(1);
 };
@@ -68,47 +43,57 @@
                        PeerLinks& aLinks,
                        ObjectStore& aStore,
                        MembershipService& aMembership,
-                       const ConfigurationServiceOptions& aOptions);
+                       const ConfigurationServiceOptions& aOptions,
+                       absl::BitGenRef aRandom);
 
   void Start(ConfigurationObserver& aObserver);
 
-  [[nodiscard]] const ConfigurationPtr& InForce() const { return m_inForce; }
-  // The stored form of the configuration in force.
+  [[nodiscard]] const ConfigurationPtr& InForce() const;
+  // The stored form of the configuration in force; empty before the first.
   [[nodiscard]] const std::string& Body() const { return m_body; }
 
-  // Another instance has `aGeneration` in force: fetches it if it is newer.
-  void OnOffer(Generation aGeneration, const std::string& aPeerAddress);
+  // Decides anew whether this instance holds a watch on the store. Call it
+  // when the members changed.
+  void OnMembershipChanged();
+  // Another instance has `aGeneration` in force.
+  void OnPeerGeneration(const InstanceId& aPeer, Generation aGeneration);
 
-  [[nodiscard]] kj::Promise<ChangeAnswer> Change(ChangeFunction aChange,
-                                                 std::string aChangeId);
+  // Makes a change; `aRequest.m_request` is set here.
+  [[nodiscard]] kj::Promise<ChangeReply> Change(ChangeRequest aRequest);
 
   // Returns the configuration of an earlier generation from the store, or null.
   [[nodiscard]] kj::Promise<ConfigurationPtr> ReadHistory(
     Generation aGeneration);
 
 private:
+  using FulfillerMap =
+    std::map<uint64_t, kj::Own<kj::PromiseFulfiller<ChangeReply>>>;
+
   void taskFailed(kj::Exception&& aException) override;
-  kj::Promise<void> WatchForever();
-  void Take(std::string_view aBody, std::string_view aSource);
-  void OfferToOthers();
-  [[nodiscard]] kj::Promise<ChangeAnswer> Write(Configuration aNext,
-                                                uint64_t aIfVersion,
-                                                ChangeResult aResult);
-  [[nodiscard]] kj::Promise<ChangeAnswer> ResolveLostReply(
-    Configuration aNext,
-    ChangeResult aResult);
+  void Perform(ConfigurationActions aActions);
+  void PerformOne(ConfigurationAction& aAction);
+  void Call(const ReadStore& aRead);
+  void Call(const WatchStore& aWatch);
+  void Call(const WriteStore& aWrite);
+  void Reply(const StoreCallReply& aReply);
+  void PutInForceHere(const ConfigurationPtr& aConfiguration);
+  void Offer(Generation aGeneration);
+  void Fetch(const InstanceId& aPeer);
+  void ReportProblem(const ConfigurationProblem& aProblem);
+  [[nodiscard]] bool IsWatcher() const;
 
   Loop& m_loop;
   PeerLinks& m_links;
   ObjectStore& m_store;
   MembershipService& m_membership;
   ConfigurationServiceOptions m_options;
+  ConfigurationTracker m_tracker;
   ConfigurationObserver* m_observer = nullptr;
-  ConfigurationPtr m_inForce;
   std::string m_body;
-  uint64_t m_storeVersion = 0;
-  Generation m_fetching = 0;
   bool m_storeFailing = false;
+  uint64_t m_lastRequest = 0;
+  FulfillerMap m_changes;
+  Alarm m_alarm;
   kj::TaskSet m_tasks;
 };
 
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -29,6 +29,16 @@
   return options;
 }
 
+ConfigurationServiceOptions
+ConfigurationOptions(const NodeSettings& aSettings)
+{
+  ConfigurationServiceOptions options;
+  options.m_tracker.m_storeTimeout = aSettings.m_timers.m_storeTimeout;
+  options.m_tracker.m_storeWatch = aSettings.m_timers.m_storeWatch;
+  options.m_fetchTimeout = aSettings.m_timers.m_peerTimeout;
+  return options;
+}
+
 Endpoint
 ToEndpoint(const Address& aAddress)
 {
@@ -105,8 +115,8 @@
                       m_links,
                       m_store,
                       m_membership,
-                      { .m_watch = aSettings.m_timers.m_storeWatch,
-                        .m_fetchTimeout = aSettings.m_timers.m_peerTimeout })
+                      ConfigurationOptions(aSettings),
+                      aRandom)
     , m_selector({ .m_ownDataCentre = aSettings.m_dataCentre }, aRandom)
     , m_hedges({})
     , m_queries(aLoop,
@@ -204,8 +214,8 @@
   m_publicHandler->Set(m_parts->m_publicApi);
   m_adminHandler->Set(m_parts->m_adminApi);
   m_parts->m_ownership.Start(*this);
-  m_parts->m_membership.Start(*this);
   m_parts->m_configuration.Start(*this);
+  m_parts->m_membership.Start(*this);
   LogEvent(Event::kNodeStarted,
            { { "id", m_settings.m_id.Text() },
              { "data_centre", m_settings.m_dataCentre.Text() },
@@ -247,13 +257,14 @@
 void
 Node::OnMembershipChanged()
 {
+  m_parts->m_configuration.OnMembershipChanged();
   m_parts->m_ownership.Update(m_parts->m_configuration.InForce());
 }
 
 void
-Node::OnNewerGeneration(Generation aGeneration, const std::string& aPeerAddress)
+Node::OnNewerGeneration(const InstanceId& aPeer, Generation aGeneration)
 {
-  m_parts->m_configuration.OnOffer(aGeneration, aPeerAddress);
+  m_parts->m_configuration.OnPeerGeneration(aPeer, aGeneration);
 }
 
 void
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -72,8 +72,8 @@
   struct Parts;
 
   void OnMembershipChanged() override;
-  void OnNewerGeneration(Generation aGeneration,
-                         const std::string& aPeerAddress) override;
+  void OnNewerGeneration(const InstanceId& aPeer,
+                         Generation aGeneration) override;
   void OnOwnershipChanged() override;
   void OnConfigurationInForce(const ConfigurationPtr& aConfiguration) override;
 
--- a/packages/node/peer/peer_service.cc
+++ b/packages/node/peer/peer_service.cc
@@ -259,8 +259,8 @@
 PeerService::offer(OfferContext aContext)
 {
   auto params = aContext.getParams();
-  m_configuration.OnOffer(params.getGeneration(),
-                          std::string(ToView(params.getPeerAddress())));
+  m_configuration.OnPeerGeneration(InstanceId(ToView(params.getInstance())),
+                                   params.getGeneration());
   return kj::READY_NOW;
 }
 
--- a/packages/runtime/peer/peer.capnp
+++ b/packages/runtime/peer/peer.capnp
@@ -171,9 +171,9 @@
   # The configuration in force there, if its generation is above `have`;
   # otherwise an empty body.
   configuration @4 (have :UInt64) -> (generation :UInt64, body :Text);
-  # Tells that a generation is in force at `peerAddress`, which may be asked
-  # for it.
-  offer @5 (generation :UInt64, peerAddress :Text) -> ();
+  # Tells that a generation is in force at `instance`, which may be asked for
+  # it.
+  offer @5 (generation :UInt64, instance :Text) -> ();
   # Asks for upstreams to be released to the requester.
   acquire @6 (request :AcquireRequest) -> (reply :AcquireReply);
   # Tells the next owner that it can ask for upstreams now.
--- a/packages/runtime/peer/peer.capnp.h
+++ b/packages/runtime/peer/peer.capnp.h
@@ -3773,8 +3773,8 @@
 
   inline  ::uint64_t getGeneration() const;
 
-  inline bool hasPeerAddress() const;
-  inline  ::capnp::Text::Reader getPeerAddress() const;
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3807,12 +3807,12 @@
   inline  ::uint64_t getGeneration();
   inline void setGeneration( ::uint64_t value);
 
-  inline bool hasPeerAddress();
-  inline  ::capnp::Text::Builder getPeerAddress();
-  inline void setPeerAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
-  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -7208,36 +7208,36 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Peer::OfferParams::Reader::hasPeerAddress() const {
+inline bool Peer::OfferParams::Reader::hasInstance() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Peer::OfferParams::Builder::hasPeerAddress() {
+inline bool Peer::OfferParams::Builder::hasInstance() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Peer::OfferParams::Reader::getPeerAddress() const {
+inline  ::capnp::Text::Reader Peer::OfferParams::Reader::getInstance() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Peer::OfferParams::Builder::getPeerAddress() {
+inline  ::capnp::Text::Builder Peer::OfferParams::Builder::getInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Peer::OfferParams::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+inline void Peer::OfferParams::Builder::setInstance( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Peer::OfferParams::Builder::initPeerAddress(unsigned int size) {
+inline  ::capnp::Text::Builder Peer::OfferParams::Builder::initInstance(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Peer::OfferParams::Builder::adoptPeerAddress(
+inline void Peer::OfferParams::Builder::adoptInstance(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::OfferParams::Builder::disownPeerAddress() {
+inline ::capnp::Orphan< ::capnp::Text> Peer::OfferParams::Builder::disownInstance() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
