Leave out what is not known of a finding's place; keep data centres known

Cause: a trial with two real nodes showed findings such as ':0:0: upstream: ...', and a publication that was refused because a data centre in force had no live instance just then. Weighed: making the node pass every data centre it ever saw; the current configuration already names them. Changed: FormatFinding leaves out unknown parts (the expected texts of tests follow); data centres of the current configuration count as known, also for data-centre out and in. Seen: core and cli tests pass.

--- a/packages/cli/text_view.cc
+++ b/packages/cli/text_view.cc
@@ -5,6 +5,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
+#include "core/base/finding.h"
+
 namespace ebonykeel::cli {
 namespace {
 
@@ -187,22 +189,23 @@
   return text.empty() ? absl::StrCat(aAnswer.dump(2), "\n") : text;
 }
 
+uint32_t
+Position(const Json& aFinding, const char* aKey)
+{
+  const Json& value = Member(aFinding, aKey);
+  return value.is_number_unsigned() ? value.get<uint32_t>() : 0;
+}
+
 std::string
 RenderFinding(const Json& aFinding)
 {
-  std::string allowed = Text(aFinding, "allowed");
-  return absl::StrCat(Text(aFinding, "file"),
-                      ":",
-                      Text(aFinding, "line"),
-                      ":",
-                      Text(aFinding, "column"),
-                      ": ",
-                      Text(aFinding, "key"),
-                      ": ",
-                      Text(aFinding, "problem"),
-                      allowed.empty() ? "" : " (allowed: ",
-                      allowed,
-                      allowed.empty() ? "\n" : ")\n");
+  Finding finding{ .m_place = { Text(aFinding, "file"),
+                                Position(aFinding, "line"),
+                                Position(aFinding, "column") },
+                   .m_key = Text(aFinding, "key"),
+                   .m_problem = Text(aFinding, "problem"),
+                   .m_allowed = Text(aFinding, "allowed") };
+  return absl::StrCat(FormatFinding(finding), "\n");
 }
 
 } // namespace
--- a/packages/core/base/finding.cc
+++ b/packages/core/base/finding.cc
@@ -3,16 +3,28 @@
 #include "absl/strings/str_cat.h"
 
 namespace ebonykeel {
+namespace {
+
+// Returns the known part of `aPlace` and ": ", or nothing.
+std::string
+FormatPlace(const Place& aPlace)
+{
+  if (aPlace.m_file.empty()) {
+    return {};
+  }
+  if (aPlace.m_line == 0) {
+    return absl::StrCat(aPlace.m_file, ": ");
+  }
+  return absl::StrCat(
+    aPlace.m_file, ":", aPlace.m_line, ":", aPlace.m_column, ": ");
+}
+
+} // namespace
 
 std::string
 FormatFinding(const Finding& aFinding)
 {
-  std::string text = absl::StrCat(aFinding.m_place.m_file,
-                                  ":",
-                                  aFinding.m_place.m_line,
-                                  ":",
-                                  aFinding.m_place.m_column,
-                                  ": ");
+  std::string text = FormatPlace(aFinding.m_place);
   if (!aFinding.m_key.empty()) {
     absl::StrAppend(&text, aFinding.m_key, ": ");
   }
--- a/packages/core/base/finding.h
+++ b/packages/core/base/finding.h
@@ -42,7 +42,8 @@
 
 using Findings = std::vector<Finding>;
 
-// Returns `file:line:column: key: problem (allowed: ...)`.
+// Returns `file:line:column: key: problem (allowed: ...)`. What is not known of
+// the place is left out.
 [[nodiscard]] std::string
 FormatFinding(const Finding& aFinding);
 
--- a/packages/core/base/finding_test.cc
+++ b/packages/core/base/finding_test.cc
@@ -15,6 +15,14 @@
                 "desk.toml:4:9: slots: is 0 (allowed: 1 to 64)");
 }
 
+DOCTEST_TEST_CASE("what is not known of a place is left out")
+{
+  Finding finding{ .m_place = { "desk.toml" }, .m_problem = "x" };
+  DOCTEST_CHECK(FormatFinding(finding) == "desk.toml: x");
+  finding.m_place = {};
+  DOCTEST_CHECK(FormatFinding(finding) == "x");
+}
+
 DOCTEST_TEST_CASE("all findings are reported, one a line")
 {
   Findings findings{ { .m_place = { "a", 1, 1 }, .m_problem = "x" },
--- a/packages/core/config/configuration_change.cc
+++ b/packages/core/config/configuration_change.cc
@@ -113,14 +113,35 @@
   return ids;
 }
 
+// Returns the data centres that the configuration names.
+std::set<DataCentre>
+DataCentres(const Configuration& aConfiguration)
+{
+  std::set<DataCentre> found = aConfiguration.m_withdrawnDataCentres;
+  for (const ServiceConfig& service : aConfiguration.m_services) {
+    ForEachUpstream(service, [&](const UpstreamConfig& aUpstream) {
+      found.insert(aUpstream.m_dataCentre);
+    });
+  }
+  return found;
+}
+
 // Checks services against each other.
 class CrossCheck
 {
 public:
-  CrossCheck(const Publication& aPublication, Findings& aFindings)
+  CrossCheck(const Configuration& aCurrent,
+             const Publication& aPublication,
+             Findings& aFindings)
     : m_publication(&aPublication)
     , m_findings(&aFindings)
   {
+    if (!aPublication.m_knownDataCentres.empty()) {
+      // A data centre that is down must not keep its services from changing.
+      m_known = DataCentres(aCurrent);
+      m_known.insert(aPublication.m_knownDataCentres.begin(),
+                     aPublication.m_knownDataCentres.end());
+    }
     for (const PublishedService& published : aPublication.m_services) {
       m_files[published.m_service.m_name] = published.m_file;
     }
@@ -177,13 +198,12 @@
   void CheckDataCentre(const UpstreamConfig& aUpstream,
                        const ServiceName& aService)
   {
-    const std::set<DataCentre>& known = m_publication->m_knownDataCentres;
-    if (known.empty() || known.contains(aUpstream.m_dataCentre) ||
+    if (m_known.empty() || m_known.contains(aUpstream.m_dataCentre) ||
         !m_files.contains(aService)) {
       return;
     }
     std::string allowed;
-    for (const DataCentre& dataCentre : known) {
+    for (const DataCentre& dataCentre : m_known) {
       absl::StrAppend(&allowed, allowed.empty() ? "" : ", ", dataCentre.Text());
     }
     Report(FileOf(aService),
@@ -215,6 +235,8 @@
 
   const Publication* m_publication;
   Findings* m_findings;
+  // Empty if any will do.
+  std::set<DataCentre> m_known;
   std::map<ServiceName, std::string> m_files;
   std::map<std::string, ServiceName> m_owners;
 };
@@ -278,7 +300,7 @@
   Configuration next = aCurrent;
   next.m_services = MergeServices(aCurrent, aPublication);
   ChangeResult checked;
-  CrossCheck check(aPublication, checked.m_findings);
+  CrossCheck check(aCurrent, aPublication, checked.m_findings);
   check.CheckRepeatedNames();
   for (const ServiceConfig& service : next.m_services) {
     check.CheckService(service);
@@ -311,13 +333,9 @@
 {
   bool out = aWithdrawal == Withdrawal::kOut;
   bool isOut = aCurrent.m_withdrawnDataCentres.contains(aDataCentre);
-  std::set<DataCentre> known = aKnown;
-  for (const ServiceConfig& service : aCurrent.m_services) {
-    ForEachUpstream(service, [&](const UpstreamConfig& aUpstream) {
-      known.insert(aUpstream.m_dataCentre);
-    });
-  }
-  if (!isOut && !known.contains(aDataCentre)) {
+  bool known =
+    aKnown.contains(aDataCentre) || DataCentres(aCurrent).contains(aDataCentre);
+  if (!known) {
     return Refuse(ChangeRefusal::kNotFound,
                   "data_centre",
                   absl::StrCat("no data centre \"", aDataCentre.Text(), "\""));
--- a/packages/core/config/configuration_change.h
+++ b/packages/core/config/configuration_change.h
@@ -70,7 +70,8 @@
   std::vector<PublishedService> m_services;
   // Services that leave.
   std::vector<ServiceName> m_removed;
-  // When not empty, an upstream in any other data centre is a finding.
+  // When not empty, an upstream in any other data centre is a finding, unless
+  // the current configuration names it.
   std::set<DataCentre> m_knownDataCentres;
 };
 
