--- a/packages/core/membership/membership_slope.cc
+++ b/packages/core/membership/membership_slope.cc
@@ -207,12 +207,12 @@
       const Stopwatch stopwatch(m_totals.m_seconds);
       pings = m_nodes[aIndex].m_membership->Tick(m_now);
     }
-    for (PingAction& ping : pings) {
-      Deliver(aIndex, std::move(ping));
+    for (const PingAction& ping : pings) {
+      Deliver(aIndex, ping);
     }
   }
 
-  void Deliver(size_t aFrom, PingAction aPing)
+  void Deliver(size_t aFrom, const PingAction& aPing)
   {
     constexpr size_t kFirstNumber = 1000;
     const std::string_view number =
--- a/packages/core/membership/records.h
+++ b/packages/core/membership/records.h
@@ -6,9 +6,11 @@
 // instances have nothing in common.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "core/base/ids.h"
@@ -39,7 +41,12 @@
   InstanceId m_id;
   BootId m_incarnation = 0;
 
-  friend auto operator<=>(const InstanceRef&, const InstanceRef&) = default;
+  friend std::strong_ordering operator<=>(const InstanceRef& aLeft,
+                                          const InstanceRef& aRight)
+  {
+    return std::tie(aLeft.m_id, aLeft.m_incarnation) <=>
+           std::tie(aRight.m_id, aRight.m_incarnation);
+  }
   friend bool operator==(const InstanceRef&, const InstanceRef&) = default;
 };
 
--- a/packages/core/membership/spreading.cc
+++ b/packages/core/membership/spreading.cc
@@ -220,7 +220,8 @@
   // A random start, so that repeated messages cover all of them.
   if (differing.size() > kMaxDifferingRecords) {
     const size_t start = absl::Uniform<size_t>(m_bitGen, 0, differing.size());
-    std::ranges::rotate(differing, differing.begin() + start);
+    const auto middle = differing.begin() + static_cast<std::ptrdiff_t>(start);
+    std::rotate(differing.begin(), middle, differing.end());
     differing.resize(kMaxDifferingRecords);
   }
   for (const InstanceId& id : differing) {
--- a/packages/core/ownership/holder.cc
+++ b/packages/core/ownership/holder.cc
@@ -166,6 +166,7 @@
     }
   }
   std::vector<AcquireAction> actions;
+  actions.reserve(asks.size());
   for (auto& [target, action] : asks) {
     actions.push_back(std::move(action));
   }
@@ -486,6 +487,7 @@
     action.m_notice.m_upstreams.push_back(id);
   }
   std::vector<HandOverAction> actions;
+  actions.reserve(notices.size());
   for (auto& [target, action] : notices) {
     actions.push_back(std::move(action));
   }
--- a/packages/core/ownership/holder_test.cc
+++ b/packages/core/ownership/holder_test.cc
@@ -56,11 +56,11 @@
   std::erase_if(eligible, [&](const InstanceRecord& aRecord) {
     return aRecord.m_id.View() != aOwner;
   });
-  aHolder.OnView(std::make_shared<const OwnerMap>(
-                   BuildOwnerMap(configuration, eligible)),
-                 aView,
-                 configuration,
-                 aNow);
+  aHolder.OnView(
+    std::make_shared<const OwnerMap>(BuildOwnerMap(configuration, eligible)),
+    aView,
+    configuration,
+    aNow);
 }
 
 AcquireReply
@@ -125,8 +125,8 @@
   const TimePoint until = kStart + Seconds(3);
   DOCTEST_CHECK(owner.Slots(until - Milliseconds(1),
                             { .m_incarnation = 1, .m_until = until }) == 3);
-  DOCTEST_CHECK(
-    owner.Slots(until, { .m_incarnation = 1, .m_until = until }) == 0);
+  DOCTEST_CHECK(owner.Slots(until, { .m_incarnation = 1, .m_until = until }) ==
+                0);
   DOCTEST_CHECK(owner.Slots(kStart, { .m_incarnation = 2, .m_until = until }) ==
                 0);
 }
@@ -198,8 +198,8 @@
   owner.m_holder.OnSent(kUpstream, kStart + Milliseconds(300));
   AcquireRequest request{ .m_requester = { InstanceId("b"), 1 },
                           .m_requesterPeerAddress = "b:1",
-                          .m_items = { { .m_upstream = kUpstream,
-                                         .m_attempt = 9 } } };
+                          .m_items = {
+                            { .m_upstream = kUpstream, .m_attempt = 9 } } };
   const auto ask = [&] {
     return owner.m_holder.OnAcquire(request, kStart).m_items[0];
   };
@@ -229,8 +229,8 @@
   view.m_records[0].m_incarnation = 2;
   ShowOwner(owner.m_holder, view, "a", kStart);
   DOCTEST_CHECK(
-    owner.Slots(kStart,
-                { .m_incarnation = 2, .m_until = TimePoint::max() }) == 0);
+    owner.Slots(kStart, { .m_incarnation = 2, .m_until = TimePoint::max() }) ==
+    0);
 }
 
 DOCTEST_TEST_CASE("a dead instance need not answer")
--- a/packages/core/ownership/owner_map.cc
+++ b/packages/core/ownership/owner_map.cc
@@ -25,7 +25,14 @@
   size_t m_replica = 0;
   uint64_t m_bucket = 0;
 
-  friend auto operator<=>(const UnitKey&, const UnitKey&) = default;
+  friend bool operator<(const UnitKey& aLeft, const UnitKey& aRight)
+  {
+    const auto tie = [](const UnitKey& aKey) {
+      return std::tie(
+        aKey.m_group, aKey.m_dataCentre, aKey.m_replica, aKey.m_bucket);
+    };
+    return tie(aLeft) < tie(aRight);
+  }
 };
 
 struct UnitMembers
@@ -160,6 +167,7 @@
              std::tie(aLeft.first, aRight.second->m_id);
     });
     std::vector<InstanceId> ranked;
+    ranked.reserve(scored.size());
     for (const auto& [score, record] : scored) {
       ranked.push_back(record->m_id);
     }
--- a/packages/core/ownership/takeover_test.cc
+++ b/packages/core/ownership/takeover_test.cc
@@ -42,11 +42,12 @@
   int m_after = 0;
 };
 
-void
-showValue(const Fault& aFault, std::ostream& aStream)
+std::ostream&
+operator<<(std::ostream& aStream, const Fault& aFault)
 {
-  aStream << "{" << static_cast<int>(aFault.m_kind) << " " << aFault.m_one
-          << " " << aFault.m_other << " +" << aFault.m_after << "ms}";
+  return aStream << "{" << static_cast<int>(aFault.m_kind) << " "
+                 << aFault.m_one << " " << aFault.m_other << " +"
+                 << aFault.m_after << "ms}";
 }
 
 rc::Gen<Fault>
--- a/packages/core/ownership/testing/schedule.cc
+++ b/packages/core/ownership/testing/schedule.cc
@@ -98,7 +98,9 @@
 }
 
 void
-Schedule::On(size_t aMachine, Duration aWhen, std::function<void()> aAction)
+Schedule::On(size_t aMachine,
+             Duration aWhen,
+             const std::function<void()>& aAction)
 {
   const uint64_t run = m_machines[aMachine]->m_run;
   At(aWhen, [this, aMachine, run, aAction] {
@@ -117,7 +119,7 @@
 }
 
 void
-Schedule::Send(size_t aFrom, size_t aTo, std::function<void()> aAction)
+Schedule::Send(size_t aFrom, size_t aTo, const std::function<void()>& aAction)
 {
   std::uniform_real_distribution<double> unit(0, 1);
   if (m_cuts.contains({ aFrom, aTo }) || unit(m_random) < m_loss) {
@@ -125,7 +127,7 @@
   }
   std::exponential_distribution<double> delay(m_slow ? 1.0 / 400 : 1.0 / 2);
   const Duration span(static_cast<int64_t>(delay(m_random) * 1e6) + 100000);
-  On(aTo, m_now + span, std::move(aAction));
+  On(aTo, m_now + span, aAction);
 }
 
 std::optional<size_t>
@@ -252,13 +254,13 @@
   Machine& machine = *m_machines[aMachine];
   const TimePoint now = LocalNow(machine);
   if (now >= machine.m_membership->NextTick()) {
-    for (PingAction& ping : machine.m_membership->Tick(now)) {
-      SendPing(aMachine, std::move(ping));
+    for (const PingAction& ping : machine.m_membership->Tick(now)) {
+      SendPing(aMachine, ping);
     }
   }
   Refresh(aMachine);
-  for (AcquireAction& ask : machine.m_holder->Tick(now)) {
-    SendAsk(aMachine, std::move(ask));
+  for (const AcquireAction& ask : machine.m_holder->Tick(now)) {
+    SendAsk(aMachine, ask);
   }
 }
 
@@ -278,7 +280,7 @@
 }
 
 void
-Schedule::SendPing(size_t aFrom, PingAction aPing)
+Schedule::SendPing(size_t aFrom, const PingAction& aPing)
 {
   m_largestMessage = std::max(m_largestMessage, EstimateBytes(aPing.m_gossip));
   const std::optional<size_t> target = IndexOf(aPing.m_target);
@@ -315,7 +317,7 @@
 }
 
 void
-Schedule::SendAsk(size_t aFrom, AcquireAction aAsk)
+Schedule::SendAsk(size_t aFrom, const AcquireAction& aAsk)
 {
   const std::optional<size_t> target = IndexOf(aAsk.m_target);
   if (!target) {
--- a/packages/core/ownership/testing/schedule.h
+++ b/packages/core/ownership/testing/schedule.h
@@ -103,14 +103,16 @@
 
   void At(Duration aWhen, std::function<void()> aAction);
   // Runs on the machine unless that run of it has ended; waits out a pause.
-  void On(size_t aMachine, Duration aWhen, std::function<void()> aAction);
-  void Send(size_t aFrom, size_t aTo, std::function<void()> aAction);
+  void On(size_t aMachine,
+          Duration aWhen,
+          const std::function<void()>& aAction);
+  void Send(size_t aFrom, size_t aTo, const std::function<void()>& aAction);
   [[nodiscard]] std::optional<size_t> IndexOf(const InstanceId& aId) const;
   void QueueTick(size_t aMachine);
   void TickMachine(size_t aMachine);
   void Refresh(size_t aMachine);
-  void SendPing(size_t aFrom, PingAction aPing);
-  void SendAsk(size_t aFrom, AcquireAction aAsk);
+  void SendPing(size_t aFrom, const PingAction& aPing);
+  void SendAsk(size_t aFrom, const AcquireAction& aAsk);
   void PublishList();
 
   ScheduleOptions m_options;
--- a/packages/core/routing/routing_test.cc
+++ b/packages/core/routing/routing_test.cc
@@ -38,6 +38,7 @@
 Candidates(const std::vector<InstanceRecord>& aFleet)
 {
   std::vector<RoutingCandidate> candidates;
+  candidates.reserve(aFleet.size());
   for (const InstanceRecord& record : aFleet) {
     candidates.push_back({ .m_record = &record });
   }
