Cancel a search session only while it lives

Cause: PeerService::search attached first an action that cancels the session, then the session; kj destroys attachments in reverse, so the session was freed before it was cancelled. With sub-queries open this freed their tickets twice: a node whose peer was killed under load ended with "double free detected", which turned the loss of one node into the loss of two. Change: the action owns the session. An order swap was ruled out, since it would depend on the same detail. Seen: process_node_test "a node killed under load" ended with the peer's crash before, and without one after (one run each).

--- a/packages/node/peer/peer_service.cc
+++ b/packages/node/peer/peer_service.cc
@@ -201,9 +201,10 @@
   auto params = aContext.getParams();
   auto session = kj::refcounted<SearchSession>(*this, params.getSink());
   kj::Promise<void> done = session->Start(params.getRequest());
-  SearchSession& reference = *session;
-  return done.attach(kj::defer([&reference]() { reference.CancelAll(); }),
-                     kj::mv(session));
+  // Attachments are destroyed in no order that can be relied upon, so that
+  // what cancels the session has to own it.
+  return done.attach(kj::defer(
+    [session = kj::mv(session)]() mutable { session->CancelAll(); }));
 }
 
 kj::Promise<void>
