Show the generation in force in the history

Cause: a generation is written to the history only when the next one replaces it, so GET /v1/admin/history said of the newest one that it is not kept. After a change of unknown outcome an operator is told to look there, and could not find a change that had been accepted. Change: the newest entry comes from the configuration in force. Writing the history object with each change was ruled out: it is one more store write which can fail by itself. Seen: process_store_test counted the change id of an accepted publication 0 times in the history before, once after.

--- a/packages/node/api/admin_api.cc
+++ b/packages/node/api/admin_api.cc
@@ -315,18 +315,23 @@
   if (aGeneration == 0 || aCount == 0) {
     return JsonResponse({ { "history", std::move(aEntries) } });
   }
-  return m_configuration.ReadHistory(aGeneration)
-    .then([this, aGeneration, aCount, entries = std::move(aEntries)](
-            ConfigurationPtr aOld) mutable {
-      Json entry{ { "generation", aGeneration }, { "kept", aOld != nullptr } };
-      if (aOld != nullptr) {
-        entry["author"] = aOld->m_author;
-        entry["summary"] = aOld->m_summary;
-        entry["change_id"] = aOld->m_changeId;
-      }
-      entries.push_back(std::move(entry));
-      return HistoryBefore(aGeneration - 1, aCount - 1, std::move(entries));
-    });
+  // A generation is kept in the history only once another has replaced it.
+  ConfigurationPtr inForce = m_configuration.InForce();
+  kj::Promise<ConfigurationPtr> read =
+    inForce != nullptr && inForce->m_generation == aGeneration
+      ? kj::Promise<ConfigurationPtr>(inForce)
+      : m_configuration.ReadHistory(aGeneration);
+  return read.then([this, aGeneration, aCount, entries = std::move(aEntries)](
+                     ConfigurationPtr aOld) mutable {
+    Json entry{ { "generation", aGeneration }, { "kept", aOld != nullptr } };
+    if (aOld != nullptr) {
+      entry["author"] = aOld->m_author;
+      entry["summary"] = aOld->m_summary;
+      entry["change_id"] = aOld->m_changeId;
+    }
+    entries.push_back(std::move(entry));
+    return HistoryBefore(aGeneration - 1, aCount - 1, std::move(entries));
+  });
 }
 
 ChangeNote
