Prove the promises on whole processes under injected faults

Cause: the core's properties say nothing of what the processes do with sockets, signals and each other. Change: packages/testing starts the platform, nodes, searchers and relays as child processes on free ports, runs callers that follow routing answers and retry only refusals that say not run, and checks each answer and the searchers' execution lists. Twenty test cases in process_node_test, process_store_test, process_upstream_test and process_link_test (ctest label process, run alone) kill, pause, replace and cut off nodes, take the store down and lose its replies, garble and restart searchers, switch versions and repartition, and silence each kind of link. docs/fault_matrix.toml says which fault at which step is proved by which test; make fault-matrix renders docs/FAULTS.md and fails on a test that does not exist or that stands in KNOWN-RED.txt. Weighed: threads or a simulated network in one process, which would not test what ships. Changed while writing: the test of searchers that all fail expected the reason bad_answer alone; a retry that waits for a held slot truthfully ends with deadline. The test now takes either, and checks besides that the nodes counted the bad answer.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SANITIZED ?= build-sanitized
 JOBS ?= $(shell nproc)
 
-.PHONY: deps configure build test sanitize lint format generate clean
+.PHONY: deps configure build test sanitize lint format generate clean fault-matrix
 
 deps:
 	tools/install_deps.sh
@@ -24,6 +24,11 @@
 format:
 	git ls-files -z '*.h' '*.cc' ':!*.capnp.h' | xargs -0 clang-format -i
 
+# Renders docs/FAULTS.md and fails if a test that the matrix names is missing.
+fault-matrix: configure
+	cmake --build $(BUILD) -j $(JOBS) --target fault_matrix >/dev/null
+	$(BUILD)/bin/fault_matrix render .
+
 test: deps build lint sanitize
 	ctest --test-dir $(BUILD) -j 4 --output-on-failure
 
--- /dev/null
+++ b/packages/testing/caller_load.h
@@ -0,0 +1,128 @@
+// Callers that send queries and filings all the time, follow routing answers,
+// retry only what was refused as not run, and check every answer.
+//
+//   CallerLoad load(cluster, {});
+//   load.Start();
+//   ... inject a fault ...
+//   load.Stop();
+//   DOCTEST_CHECK(load.Report().m_violations.empty());
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <kj/async.h>
+#include <nlohmann/json.hpp>
+
+#include "load/filing_check.h"
+#include "runtime/http/client.h"
+#include "testing/cluster.h"
+
+namespace ebonykeel {
+
+struct CallerLoadOptions
+{
+  size_t m_queryWorkers = 3;
+  size_t m_filingWorkers = 1;
+  // The deadline that queries state; the service's unless set.
+  std::optional<Duration> m_deadline;
+  // How long a request may take at the caller.
+  Duration m_timeout = Seconds(8);
+  // Between the end of a request and the next of the same worker.
+  Duration m_pause = Milliseconds(10);
+};
+
+// What callers saw.
+struct CallerLoadReport
+{
+  uint64_t m_wholeQueries = 0;
+  uint64_t m_partialQueries = 0;
+  // How many answers came from each index version.
+  std::map<uint64_t, uint64_t> m_versions;
+  // Why shards were missing, and how often.
+  std::map<std::string, uint64_t> m_missing;
+  // Requests refused as not run, and sent again elsewhere.
+  uint64_t m_refusals = 0;
+  // Requests that lost their connection or their answer after they were sent.
+  uint64_t m_cut = 0;
+  // What each request that did not succeed ended with.
+  std::vector<std::string> m_failures;
+  // Answers that broke a promise.
+  std::vector<std::string> m_violations;
+  std::vector<FilingRecord> m_filings;
+};
+
+// Returns the wall clock's time since the Unix epoch, in milliseconds.
+[[nodiscard]] int64_t
+WallMilliseconds();
+
+// Returns one line with the counts and the first failures and violations.
+[[nodiscard]] std::string
+Describe(const CallerLoadReport& aReport);
+
+// The cluster must outlive it. The nodes that run are the callers' first
+// addresses.
+class CallerLoad final : private kj::TaskSet::ErrorHandler
+{
+public:
+  CallerLoad(Cluster& aCluster, const CallerLoadOptions& aOptions);
+
+  void Start();
+  // Lets the running requests end, sends each filing of unknown outcome once
+  // more under its old id, and returns when all is over.
+  void Stop();
+
+  [[nodiscard]] const CallerLoadReport& Report() const { return m_report; }
+  // Returns how often filings ran, as callers were told.
+  [[nodiscard]] uint64_t FilingsRan() const;
+  // Returns the number of filings refused as not run.
+  [[nodiscard]] uint64_t FilingsNotRun() const;
+  // Compares the filings with the searchers' execution lists.
+  [[nodiscard]] FilingCheck CheckExecutions();
+
+private:
+  // One request on its way.
+  struct Attempt
+  {
+    bool m_filing = false;
+    std::string m_id;
+    // Of the wall clock, in milliseconds; a repeat has the same.
+    int64_t m_issuedAt = 0;
+    int m_tries = 0;
+  };
+
+  kj::Promise<void> RunWorker(bool aFiling);
+  kj::Promise<void> RunOne(Attempt aAttempt);
+  kj::Promise<void> OnReply(Attempt aAttempt,
+                            const Endpoint& aEndpoint,
+                            HttpReply aReply);
+  kj::Promise<void> TryAgain(Attempt aAttempt);
+  kj::Promise<void> Route();
+  [[nodiscard]] HttpRequest MakeRequest(const Attempt& aAttempt);
+  void OnAnswered(const Attempt& aAttempt, const HttpResponse& aResponse);
+  void OnCut(const Attempt& aAttempt, const HttpReply& aReply);
+  void RecordFiling(const Attempt& aAttempt, Outcome aOutcome);
+  void Adopt(const nlohmann::json& aAddresses, Duration aLifetime);
+  void Forget(const Endpoint& aEndpoint);
+  [[nodiscard]] Attempt NewAttempt(bool aFiling);
+  void taskFailed(kj::Exception&& aException) override;
+
+  Cluster& m_cluster;
+  CallerLoadOptions m_options;
+  CallerLoadReport m_report;
+  std::map<std::string, size_t> m_filingIndex;
+  // Filings whose outcome the caller was not told.
+  std::vector<Attempt> m_unknown;
+  std::vector<Endpoint> m_addresses;
+  TimePoint m_expires;
+  uint64_t m_turn = 0;
+  uint64_t m_requests = 0;
+  bool m_stopping = false;
+  kj::TaskSet m_tasks;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/testing/cluster.h
@@ -0,0 +1,195 @@
+// A platform, nodes, searchers and relays as processes on this machine, all
+// on ports that the system chose.
+//
+//   Cluster cluster;
+//   DOCTEST_REQUIRE(cluster.StartStandard());
+//   cluster.Node("n1").m_process->Signal(SIGKILL);
+//   DOCTEST_CHECK(cluster.WaitUntil([&]() { return cluster.AllWhole(); }));
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <kj/function.h>
+#include <nlohmann/json.hpp>
+
+#include "runtime/http/client.h"
+#include "runtime/loop/loop.h"
+#include "testing/process.h"
+
+namespace ebonykeel {
+
+// The service that the standard cluster serves.
+constexpr std::string_view kTestService = "desk";
+
+// What a call gave; `m_status` is 0 when there was no whole answer.
+struct CallResult
+{
+  int m_status = 0;
+  nlohmann::json m_body;
+  std::string m_text;
+};
+
+struct NodeOptions
+{
+  std::string m_id;
+  std::string m_dataCentre;
+  // More lines for the settings, at their top.
+  std::string m_settings;
+  // Where the store is; `Store()` unless set.
+  std::string m_store;
+  // Puts a relay before the public and the peer address.
+  bool m_relayed = false;
+};
+
+struct RunningNode
+{
+  NodeOptions m_options;
+  std::unique_ptr<Process> m_process;
+  Endpoint m_public;
+  Endpoint m_admin;
+  Endpoint m_peer;
+  // The control APIs of the relays, when it is relayed.
+  Endpoint m_publicRelay;
+  Endpoint m_peerRelay;
+};
+
+// One relay with a route for each target.
+struct RunningRelay
+{
+  std::unique_ptr<Process> m_process;
+  Endpoint m_control;
+  std::vector<Endpoint> m_routes;
+};
+
+struct SearcherOptions
+{
+  // Each shard has a replica in every data centre.
+  std::vector<std::string> m_shards{ "s0", "s1" };
+  std::vector<std::string> m_arguments{ "--warm" };
+  uint32_t m_slots = 2;
+  // Puts a relay before each searcher.
+  bool m_relayed = false;
+};
+
+class Cluster
+{
+public:
+  Cluster();
+  ~Cluster();
+
+  [[nodiscard]] Loop& EventLoop() { return m_loop; }
+  [[nodiscard]] H2oHttpClient& Client() { return m_client; }
+
+  // Starts the platform, the searchers and a node in each data centre,
+  // publishes the service and waits until every node serves it whole.
+  [[nodiscard]] bool StartStandard(const SearcherOptions& aSearchers = {});
+
+  // Starts the object store and the instance list, each as a process.
+  [[nodiscard]] bool StartPlatform();
+  [[nodiscard]] bool StartSearchers(const SearcherOptions& aOptions);
+  // Starts a node, waits for its ports and puts it on the instance list.
+  [[nodiscard]] bool StartNode(const NodeOptions& aOptions);
+  [[nodiscard]] std::unique_ptr<RunningRelay> StartRelay(
+    const std::string& aName,
+    const std::vector<std::string>& aArguments);
+
+  // Forgets a node: kills it if it runs and takes it off the instance list.
+  void RemoveNode(const std::string& aId);
+
+  [[nodiscard]] RunningNode& Node(const std::string& aId)
+  {
+    return *m_nodes.at(aId);
+  }
+  [[nodiscard]] std::vector<std::string> NodeIds() const;
+  [[nodiscard]] const std::vector<std::string>& DataCentres() const
+  {
+    return m_dataCentres;
+  }
+  // The object store.
+  [[nodiscard]] const Endpoint& Store() const { return m_store; }
+  [[nodiscard]] const Endpoint& Searchers() const { return m_searchers; }
+  [[nodiscard]] RunningRelay* SearcherRelay() { return m_searcherRelay.get(); }
+  // Returns the id of the replica of the shard numbered `aShard` in the data
+  // centre numbered `aDataCentre`.
+  [[nodiscard]] std::string SearcherId(size_t aShard, size_t aDataCentre) const;
+
+  // Sends one request and waits for its end.
+  CallResult Call(const Endpoint& aEndpoint,
+                  const std::string& aMethod,
+                  const std::string& aPath,
+                  const nlohmann::json& aBody = nullptr);
+  // Sends one request.
+  kj::Promise<CallResult> Begin(const Endpoint& aEndpoint,
+                                const std::string& aMethod,
+                                const std::string& aPath,
+                                const nlohmann::json& aBody = nullptr);
+  // Sets faults of a stand-in; `aId` names one searcher, or all if empty.
+  void SetFaults(const Endpoint& aControl,
+                 const nlohmann::json& aFaults,
+                 const std::string& aId = "");
+  // Returns the counters of one searcher.
+  [[nodiscard]] nlohmann::json Counters(const std::string& aSearcherId);
+
+  // Returns the service's file as text, for one index version.
+  [[nodiscard]] std::string ServiceFile(uint64_t aVersion,
+                                        std::vector<std::string> aShards) const;
+  // Publishes the service through a node; `aBase` 0 means any base.
+  CallResult Publish(const std::string& aNode,
+                     const std::string& aServiceFile,
+                     const std::string& aChangeId = "",
+                     uint64_t aBase = 0);
+  kj::Promise<CallResult> BeginPublish(const std::string& aNode,
+                                       const std::string& aServiceFile,
+                                       const std::string& aChangeId,
+                                       uint64_t aBase);
+  [[nodiscard]] CallResult Status(const std::string& aNode);
+  // Returns the sum of one metric over the nodes, such as
+  // "upstream_bad_answers_total".
+  [[nodiscard]] uint64_t Metric(std::string_view aName);
+  // Returns whether a query through the node covers everything.
+  [[nodiscard]] bool AnswersWhole(const std::string& aNode);
+  // Returns whether every node does, and every one sees `NodeIds()` alive.
+  [[nodiscard]] bool AllWhole();
+  // Returns whether the generation is in force on every node.
+  [[nodiscard]] bool InForceEverywhere(uint64_t aGeneration);
+
+  // Looks at `aCondition` again and again while the loop runs. Returns false
+  // when it does not hold within the bound of a test.
+  bool WaitUntil(kj::Function<bool()> aCondition);
+  // Lets the loop run for a while.
+  void RunFor(Duration aTime);
+
+private:
+  [[nodiscard]] std::unique_ptr<Process> StartProgram(
+    const std::string& aProgram,
+    const std::string& aName,
+    std::vector<std::string> aArguments);
+  [[nodiscard]] nlohmann::json WaitReady(const std::string& aName);
+  [[nodiscard]] bool RelayNode(RunningNode& aNode);
+  void ListNode(const RunningNode& aNode, const std::string& aState);
+
+  TemporaryFolder m_folder;
+  Loop m_loop;
+  H2oHttpClient m_client;
+  std::vector<std::string> m_dataCentres{ "oviedo", "santander", "bilbao" };
+  std::unique_ptr<Process> m_storeProcess;
+  Endpoint m_store;
+  std::unique_ptr<Process> m_listProcess;
+  Endpoint m_instanceList;
+  std::unique_ptr<Process> m_searcherProcess;
+  Endpoint m_searchers;
+  std::vector<Endpoint> m_searcherEndpoints;
+  std::unique_ptr<RunningRelay> m_searcherRelay;
+  std::vector<std::string> m_shards;
+  uint32_t m_slots = 2;
+  std::map<std::string, std::unique_ptr<RunningNode>> m_nodes;
+  std::vector<std::unique_ptr<RunningRelay>> m_relays;
+  uint64_t m_calls = 0;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/testing/fault_matrix.cc
@@ -0,0 +1,350 @@
+#include "testing/fault_matrix.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include <toml++/toml.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr std::string_view kProved = "proved";
+constexpr std::string_view kOpen = "open";
+constexpr std::string_view kNotApplicable = "not_applicable";
+
+// Reads one table and notes what is missing.
+class TableReader
+{
+public:
+  TableReader(const toml::table& aTable,
+              std::string_view aFile,
+              Findings& aFindings)
+    : m_table(aTable)
+    , m_file(aFile)
+    , m_findings(aFindings)
+  {
+  }
+
+  std::string Text(std::string_view aKey, bool aNeeded = true)
+  {
+    std::string text = m_table[aKey].value_or(std::string());
+    if (text.empty() && aNeeded) {
+      Add(aKey, "is missing");
+    }
+    return text;
+  }
+
+  void Add(std::string_view aKey, std::string_view aProblem)
+  {
+    m_findings.push_back({ .m_place = { m_file, m_table.source().begin.line },
+                           .m_key = std::string(aKey),
+                           .m_problem = std::string(aProblem) });
+  }
+
+private:
+  const toml::table& m_table;
+  std::string m_file;
+  Findings& m_findings;
+};
+
+FaultCell
+ReadCell(TableReader& aTable)
+{
+  FaultCell cell{ .m_path = aTable.Text("path"),
+                  .m_step = aTable.Text("step"),
+                  .m_fault = aTable.Text("fault"),
+                  .m_promise = aTable.Text("promise") };
+  std::string status = aTable.Text("status");
+  cell.m_test = aTable.Text("test", status == kProved);
+  cell.m_note = aTable.Text("note", status == kNotApplicable);
+  if (status == kProved) {
+    cell.m_status = CellStatus::kProved;
+  } else if (status == kNotApplicable) {
+    cell.m_status = CellStatus::kNotApplicable;
+  } else if (status != kOpen) {
+    aTable.Add("status", "is not one of proved, open, not_applicable");
+  }
+  if (status != kProved && !cell.m_test.empty()) {
+    aTable.Add("test", "is named by a cell that is not proved");
+  }
+  return cell;
+}
+
+// Calls `aRead` with each table of the array `aKey`.
+template<typename Read>
+void
+ForEachTable(const toml::table& aRoot, std::string_view aKey, Read aRead)
+{
+  const toml::array* array = aRoot[aKey].as_array();
+  if (array == nullptr) {
+    return;
+  }
+  for (const toml::node& node : *array) {
+    if (const toml::table* table = node.as_table()) {
+      aRead(*table);
+    }
+  }
+}
+
+// Joins adjacent string literals of C++ source.
+std::string
+JoinLiterals(std::string_view aSource)
+{
+  std::string joined;
+  for (size_t at = 0; at < aSource.size(); ++at) {
+    if (aSource[at] == '"') {
+      size_t next = aSource.find_first_not_of(" \t\n", at + 1);
+      if (next != std::string_view::npos && next > at + 1 &&
+          aSource[next] == '"') {
+        at = next;
+        continue;
+      }
+    }
+    joined.push_back(aSource[at]);
+  }
+  return joined;
+}
+
+// Returns whether `aSource` declares the test case `aName`.
+bool
+DeclaresTestCase(std::string_view aSource, std::string_view aName)
+{
+  std::string joined = JoinLiterals(aSource);
+  size_t at = joined.find("\"" + std::string(aName) + "\")");
+  if (at == std::string::npos || at == 0) {
+    return false;
+  }
+  size_t last = joined.find_last_not_of(" \t\n", at - 1);
+  return last != std::string::npos &&
+         joined.substr(0, last + 1).ends_with("DOCTEST_TEST_CASE(");
+}
+
+size_t
+CountStatus(const FaultMatrix& aMatrix, CellStatus aStatus)
+{
+  return std::ranges::count(aMatrix.m_cells, aStatus, &FaultCell::m_status);
+}
+
+std::string_view
+StatusMark(CellStatus aStatus)
+{
+  switch (aStatus) {
+    case CellStatus::kProved:
+      return "proved";
+    case CellStatus::kOpen:
+      return "**open**";
+    case CellStatus::kNotApplicable:
+      return "-";
+  }
+  return "";
+}
+
+// Returns the values of a member of the cells in the order of appearance.
+std::vector<std::string>
+Distinct(const std::vector<FaultCell>& aCells, std::string FaultCell::*aMember)
+{
+  std::vector<std::string> values;
+  for (const FaultCell& cell : aCells) {
+    if (std::ranges::find(values, cell.*aMember) == values.end()) {
+      values.push_back(cell.*aMember);
+    }
+  }
+  return values;
+}
+
+void
+RenderTable(const std::vector<FaultCell>& aCells, std::string& aPage)
+{
+  std::map<std::pair<std::string, std::string>, CellStatus> statuses;
+  for (const FaultCell& cell : aCells) {
+    statuses[{ cell.m_fault, cell.m_step }] = cell.m_status;
+  }
+  std::vector<std::string> steps = Distinct(aCells, &FaultCell::m_step);
+  absl::StrAppend(&aPage, "| fault |");
+  for (const std::string& step : steps) {
+    absl::StrAppend(&aPage, " ", step, " |");
+  }
+  absl::StrAppend(&aPage, "\n|---|");
+  for (size_t i = 0; i < steps.size(); ++i) {
+    absl::StrAppend(&aPage, "---|");
+  }
+  for (const std::string& fault : Distinct(aCells, &FaultCell::m_fault)) {
+    absl::StrAppend(&aPage, "\n| ", fault, " |");
+    for (const std::string& step : steps) {
+      auto found = statuses.find({ fault, step });
+      std::string mark =
+        found == statuses.end() ? "" : std::string(StatusMark(found->second));
+      absl::StrAppend(&aPage, " ", mark, " |");
+    }
+  }
+  absl::StrAppend(&aPage, "\n\n");
+}
+
+// Lists the cells of one status, those with the same explanation together.
+void
+RenderList(const std::vector<FaultCell>& aCells,
+           CellStatus aStatus,
+           std::string_view aTitle,
+           std::string& aPage)
+{
+  std::vector<std::string> texts;
+  std::map<std::string, std::string> places;
+  for (const FaultCell& cell : aCells) {
+    if (cell.m_status != aStatus) {
+      continue;
+    }
+    std::string text = cell.m_test.empty() ? "" : "`" + cell.m_test + "`";
+    if (!cell.m_note.empty()) {
+      absl::StrAppend(&text, text.empty() ? "" : "; ", cell.m_note);
+    }
+    if (text.empty()) {
+      text = "no test yet";
+    }
+    auto [entry, added] = places.emplace(text, "");
+    if (added) {
+      texts.push_back(text);
+    }
+    absl::StrAppend(&entry->second,
+                    added ? "" : ", ",
+                    cell.m_fault,
+                    " / ",
+                    cell.m_step,
+                    " (",
+                    cell.m_promise,
+                    ")");
+  }
+  if (texts.empty()) {
+    return;
+  }
+  absl::StrAppend(&aPage, std::string(aTitle), ":\n\n");
+  for (const std::string& text : texts) {
+    absl::StrAppend(&aPage, "- ", text, ": ", places[text], "\n");
+  }
+  absl::StrAppend(&aPage, "\n");
+}
+
+} // namespace
+
+FaultMatrixResult
+ParseFaultMatrix(std::string_view aText, std::string_view aFileName)
+{
+  FaultMatrixResult result;
+  std::string file(aFileName);
+  toml::parse_result parsed = toml::parse(aText, file);
+  if (!parsed) {
+    result.m_findings.push_back(
+      { .m_place = { file, parsed.error().source().begin.line },
+        .m_problem = std::string(parsed.error().description()) });
+    return result;
+  }
+  FaultMatrix matrix;
+  std::set<std::string> promises;
+  ForEachTable(parsed.table(), "promise", [&](const toml::table& aTable) {
+    TableReader table(aTable, file, result.m_findings);
+    matrix.m_promises.push_back({ .m_id = table.Text("id"),
+                                  .m_text = table.Text("text"),
+                                  .m_seenRed = table.Text("seen_red") });
+    promises.insert(matrix.m_promises.back().m_id);
+  });
+  std::set<std::tuple<std::string, std::string, std::string>> places;
+  ForEachTable(parsed.table(), "cell", [&](const toml::table& aTable) {
+    TableReader table(aTable, file, result.m_findings);
+    FaultCell cell = ReadCell(table);
+    if (!promises.contains(cell.m_promise)) {
+      table.Add("promise", "is not declared");
+    }
+    if (!places.emplace(cell.m_path, cell.m_step, cell.m_fault).second) {
+      table.Add("cell", "stands twice");
+    }
+    matrix.m_cells.push_back(std::move(cell));
+  });
+  if (result.m_findings.empty()) {
+    result.m_matrix = std::move(matrix);
+  }
+  return result;
+}
+
+Findings
+CheckTests(const FaultMatrix& aMatrix,
+           const TestSource& aSource,
+           std::string_view aKnownRed)
+{
+  Findings findings;
+  std::set<std::string> tests;
+  for (const FaultCell& cell : aMatrix.m_cells) {
+    if (cell.m_status == CellStatus::kProved) {
+      tests.insert(cell.m_test);
+    }
+  }
+  for (const std::string& test : tests) {
+    size_t colon = test.find(": ");
+    std::string binary = test.substr(0, colon);
+    std::optional<std::string> source = aSource(binary);
+    bool found = colon != std::string::npos && source &&
+                 DeclaresTestCase(*source, test.substr(colon + 2));
+    if (!found) {
+      findings.push_back({ .m_key = test, .m_problem = "is not a test case" });
+    } else if (aKnownRed.find(test) != std::string_view::npos) {
+      findings.push_back({ .m_key = test, .m_problem = "is known to fail" });
+    }
+  }
+  return findings;
+}
+
+std::string
+RenderFaultMatrix(const FaultMatrix& aMatrix)
+{
+  std::string page = "# Fault matrix\n\n"
+                     "Rendered from docs/fault_matrix.toml by `make "
+                     "fault-matrix`. A cell is proved when the named test "
+                     "injects that fault at that step and checks the "
+                     "promise; what nothing proves is open.\n\n";
+  absl::StrAppend(&page, SummarizeFaultMatrix(aMatrix), "\n\n## Promises\n\n");
+  absl::StrAppend(&page, "| promise | meaning | seen red |\n|---|---|---|\n");
+  for (const FaultPromise& promise : aMatrix.m_promises) {
+    absl::StrAppend(&page,
+                    "| ",
+                    promise.m_id,
+                    " | ",
+                    promise.m_text,
+                    " | ",
+                    promise.m_seenRed,
+                    " |\n");
+  }
+  for (const std::string& path :
+       Distinct(aMatrix.m_cells, &FaultCell::m_path)) {
+    std::vector<FaultCell> cells;
+    std::ranges::copy_if(
+      aMatrix.m_cells, std::back_inserter(cells), [&](const FaultCell& aCell) {
+        return aCell.m_path == path;
+      });
+    absl::StrAppend(&page, "\n## ", path, "\n\n");
+    RenderTable(cells, page);
+    RenderList(cells, CellStatus::kOpen, "Open", page);
+    RenderList(cells, CellStatus::kProved, "Proved by", page);
+    RenderList(cells, CellStatus::kNotApplicable, "Not applicable", page);
+  }
+  while (page.ends_with("\n\n")) {
+    page.pop_back();
+  }
+  return page;
+}
+
+std::string
+SummarizeFaultMatrix(const FaultMatrix& aMatrix)
+{
+  return absl::StrCat("fault matrix: ",
+                      CountStatus(aMatrix, CellStatus::kProved),
+                      " proved, ",
+                      CountStatus(aMatrix, CellStatus::kOpen),
+                      " open, ",
+                      CountStatus(aMatrix, CellStatus::kNotApplicable),
+                      " not applicable");
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/testing/process_link_test.cc
@@ -0,0 +1,185 @@
+// Connections that fall silent for good while new ones work, on each kind of
+// link.
+#include <csignal>
+
+#include <doctest/doctest.h>
+
+#include "absl/strings/str_cat.h"
+#include "testing/caller_load.h"
+#include "testing/cluster.h"
+
+namespace ebonykeel {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr uint64_t kSomeRequests = 30;
+const Json kSilenceExisting{ { "silence_existing", true } };
+
+void
+WaitForMore(Cluster& aCluster, const CallerLoad& aLoad)
+{
+  uint64_t queries = aLoad.Report().m_wholeQueries + kSomeRequests;
+  uint64_t filings = aLoad.FilingsRan() + kSomeRequests / 3;
+  DOCTEST_REQUIRE(aCluster.WaitUntil([&]() {
+    return aLoad.Report().m_wholeQueries >= queries &&
+           aLoad.FilingsRan() >= filings;
+  }));
+}
+
+void
+CheckPromises(CallerLoad& aLoad)
+{
+  aLoad.Stop();
+  DOCTEST_INFO(Describe(aLoad.Report()));
+  DOCTEST_CHECK(aLoad.Report().m_violations.empty());
+  FilingCheck check = aLoad.CheckExecutions();
+  DOCTEST_CHECK(check.m_doubled == 0);
+  DOCTEST_CHECK(check.m_falseRefusals == 0);
+  DOCTEST_CHECK(check.m_falseSuccesses == 0);
+}
+
+// Starts the standard cluster with each node behind relays.
+bool
+StartRelayed(Cluster& aCluster)
+{
+  if (!aCluster.StartPlatform() || !aCluster.StartSearchers({})) {
+    return false;
+  }
+  for (size_t i = 0; i < aCluster.DataCentres().size(); ++i) {
+    if (!aCluster.StartNode({ .m_id = absl::StrCat("n", i + 1),
+                              .m_dataCentre = aCluster.DataCentres()[i],
+                              .m_relayed = true })) {
+      return false;
+    }
+  }
+  std::string file = aCluster.ServiceFile(1, { "s0", "s1" });
+  return aCluster.WaitUntil([&]() {
+    return aCluster.Publish("n1", file).m_status == 200;
+  }) && aCluster.WaitUntil([&]() { return aCluster.AllWhole(); });
+}
+
+DOCTEST_TEST_CASE("links from node to searcher fall silent: service goes on")
+{
+  Cluster cluster;
+  DOCTEST_REQUIRE(cluster.StartStandard({ .m_relayed = true }));
+  CallerLoad load(cluster, {});
+  load.Start();
+  WaitForMore(cluster, load);
+  // All that are open, twice.
+  for (int round = 0; round < 2; ++round) {
+    cluster.SetFaults(cluster.SearcherRelay()->m_control, kSilenceExisting);
+    WaitForMore(cluster, load);
+  }
+  // One searcher never answers, on new connections as well.
+  for (const char* mode : { "silence_from", "silence_to", "freeze", "cut" }) {
+    DOCTEST_CAPTURE(mode);
+    cluster.Call(cluster.SearcherRelay()->m_control,
+                 "POST",
+                 "/standin/faults?route=0",
+                 { { "mode", mode } });
+    WaitForMore(cluster, load);
+    cluster.SetFaults(cluster.SearcherRelay()->m_control,
+                      { { "mode", "pass" } });
+    WaitForMore(cluster, load);
+  }
+  CheckPromises(load);
+}
+
+DOCTEST_TEST_CASE("links from node to node fall silent: service goes on")
+{
+  Cluster cluster;
+  DOCTEST_REQUIRE(StartRelayed(cluster));
+  CallerLoad load(cluster, {});
+  load.Start();
+  WaitForMore(cluster, load);
+  for (const std::string& id : cluster.NodeIds()) {
+    cluster.SetFaults(cluster.Node(id).m_peerRelay, kSilenceExisting);
+    WaitForMore(cluster, load);
+    DOCTEST_CHECK(cluster.WaitUntil([&]() { return cluster.AllWhole(); }));
+  }
+  CheckPromises(load);
+}
+
+DOCTEST_TEST_CASE("a node that its peers cannot reach: service goes on, and it "
+                  "comes back")
+{
+  Cluster cluster;
+  DOCTEST_REQUIRE(StartRelayed(cluster));
+  CallerLoad load(cluster, {});
+  load.Start();
+  WaitForMore(cluster, load);
+  for (const char* mode : { "silence_from", "silence_to", "cut" }) {
+    DOCTEST_CAPTURE(mode);
+    cluster.SetFaults(cluster.Node("n2").m_peerRelay, { { "mode", mode } });
+    // Longer than a lease and its margin.
+    cluster.RunFor(Seconds(4));
+    WaitForMore(cluster, load);
+    cluster.SetFaults(cluster.Node("n2").m_peerRelay, { { "mode", "pass" } });
+    DOCTEST_CHECK(cluster.WaitUntil([&]() { return cluster.AllWhole(); }));
+  }
+  CheckPromises(load);
+}
+
+DOCTEST_TEST_CASE("links from caller to node fall silent: new connections are "
+                  "served and the node stops gracefully")
+{
+  Cluster cluster;
+  DOCTEST_REQUIRE(StartRelayed(cluster));
+  CallerLoad load(cluster, { .m_timeout = Seconds(2) });
+  load.Start();
+  WaitForMore(cluster, load);
+  for (const std::string& id : cluster.NodeIds()) {
+    cluster.SetFaults(cluster.Node(id).m_publicRelay, kSilenceExisting);
+  }
+  WaitForMore(cluster, load);
+  CheckPromises(load);
+  cluster.Node("n2").m_process->Signal(SIGTERM);
+  DOCTEST_REQUIRE(cluster.WaitUntil(
+    [&]() { return cluster.Node("n2").m_process->End().has_value(); }));
+  DOCTEST_CHECK(cluster.Node("n2").m_process->End()->m_exitCode == 0);
+}
+
+DOCTEST_TEST_CASE("links from node to store fall silent: filings and "
+                  "publications go on")
+{
+  Cluster cluster;
+  DOCTEST_REQUIRE(cluster.StartPlatform());
+  SearcherOptions searchers{ .m_arguments = { "--warm",
+                                              "--index-versions=1,2" } };
+  DOCTEST_REQUIRE(cluster.StartSearchers(searchers));
+  auto relay = cluster.StartRelay(
+    "store-relay", { "--target=" + FormatEndpoint(cluster.Store()) });
+  DOCTEST_REQUIRE(relay != nullptr);
+  for (size_t i = 0; i < cluster.DataCentres().size(); ++i) {
+    DOCTEST_REQUIRE(
+      cluster.StartNode({ .m_id = absl::StrCat("n", i + 1),
+                          .m_dataCentre = cluster.DataCentres()[i],
+                          .m_store = FormatEndpoint(relay->m_routes[0]) }));
+  }
+  std::string file = cluster.ServiceFile(1, { "s0", "s1" });
+  DOCTEST_REQUIRE(cluster.WaitUntil(
+    [&]() { return cluster.Publish("n1", file).m_status == 200; }));
+  DOCTEST_REQUIRE(cluster.WaitUntil([&]() { return cluster.AllWhole(); }));
+  CallerLoad load(cluster, {});
+  load.Start();
+  WaitForMore(cluster, load);
+  cluster.SetFaults(relay->m_control, kSilenceExisting);
+  WaitForMore(cluster, load);
+  cluster.SetFaults(relay->m_control, kSilenceExisting);
+  file = cluster.ServiceFile(2, { "s0", "s1" });
+  CallResult result;
+  DOCTEST_CHECK(cluster.WaitUntil([&]() {
+    result = cluster.Publish("n3", file, "second");
+    return result.m_status == 200;
+  }));
+  DOCTEST_CHECK(cluster.WaitUntil([&]() {
+    return cluster.InForceEverywhere(
+      result.m_body["generation"].get<uint64_t>());
+  }));
+  WaitForMore(cluster, load);
+  CheckPromises(load);
+}
+
+} // namespace
+} // namespace ebonykeel
