--- /dev/null
+++ b/packages/node/admission/admission_service.h
@@ -0,0 +1,84 @@
+// Lets requests start in a fair order, or refuses them before they run.
+//
+//   service.Enter(ticket).then([](Entry entry) {
+//     if (entry.m_reason != RefusalReason::kNone) { ... refuse ... }
+//     ... run; the place is given back when `entry.m_pass` is dropped ...
+//   });
+#pragma once
+
+#include <map>
+
+#include <kj/async.h>
+
+#include "core/admission/admission.h"
+#include "runtime/loop/alarm.h"
+#include "runtime/loop/loop.h"
+
+namespace ebonykeel {
+
+class AdmissionService;
+
+// A request's place among those that run. Gives it back when destroyed; must
+// not outlive the service.
+class AdmissionPass
+{
+public:
+  AdmissionPass(AdmissionService& aService, uint64_t aTicket);
+  ~AdmissionPass();
+  AdmissionPass(const AdmissionPass&) = delete;
+  AdmissionPass& operator=(const AdmissionPass&) = delete;
+
+private:
+  AdmissionService& m_service;
+  uint64_t m_ticket;
+};
+
+// What became of a request that asked to run. Without a pass it was refused,
+// and nothing of it ran.
+struct AdmissionEntry
+{
+  kj::Maybe<kj::Own<AdmissionPass>> m_pass;
+  RefusalReason m_reason = RefusalReason::kNone;
+};
+
+struct AdmissionTotals
+{
+  uint64_t m_admitted = 0;
+  uint64_t m_queued = 0;
+  uint64_t m_refused = 0;
+};
+
+// The loop must outlive the service.
+class AdmissionService
+{
+public:
+  AdmissionService(Loop& aLoop, const AdmissionOptions& aOptions);
+
+  // Asks for `aTicket` to run; its id is set here.
+  [[nodiscard]] kj::Promise<AdmissionEntry> Enter(AdmissionTicket aTicket);
+
+  [[nodiscard]] const AdmissionTotals& Totals() const { return m_totals; }
+  [[nodiscard]] size_t Queued() const { return m_admission.Queued(); }
+  // The share of the running cost that is in use, in [0, 1].
+  [[nodiscard]] float Load() const;
+
+private:
+  friend class AdmissionPass;
+  using FulfillerMap =
+    std::map<uint64_t, kj::Own<kj::PromiseFulfiller<AdmissionEntry>>>;
+
+  void Leave(uint64_t aTicket);
+  void Perform(std::span<const AdmissionEvent> aEvents);
+  [[nodiscard]] AdmissionEntry Admit(uint64_t aTicket);
+  [[nodiscard]] AdmissionEntry Refuse(RefusalReason aReason);
+
+  Loop& m_loop;
+  AdmissionOptions m_options;
+  Admission m_admission;
+  uint64_t m_lastTicket = 0;
+  FulfillerMap m_waiting;
+  AdmissionTotals m_totals;
+  Alarm m_alarm;
+};
+
+} // namespace ebonykeel
