--- a/packages/core/config/configuration_tracker_test.cc
+++ b/packages/core/config/configuration_tracker_test.cc
@@ -94,12 +94,17 @@
   }
 
   // Advances until an action of this type is asked for, and returns all that
-  // were asked for on the way. Returns too when `aEnd` has passed.
+  // were asked for on the way. Returns too when `aEnd` has passed or after too
+  // many turns.
   template<typename Action>
   ConfigurationActions TickUntil(TimePoint aEnd)
   {
     ConfigurationActions all;
-    while (m_now < aEnd && Only<Action>(all).empty()) {
+    constexpr int kMaxTurns = 1000;
+    for (int i = 0; i < kMaxTurns && m_now < aEnd; ++i) {
+      if (!Only<Action>(all).empty()) {
+        break;
+      }
       std::ranges::move(Tick(), std::back_inserter(all));
     }
     return all;
