--- a/packages/core/ownership/takeover_test.cc
+++ b/packages/core/ownership/takeover_test.cc
@@ -304,6 +304,36 @@
   }));
 }
 
+DOCTEST_TEST_CASE("schedules that once broke a rule")
+{
+  constexpr auto kCrash = FaultKind::kCrash;
+  constexpr auto kStop = FaultKind::kStopGracefully;
+  const auto run = [](size_t aMachines, const std::vector<Fault>& aFaults) {
+    return RunFaults(
+      { .m_seed = 0, .m_machines = aMachines, .m_dataCentres = 1 }, aFaults);
+  };
+  // A restart at once, under an incarnation that others had seen.
+  DOCTEST_CHECK(run(3, { { kCrash, 0, 0, 48 } }) == "");
+  // Two that leave and end while the others restart: they were never judged.
+  DOCTEST_CHECK(run(4,
+                    { { kCrash, 2, 0, 1137 },
+                      { kStop, 1, 0, 20 },
+                      { kStop, 0, 0, 428 },
+                      { kCrash, 2, 0, 1625 } }) == "");
+  // Three that rejoined together kept losing their leases.
+  DOCTEST_CHECK(run(3,
+                    { { kCrash, 0, 0, 273 },
+                      { kCrash, 0, 0, 463 },
+                      { kCrash, 1, 0, 87 },
+                      { FaultKind::kStart, 0, 0, 418 } }) == "");
+  // One came back under a lower incarnation and was not remembered as asker.
+  DOCTEST_CHECK(run(3,
+                    { { kCrash, 0, 0, 309 },
+                      { kCrash, 1, 0, 362 },
+                      { kCrash, 0, 0, 417 },
+                      { FaultKind::kStart, 0, 0, 412 } }) == "");
+}
+
 const auto kNoCheck = [] {};
 
 // A fleet that has settled, with the machines given.
