--- a/packages/core/query/hedge_policy.cc
+++ b/packages/core/query/hedge_policy.cc
@@ -6,7 +6,7 @@
 namespace ebonykeel {
 
 std::optional<Duration>
-NoHedging::Delay(const ServiceName& /*aService*/) const
+NoHedging::Delay(const ServiceName& /*aService*/, bool /*aIsHedge*/) const
 {
   return std::nullopt;
 }
@@ -40,14 +40,15 @@
 }
 
 std::optional<Duration>
-QuantileHedging::Delay(const ServiceName& aService) const
+QuantileHedging::Delay(const ServiceName& aService, bool aIsHedge) const
 {
   auto found = m_latencies.find(aService);
   if (found == m_latencies.end() ||
       found->second.Count() < m_options.m_minimumSamples) {
     return std::nullopt;
   }
-  Duration learnt = found->second.Quantile(m_options.m_quantile);
+  Duration learnt = found->second.Quantile(aIsHedge ? m_options.m_hedgeQuantile
+                                                    : m_options.m_quantile);
   return std::max(learnt, m_options.m_shortestDelay);
 }
 
--- a/packages/core/query/hedge_policy.h
+++ b/packages/core/query/hedge_policy.h
@@ -1,7 +1,7 @@
 // When a slow sub-query is sent to a second replica as well, and how often.
 //
 //   QuantileHedging hedges({});
-//   std::optional<Duration> delay = hedges.Delay(service);
+//   std::optional<Duration> delay = hedges.Delay(service, false);
 //   if (hedges.TryTake(sentInThisQuery, shardsOfThisQuery)) { ... }
 #pragma once
 
@@ -27,9 +27,11 @@
   virtual ~HedgePolicy() = default;
 
   // Returns how long a sub-query of `aService` may be unanswered before it is
-  // hedged; nothing when it must not be hedged.
+  // hedged; nothing when it must not be hedged. `aIsHedge` tells that it is a
+  // hedge itself.
   [[nodiscard]] virtual std::optional<Duration> Delay(
-    const ServiceName& aService) const = 0;
+    const ServiceName& aService,
+    bool aIsHedge) const = 0;
 
   // Returns the most hedges that a query over `aShards` shards may send.
   [[nodiscard]] virtual uint32_t QueryCap(uint32_t aShards) const = 0;
@@ -50,8 +52,8 @@
 class NoHedging final : public HedgePolicy
 {
 public:
-  [[nodiscard]] std::optional<Duration> Delay(
-    const ServiceName& aService) const override;
+  [[nodiscard]] std::optional<Duration> Delay(const ServiceName& aService,
+                                              bool aIsHedge) const override;
   [[nodiscard]] uint32_t QueryCap(uint32_t aShards) const override;
   [[nodiscard]] bool TryTake(uint32_t aSent, uint32_t aShards) override;
   void OnFirstAttempts(uint32_t aCount) override;
@@ -61,13 +63,15 @@
 struct QuantileHedgingOptions
 {
   // The share of sub-queries, in (0, 1), that are answered before the delay.
-  double m_quantile = 0.98;
+  double m_quantile = 0.97;
+  // The same for hedges, which are so few that an earlier one costs little.
+  double m_hedgeQuantile = 0.85;
   // Hedges for each first attempt, in [0, 1].
   double m_budgetShare = 0.03;
   // Hedges that may be sent at once after a quiet time.
   double m_budgetBurst = 50;
   // The most hedges of one query, as a share of its shards.
-  double m_queryShare = 0.08;
+  double m_queryShare = 0.15;
   // The most hedges of a query over few shards.
   uint32_t m_queryMinimum = 2;
   // Answers of a service that are needed before it is hedged.
@@ -83,8 +87,8 @@
 public:
   explicit QuantileHedging(const QuantileHedgingOptions& aOptions);
 
-  [[nodiscard]] std::optional<Duration> Delay(
-    const ServiceName& aService) const override;
+  [[nodiscard]] std::optional<Duration> Delay(const ServiceName& aService,
+                                              bool aIsHedge) const override;
   [[nodiscard]] uint32_t QueryCap(uint32_t aShards) const override;
   [[nodiscard]] bool TryTake(uint32_t aSent, uint32_t aShards) override;
   void OnFirstAttempts(uint32_t aCount) override;
--- a/packages/core/query/query_run.cc
+++ b/packages/core/query/query_run.cc
@@ -130,7 +130,8 @@
   aPosition.m_restarted = part.m_abandoned.has_value();
   m_positions.emplace(subQuery.m_id, aPosition);
   m_dependencies.m_selector.OnSent(aReplica.m_id);
-  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
+  std::optional<Duration> delay =
+    m_dependencies.m_hedges.Delay(service, aAttempt == Attempt::kHedge);
   shard.m_hedgeAt.reset();
   if (delay) {
     shard.m_hedgeAt = aNow + *delay;
--- a/packages/core/query/query_run_recovery.cc
+++ b/packages/core/query/query_run_recovery.cc
@@ -230,6 +230,8 @@
   return overdue;
 }
 
+// Sends a hedge to an untried replica; when all replicas are slow, to one of
+// them again.
 void
 QueryRun::SendHedge(Position aPosition, TimePoint aNow, Actions& aActions)
 {
@@ -241,6 +243,9 @@
   }
   ReplicaChoice choice =
     ChooseReplica(part, shard, Attempt::kHedge, false, aNow);
+  if (choice.m_replica == nullptr && shard.m_requests.size() > 1) {
+    choice = ChooseReplica(part, shard, Attempt::kHedge, true, aNow);
+  }
   bool allowed = choice.m_replica != nullptr &&
                  m_dependencies.m_hedges.TryTake(m_counts.m_hedges, Shards());
   if (allowed) {
@@ -254,7 +259,7 @@
   ServicePart& part = m_parts[aPosition.m_part];
   ShardState& shard = part.m_try.m_shards[aPosition.m_shard];
   const ServiceName& service = part.m_try.m_snapshot.m_service->m_name;
-  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
+  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service, false);
   shard.m_hedgeAt.reset();
   if (delay) {
     shard.m_hedgeAt = aNow + *delay;
@@ -297,7 +302,7 @@
 {
   Duration longest = (m_answerBy - aNow) / kSilenceDivisor;
   const ServiceName& service = aPart.m_try.m_snapshot.m_service->m_name;
-  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service);
+  std::optional<Duration> delay = m_dependencies.m_hedges.Delay(service, false);
   if (!delay) {
     return longest;
   }
--- a/packages/core/query/query_run_test.cc
+++ b/packages/core/query/query_run_test.cc
@@ -107,5 +107,40 @@
   }));
 }
 
+DOCTEST_TEST_CASE("preference for latency answers at the target")
+{
+  // Stragglers pass the target of 40 ms; one missing shard of a service still
+  // leaves its sufficient coverage of 0.7.
+  Faults faults{ .m_seed = 3, .m_straggling = 4 };
+  auto slowest = [](const History& aHistory) {
+    Duration longest{ 0 };
+    for (const auto& event : aHistory.m_events) {
+      if (event.m_kind == testing::Event::Kind::kFinish) {
+        Duration taken =
+          event.m_at - aHistory.m_queries[event.m_query].m_arrival;
+        longest = std::max(longest, taken);
+      }
+    }
+    return longest;
+  };
+  NoHedging none;
+  RetryBudget noRetries(0, 0);
+  Duration waited = slowest(World(faults, none, noRetries).Run(kQueries));
+  faults.m_preference = Preference::kLatency;
+  Duration cut = slowest(World(faults, none, noRetries).Run(kQueries));
+  DOCTEST_CHECK(waited > Milliseconds(60));
+  DOCTEST_CHECK(cut == Milliseconds(40));
+}
+
+DOCTEST_TEST_CASE("a sub-query id names its query and its boot")
+{
+  SubQueryIds ids(7, 42);
+  std::string id = ids.Next();
+  DOCTEST_CHECK(id != ids.Next());
+  DOCTEST_CHECK(QueryNumberOf(id, 7) == 42);
+  DOCTEST_CHECK(!QueryNumberOf(id, 8).has_value());
+  DOCTEST_CHECK(!QueryNumberOf("no id", 7).has_value());
+}
+
 } // namespace
 } // namespace ebonykeel
--- /dev/null
+++ b/packages/core/query/replica_selector_test.cc
@@ -0,0 +1,106 @@
+#include "core/query/replica_selector.h"
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart;
+const UpstreamId kNear("near");
+const UpstreamId kFar("far");
+
+const ShardConfig kShard{
+  .m_name = ShardName("s"),
+  .m_replicas = { { .m_id = kNear, .m_dataCentre = DataCentre("oviedo") },
+                  { .m_id = kFar, .m_dataCentre = DataCentre("bilbao") } }
+};
+
+struct Fixture
+{
+  std::mt19937_64 m_random{ 1 };
+  AdaptiveSelector m_selector{ { .m_ownDataCentre = DataCentre("oviedo"),
+                                 .m_explorationShare = 0 },
+                               m_random };
+
+  UpstreamId Chosen(Attempt aAttempt = Attempt::kFirst,
+                    TimePoint aNow = kStart,
+                    std::vector<UpstreamId> aExcluded = {})
+  {
+    auto choice = m_selector.Choose(kShard, aExcluded, aAttempt, aNow);
+    return choice.m_replica == nullptr ? UpstreamId() : choice.m_replica->m_id;
+  }
+
+  void Answered(const UpstreamId& aUpstream,
+                const SubAnswer& aAnswer,
+                Duration aLatency = Milliseconds(5))
+  {
+    m_selector.OnSubAnswer(aUpstream, aAnswer, aLatency, kStart);
+  }
+};
+
+DOCTEST_TEST_CASE("the own data centre comes first until it is slower")
+{
+  Fixture fixture;
+  DOCTEST_CHECK(fixture.Chosen() == kNear);
+  fixture.Answered(kNear, {}, Milliseconds(30));
+  fixture.Answered(kFar, {});
+  DOCTEST_CHECK(fixture.Chosen() == kFar);
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kFirst, kStart + Seconds(120)) ==
+                kNear);
+}
+
+DOCTEST_TEST_CASE("work in flight counts against a replica")
+{
+  Fixture fixture;
+  fixture.m_selector.OnSent(kNear);
+  DOCTEST_CHECK(fixture.Chosen() == kFar);
+  fixture.m_selector.OnAbandoned(kNear, Milliseconds(1), kStart);
+  DOCTEST_CHECK(fixture.Chosen() == kNear);
+}
+
+DOCTEST_TEST_CASE("a failing replica is avoided until its failures decay")
+{
+  Fixture fixture;
+  fixture.Answered(kNear, { .m_reason = MissingReason::kUnreachable });
+  DOCTEST_CHECK(fixture.Chosen() == kFar);
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kFirst, kStart + Seconds(5)) == kNear);
+}
+
+DOCTEST_TEST_CASE("a hedge goes only to an upstream known to be warm")
+{
+  Fixture fixture;
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kHedge).empty());
+  fixture.Answered(kFar, { .m_cold = true });
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kHedge).empty());
+  fixture.Answered(kFar, {});
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kHedge) == kFar);
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kHedge, kStart + Seconds(120)).empty());
+}
+
+DOCTEST_TEST_CASE("a cold replica is the last choice")
+{
+  Fixture fixture;
+  fixture.Answered(kNear, { .m_cold = true });
+  DOCTEST_CHECK(fixture.Chosen() == kFar);
+  DOCTEST_CHECK(fixture.Chosen(Attempt::kRetry, kStart, { kFar }) == kNear);
+}
+
+DOCTEST_TEST_CASE("what operators have taken out is never chosen")
+{
+  Fixture fixture;
+  auto configuration = std::make_shared<Configuration>();
+  configuration->m_withdrawnDataCentres.insert(DataCentre("oviedo"));
+  fixture.m_selector.OnConfiguration(configuration);
+  DOCTEST_CHECK(fixture.Chosen() == kFar);
+  configuration = std::make_shared<Configuration>(*configuration);
+  configuration->m_drainedUpstreams.insert(kFar);
+  fixture.m_selector.OnConfiguration(configuration);
+  auto choice = fixture.m_selector.Choose(kShard, {}, Attempt::kFirst, kStart);
+  DOCTEST_CHECK(choice.m_replica == nullptr);
+  DOCTEST_CHECK(choice.m_reason == MissingReason::kWithdrawn);
+}
+
+} // namespace
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/query/snapshot_tracker_test.cc
@@ -0,0 +1,140 @@
+#include "core/query/snapshot_tracker.h"
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "core/query/query_run.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart;
+const ServiceName kService("rugs");
+
+ConfigurationPtr
+MakeConfiguration(Generation aGeneration, IndexVersion aVersion)
+{
+  auto configuration = std::make_shared<Configuration>();
+  configuration->m_generation = aGeneration;
+  ServiceConfig service{ .m_name = kService, .m_indexVersion = aVersion };
+  for (const char* name : { "s0", "s1" }) {
+    ShardConfig shard{ .m_name = ShardName(name) };
+    for (const char* copy : { "-a", "-b" }) {
+      shard.m_replicas.push_back(
+        { .m_id = UpstreamId(std::string(name) + copy) });
+    }
+    service.m_shards.push_back(shard);
+  }
+  configuration->m_services = { service };
+  return configuration;
+}
+
+SubAnswer
+NotHeld()
+{
+  return { .m_reason = MissingReason::kVersionNotHeld };
+}
+
+struct Switched
+{
+  SnapshotTracker m_tracker;
+
+  Switched()
+  {
+    m_tracker.OnConfiguration(MakeConfiguration(1, 10));
+    m_tracker.OnConfiguration(MakeConfiguration(2, 11));
+  }
+
+  IndexVersion Pinned(TimePoint aNow)
+  {
+    return m_tracker.Pin(kService, aNow)->Version();
+  }
+};
+
+DOCTEST_TEST_CASE("the newest snapshot is pinned until a shard lacks it")
+{
+  Switched switched;
+  DOCTEST_CHECK(switched.Pinned(kStart) == 11);
+  switched.m_tracker.OnSubAnswer(UpstreamId("s0-a"), 11, NotHeld(), kStart);
+  DOCTEST_CHECK(switched.Pinned(kStart) == 11);
+  switched.m_tracker.OnSubAnswer(UpstreamId("s0-b"), 11, NotHeld(), kStart);
+  DOCTEST_CHECK(switched.Pinned(kStart) == 10);
+  DOCTEST_CHECK(switched.Pinned(kStart + Seconds(2)) == 11);
+}
+
+DOCTEST_TEST_CASE("a list of held versions tells what is not held")
+{
+  Switched switched;
+  SubAnswer old{ .m_heldVersions = { 10 } };
+  switched.m_tracker.OnSubAnswer(UpstreamId("s0-a"), 10, old, kStart);
+  switched.m_tracker.OnSubAnswer(UpstreamId("s0-b"), 10, old, kStart);
+  DOCTEST_CHECK(switched.Pinned(kStart) == 10);
+  SubAnswer both{ .m_heldVersions = { 10, 11 } };
+  switched.m_tracker.OnSubAnswer(UpstreamId("s0-b"), 10, both, kStart);
+  DOCTEST_CHECK(switched.Pinned(kStart) == 11);
+}
+
+DOCTEST_TEST_CASE("an older configuration changes nothing")
+{
+  Switched switched;
+  switched.m_tracker.OnConfiguration(MakeConfiguration(1, 10));
+  DOCTEST_CHECK(switched.m_tracker.InForce()->m_generation == 2);
+  DOCTEST_CHECK(switched.Pinned(kStart) == 11);
+}
+
+DOCTEST_TEST_CASE("the earlier snapshot survives changes of other things")
+{
+  Switched switched;
+  switched.m_tracker.OnConfiguration(MakeConfiguration(3, 11));
+  auto newest = switched.m_tracker.Pin(kService, kStart);
+  auto other = switched.m_tracker.PinOther(*newest, kStart);
+  DOCTEST_REQUIRE(other.has_value());
+  DOCTEST_CHECK(other->Version() == 10);
+  DOCTEST_CHECK(switched.m_tracker.UsableUpstreams().size() == 4);
+}
+
+DOCTEST_TEST_CASE("a query whose version is gone restarts once as a whole")
+{
+  Switched switched;
+  std::mt19937_64 random(1);
+  AdaptiveSelector selector({}, random);
+  NoHedging hedges;
+  RetryBudget retries = MakeRetryBudget();
+  QueryRun run({ .m_services = { kService },
+                 .m_arrival = kStart,
+                 .m_deadline = kStart + Milliseconds(100) },
+               { switched.m_tracker, selector, hedges, retries },
+               SubQueryIds(1, 1));
+  std::vector<QueryAction> actions = run.Start(kStart);
+  std::vector<IndexVersion> asked;
+  QueryAnswer answer;
+  for (size_t next = 0; next < actions.size(); ++next) {
+    if (const auto* finish = std::get_if<Finish>(&actions[next])) {
+      answer = finish->m_answer;
+    }
+    const auto* send = std::get_if<SendSubQuery>(&actions[next]);
+    if (send == nullptr) {
+      continue;
+    }
+    SubQuery asks = send->m_subQuery;
+    asked.push_back(asks.m_indexVersion);
+    bool gone = asks.m_indexVersion == 11 && asks.m_shard == ShardName("s1");
+    auto more =
+      run.OnSubAnswer({ .m_id = asks.m_id,
+                        .m_upstream = asks.m_upstream,
+                        .m_shard = asks.m_shard,
+                        .m_indexVersion = asks.m_indexVersion,
+                        .m_reason = gone ? MissingReason::kVersionNotHeld
+                                         : MissingReason::kNone },
+                      kStart + Milliseconds(5));
+    actions.insert(actions.end(), more.begin(), more.end());
+  }
+  DOCTEST_CHECK(asked == std::vector<IndexVersion>{ 11, 11, 11, 10, 10 });
+  DOCTEST_CHECK(run.Counts().m_restarts == 1);
+  DOCTEST_CHECK(answer.Whole());
+  DOCTEST_CHECK(answer.m_services[0].m_indexVersion == 10);
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/query/testing/world.cc
+++ b/packages/core/query/testing/world.cc
@@ -17,6 +17,7 @@
   ServiceConfig service{ .m_name = ServiceName(aName),
                          .m_indexVersion = aVersion };
   service.m_target.m_latency = Milliseconds(40);
+  service.m_sufficientCoverage = 0.7;
   for (int number = 0; number < aShards; ++number) {
     ShardConfig& shard = service.m_shards.emplace_back();
     shard.m_name = ShardName(absl::StrCat("s", number));
