--- /dev/null
+++ b/packages/node/configuration/configuration_service.h
@@ -0,0 +1,100 @@
+// Keeps the configuration in force on this instance, and makes changes to it.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <kj/async.h>
+
+#include "absl/random/bit_gen_ref.h"
+#include "core/config/configuration.h"
+#include "core/config/configuration_tracker.h"
+#include "node/cluster/membership_service.h"
+#include "runtime/loop/alarm.h"
+#include "runtime/loop/loop.h"
+#include "runtime/peer/links.h"
+#include "runtime/store/object_store.h"
+
+namespace ebonykeel {
+
+class ConfigurationObserver
+{
+public:
+  virtual ~ConfigurationObserver() = default;
+  // `aConfiguration` is in force from now on; its generation is above that of
+  // the one before.
+  virtual void OnConfigurationInForce(
+    const ConfigurationPtr& aConfiguration) = 0;
+};
+
+struct ConfigurationServiceOptions
+{
+  ConfigurationTrackerOptions m_tracker;
+  // The bound of fetching a configuration from another instance.
+  Duration m_fetchTimeout = Seconds(1);
+};
+
+// All references must outlive the service.
+class ConfigurationService final : private kj::TaskSet::ErrorHandler
+{
+public:
+  ConfigurationService(Loop& aLoop,
+                       PeerLinks& aLinks,
+                       ObjectStore& aStore,
+                       MembershipService& aMembership,
+                       const ConfigurationServiceOptions& aOptions,
+                       absl::BitGenRef aRandom);
+
+  void Start(ConfigurationObserver& aObserver);
+
+  [[nodiscard]] const ConfigurationPtr& InForce() const;
+  // The stored form of the configuration in force; empty before the first.
+  [[nodiscard]] const std::string& Body() const { return m_body; }
+
+  // Decides anew whether this instance holds a watch on the store. Call it
+  // when the members changed.
+  void OnMembershipChanged();
+  // Another instance has `aGeneration` in force.
+  void OnPeerGeneration(const InstanceId& aPeer, Generation aGeneration);
+
+  // Makes a change; `aRequest.m_request` is set here.
+  [[nodiscard]] kj::Promise<ChangeReply> Change(ChangeRequest aRequest);
+
+  // Returns the configuration of an earlier generation from the store, or null.
+  [[nodiscard]] kj::Promise<ConfigurationPtr> ReadHistory(
+    Generation aGeneration);
+
+private:
+  using FulfillerMap =
+    std::map<uint64_t, kj::Own<kj::PromiseFulfiller<ChangeReply>>>;
+
+  void taskFailed(kj::Exception&& aException) override;
+  void Perform(ConfigurationActions aActions);
+  void PerformOne(ConfigurationAction& aAction);
+  void Call(const ReadStore& aRead);
+  void Call(const WatchStore& aWatch);
+  void Call(const WriteStore& aWrite);
+  void Reply(const StoreCallReply& aReply);
+  void PutInForceHere(const ConfigurationPtr& aConfiguration);
+  void Offer(Generation aGeneration);
+  void Fetch(const InstanceId& aPeer);
+  void ReportProblem(const ConfigurationProblem& aProblem);
+  [[nodiscard]] bool IsWatcher() const;
+
+  Loop& m_loop;
+  PeerLinks& m_links;
+  ObjectStore& m_store;
+  MembershipService& m_membership;
+  ConfigurationServiceOptions m_options;
+  ConfigurationTracker m_tracker;
+  ConfigurationObserver* m_observer = nullptr;
+  std::string m_body;
+  bool m_storeFailing = false;
+  uint64_t m_lastRequest = 0;
+  FulfillerMap m_changes;
+  Alarm m_alarm;
+  kj::TaskSet m_tasks;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/runtime/peer/links.cc
@@ -0,0 +1,97 @@
+#include "runtime/peer/links.h"
+
+#include <utility>
+
+#include <kj/debug.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace ebonykeel {
+
+PeerLinks::PeerLinks(Loop& aLoop)
+  : m_loop(aLoop)
+{
+}
+
+kj::Promise<wire::Peer::Client>
+PeerLinks::Connect(std::string_view aAddress)
+{
+  auto found = m_links.find(aAddress);
+  if (found == m_links.end()) {
+    auto link = kj::refcounted<Link>();
+    link->m_peer = Open(aAddress, *link).fork();
+    found = m_links.emplace(std::string(aAddress), kj::mv(link)).first;
+  }
+  Link& link = *found->second;
+  return KJ_ASSERT_NONNULL(link.m_peer).addBranch().attach(kj::addRef(link));
+}
+
+kj::Promise<wire::Peer::Client>
+PeerLinks::Open(std::string_view aAddress, Link& aLink)
+{
+  std::string address(aAddress);
+  return m_loop.Io()
+    .provider->getNetwork()
+    .parseAddress(kj::StringPtr(address.c_str(), address.size()))
+    .then([](kj::Own<kj::NetworkAddress> aParsed) {
+      return aParsed->connect().attach(kj::mv(aParsed));
+    })
+    .then(
+      [this, &aLink, address](kj::Own<kj::AsyncIoStream> aStream) {
+        aLink.m_client = kj::heap<capnp::TwoPartyClient>(*aStream);
+        aLink.m_stream = kj::mv(aStream);
+        aLink.m_disconnected =
+          aLink.m_client->onDisconnect()
+            .then([this, address, &aLink]() { DropLink(address, aLink); })
+            .eagerlyEvaluate(nullptr);
+        // Asked for once: the capability stays usable, if only to fail, when
+        // the connection is gone, whereas asking again would then throw.
+        return aLink.m_client->bootstrap().castAs<wire::Peer>();
+      },
+      [this, &aLink, address](
+        kj::Exception&& aException) -> wire::Peer::Client {
+        DropLink(address, aLink);
+        kj::throwFatalException(kj::mv(aException));
+      });
+}
+
+void
+PeerLinks::DropLink(const std::string& aAddress, const Link& aLink)
+{
+  auto found = m_links.find(aAddress);
+  if (found != m_links.end() && found->second.get() == &aLink) {
+    Drop(aAddress);
+  }
+}
+
+void
+PeerLinks::Drop(std::string_view aAddress)
+{
+  auto found = m_links.find(aAddress);
+  if (found == m_links.end()) {
+    return;
+  }
+  // The caller may run inside a callback of this very connection.
+  m_loop.RunLater([link = kj::mv(found->second)]() mutable { link = nullptr; });
+  m_links.erase(found);
+}
+
+PeerServer::PeerServer(Loop& aLoop,
+                       wire::Peer::Client aPeer,
+                       std::string_view aHost,
+                       uint16_t aPort)
+  : m_server(kj::mv(aPeer))
+  , m_listening(nullptr)
+{
+  std::string address =
+    absl::StrCat(absl::string_view(aHost.data(), aHost.size()), ":", aPort);
+  m_receiver = aLoop.Io()
+                 .provider->getNetwork()
+                 .parseAddress(kj::StringPtr(address.c_str(), address.size()))
+                 .wait(aLoop.WaitScope())
+                 ->listen();
+  m_port = static_cast<uint16_t>(m_receiver->getPort());
+  m_listening = m_server.listen(*m_receiver).eagerlyEvaluate(nullptr);
+}
+
+} // namespace ebonykeel
