Tell a cold upstream from a slow one, and refuse work that cannot be in time

And an overloaded gate spent its one slot on work that was about to expire.

Weighed: more answers for each step (slower ramps for all), a latency from settings (nobody keeps it true). Chosen: medians of groups of eight answers; while the usual latency is unknown, six groups, or three after a fall by half; known latencies decide at once; a step that doubles the latency is taken back; timeouts count as slow only if they waited long enough. Queued work with less time left than an answer is expected to take makes room for other work.

--- a/packages/core/upstream/admission_policy.cc
+++ b/packages/core/upstream/admission_policy.cc
@@ -20,6 +20,16 @@
   return aAverage + (aSample - aAverage) / 8;
 }
 
+// Returns the median of `aSamples`, which is not empty, and reorders them.
+Duration
+Median(std::vector<Duration>& aSamples)
+{
+  auto middle =
+    aSamples.begin() + static_cast<std::ptrdiff_t>(aSamples.size() / 2);
+  std::ranges::nth_element(aSamples, middle);
+  return *middle;
+}
+
 } // namespace
 
 ColdStartRamp::ColdStartRamp(uint32_t aSlots,
@@ -28,6 +38,7 @@
   : m_slots(std::max(aSlots, 1U))
   , m_settings(aSettings)
   , m_coldSince(aNow)
+  , m_usualLatency(aSettings.m_usualLatency)
   , m_expectedLatency(aSettings.m_initialLatency)
 {
 }
@@ -62,17 +73,20 @@
   if (Warm()) {
     OnWarmAnswer(aLatency, aNow);
   } else {
-    OnColdAnswer(aLatency);
+    OnColdAnswer(aLatency, aNow);
   }
 }
 
 void
 ColdStartRamp::OnTimeout(TimePoint aDispatchedAt, TimePoint aNow)
 {
-  if (aDispatchedAt < m_coldSince) {
+  // A deadline shorter than a slow answer says nothing about the upstream.
+  bool slow =
+    aNow - aDispatchedAt > Scale(m_usualLatency, m_settings.m_slowFactor);
+  if (aDispatchedAt < m_coldSince || !slow) {
     return;
   }
-  m_settledAnswers = 0;
+  m_group.clear();
   CountSlow(aNow);
 }
 
@@ -80,11 +94,14 @@
 ColdStartRamp::BecomeCold(TimePoint aNow)
 {
   m_limit = 1;
-  m_settledAnswers = 0;
-  m_coldAnswers = 0;
-  m_slowAnswers = 0;
   m_coldSince = aNow;
-  m_leastLatency = Duration{ 0 };
+  m_group.clear();
+  m_groups = 0;
+  m_lastMedian = Duration{ 0 };
+  m_steadyGroups = 0;
+  m_reference = Duration{ 0 };
+  m_fallSeen = false;
+  m_slowAnswers = 0;
 }
 
 void
@@ -96,31 +113,58 @@
 }
 
 void
-ColdStartRamp::OnColdAnswer(Duration aLatency)
-{
-  ++m_coldAnswers;
-  // A latency that still falls by half shows that the earlier answers were
-  // those of a cold upstream.
-  bool stillFalling =
-    m_leastLatency.count() != 0 && aLatency < m_leastLatency / 2;
-  bool first = m_leastLatency.count() == 0;
-  m_leastLatency = first ? aLatency : std::min(m_leastLatency, aLatency);
-  bool relearn = m_coldAnswers >= m_settings.m_relearnAnswers;
-  if (relearn || m_usualLatency.count() == 0) {
-    m_usualLatency = relearn ? m_leastLatency : m_usualLatency;
+ColdStartRamp::OnColdAnswer(Duration aLatency, TimePoint aNow)
+{
+  m_group.push_back(aLatency);
+  if (m_group.size() < m_settings.m_answersPerStep) {
+    return;
+  }
+  ++m_groups;
+  Duration median = Median(m_group);
+  m_group.clear();
+  bool burdened = m_limit > 1 && median > 2 * m_lastMedian;
+  if (burdened) {
+    BecomeCold(aNow);
+    return;
   }
-  Duration reference =
-    m_usualLatency.count() == 0 ? m_leastLatency : m_usualLatency;
-  bool settled = aLatency <= Scale(reference, m_settings.m_settledFactor);
-  m_settledAnswers = settled && !stillFalling ? m_settledAnswers + 1 : 0;
-  if (m_settledAnswers < m_settings.m_answersPerStep) {
+  bool settled = Settled(median);
+  m_lastMedian = median;
+  if (!settled) {
     return;
   }
-  m_settledAnswers = 0;
   ++m_limit;
-  if (Warm() && m_usualLatency.count() == 0) {
-    m_usualLatency = m_expectedLatency;
+  bool learnt = Warm() && m_usualLatency.count() == 0;
+  m_usualLatency = learnt ? median : m_usualLatency;
+}
+
+bool
+ColdStartRamp::Settled(Duration aMedian)
+{
+  if (m_usualLatency.count() == 0) {
+    return SettledBlind(aMedian);
   }
+  if (aMedian <= Scale(m_usualLatency, m_settings.m_settledFactor)) {
+    return true;
+  }
+  bool relearn = m_groups >= m_settings.m_relearnGroups &&
+                 2 * aMedian > m_lastMedian && aMedian < 2 * m_lastMedian;
+  m_usualLatency = relearn ? aMedian : m_usualLatency;
+  return relearn;
+}
+
+bool
+ColdStartRamp::SettledBlind(Duration aMedian)
+{
+  // A fall by half shows that the earlier answers were those of a cold
+  // upstream.
+  bool first = m_reference.count() == 0;
+  bool falls = !first && aMedian < m_reference / 2;
+  m_fallSeen = m_fallSeen || falls;
+  m_reference = first || falls ? aMedian : m_reference;
+  m_steadyGroups = falls ? 1 : m_steadyGroups + 1;
+  uint32_t needed =
+    m_fallSeen ? m_settings.m_groupsAfterFall : m_settings.m_blindGroups;
+  return m_steadyGroups >= needed;
 }
 
 void
@@ -134,7 +178,8 @@
     return;
   }
   m_slowAnswers = 0;
-  m_usualLatency = Smooth(m_usualLatency, aLatency);
+  Duration step = m_usualLatency / 32;
+  m_usualLatency += aLatency > m_usualLatency ? step : -step;
 }
 
 void
--- a/packages/core/upstream/admission_policy.h
+++ b/packages/core/upstream/admission_policy.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "core/base/time.h"
 
@@ -49,16 +50,25 @@
 
 struct ColdStartSettings
 {
-  // Settled answers in a row that earn one more slot; at least 1.
+  // Answers in a row that earn one more slot if their median latency is
+  // settled; at least 1.
   uint32_t m_answersPerStep = 8;
-  // An answer is settled up to this multiple of the usual latency; above 1.
+  // A median is settled up to this multiple of the usual latency; above 1.
   double m_settledFactor = 2.0;
+  // While the usual latency is unknown, a cold upstream looks the same as a
+  // slow one. Then so many groups of answers have to pass before the first
+  // step, or fewer after the latency was seen to fall by half.
+  uint32_t m_blindGroups = 6;
+  uint32_t m_groupsAfterFall = 3;
+  // Groups after which a cold upstream's new latency is taken as usual.
+  uint32_t m_relearnGroups = 12;
   // A warm upstream is cold again after `m_slowAnswers` answers in a row that
   // took longer than this multiple of the usual latency; above 1.
   double m_slowFactor = 4.0;
-  uint32_t m_slowAnswers = 3;
-  // Answers after which a cold upstream's new latency is taken as usual.
-  uint32_t m_relearnAnswers = 64;
+  uint32_t m_slowAnswers = 5;
+  // The usual latency, where other upstreams of the service have shown it; 0
+  // while it is unknown.
+  Duration m_usualLatency{ 0 };
   // Expected until an answer was seen.
   Duration m_initialLatency = Milliseconds(5);
 };
@@ -82,22 +92,28 @@
   void Resume(uint32_t aLimit, Duration aExpectedLatency) override;
 
 private:
-  void OnColdAnswer(Duration aLatency);
+  void OnColdAnswer(Duration aLatency, TimePoint aNow);
   void OnWarmAnswer(Duration aLatency, TimePoint aNow);
   void CountSlow(TimePoint aNow);
+  [[nodiscard]] bool Settled(Duration aMedian);
+  [[nodiscard]] bool SettledBlind(Duration aMedian);
 
   const uint32_t m_slots;
   const ColdStartSettings m_settings;
   uint32_t m_limit = 1;
-  uint32_t m_settledAnswers = 0;
-  uint32_t m_coldAnswers = 0;
-  uint32_t m_slowAnswers = 0;
   // Work dispatched earlier proves nothing about the current cold start.
   TimePoint m_coldSince;
-  // The least latency seen in this cold start; 0 before the first answer.
-  Duration m_leastLatency{ 0 };
-  // The usual latency while warm; 0 while unknown.
-  Duration m_usualLatency{ 0 };
+  // The latencies of the current group.
+  std::vector<Duration> m_group;
+  uint32_t m_groups = 0;
+  Duration m_lastMedian{ 0 };
+  // Groups in a row at the latency `m_reference`, while the usual is unknown.
+  uint32_t m_steadyGroups = 0;
+  Duration m_reference{ 0 };
+  bool m_fallSeen = false;
+  uint32_t m_slowAnswers = 0;
+  // Follows the median of a warm upstream; 0 while unknown.
+  Duration m_usualLatency;
   Duration m_expectedLatency;
 };
 
--- a/packages/core/upstream/upstream_gate.cc
+++ b/packages/core/upstream/upstream_gate.cc
@@ -201,9 +201,11 @@
     next = end > m_pumpedAt ? std::min(next, end) : next;
   }
   if (auto deadline = m_queue.EarliestDeadline()) {
-    next = std::min(next, *deadline - m_settings.m_refusalMargin);
-    for (TimePoint opening : { m_backoffUntil, m_inheritedUntil }) {
-      next = opening > m_pumpedAt ? std::min(next, opening) : next;
+    for (TimePoint due : { *deadline - m_settings.m_refusalMargin,
+                           *deadline - TimeNeeded(),
+                           m_backoffUntil,
+                           m_inheritedUntil }) {
+      next = due > m_pumpedAt ? std::min(next, due) : next;
     }
     if (m_predecessorSeen) {
       next = std::min(next, m_pumpedAt + m_settings.m_predecessorPoll);
@@ -346,14 +348,25 @@
 {
   bool backingOff = aNow < m_backoffUntil;
   TimePoint earliest = backingOff ? m_backoffUntil : aNow;
-  MissingReason reason =
-    backingOff ? m_backoffReason : MissingReason::kDeadline;
-  for (const WorkItem& item :
-       m_queue.TakeDueBy(earliest + m_settings.m_refusalMargin)) {
+  // One piece of work goes in any case, so that a latency that was learnt in
+  // worse times does not keep everything out.
+  bool choice = m_queue.size() > 1 || HeldWork(aNow) > 0;
+  Duration needed = choice ? TimeNeeded() : m_settings.m_refusalMargin;
+  for (const WorkItem& item : m_queue.TakeDueBy(earliest + needed)) {
+    bool over = item.m_deadline <= aNow + m_settings.m_refusalMargin;
+    MissingReason reason = over         ? MissingReason::kDeadline
+                           : backingOff ? m_backoffReason
+                                        : MissingReason::kOverloaded;
     aActions.emplace_back(GateRefuse{ item.m_id, reason });
   }
 }
 
+Duration
+UpstreamGate::TimeNeeded() const
+{
+  return std::max(m_settings.m_refusalMargin, m_policy->ExpectedLatency());
+}
+
 void
 UpstreamGate::CloseIdle(GateActions& aActions)
 {
@@ -519,7 +532,7 @@
     return Duration{ 0 };
   }
   auto expected = static_cast<double>(m_policy->ExpectedLatency().count());
-  return Duration(static_cast<int64_t>(expected * ahead / Limit()));
+  return Duration(static_cast<int64_t>(expected * (ahead / Limit() + 1)));
 }
 
 uint32_t
--- a/packages/core/upstream/upstream_gate.h
+++ b/packages/core/upstream/upstream_gate.h
@@ -67,7 +67,8 @@
   size_t m_queueLimit = 256;
   // The cost by which one caller may be served ahead of another.
   double m_fairnessQuantum = 2;
-  // Queued work is refused this long before its deadline.
+  // Queued work is refused when less is left before its deadline than the
+  // expected latency, and this at least.
   Duration m_refusalMargin = Milliseconds(1);
   // Abandoned work holds its slot for this long after its deadline, which
   // covers the transfer and the upstream's own reaction.
@@ -267,7 +268,9 @@
   void BackOff(Duration aAtLeast, TimePoint aNow);
   void MarkDraining(TimePoint aNow);
   [[nodiscard]] bool Holds(const SentWork& aSent, TimePoint aNow) const;
+  // The time that an answer will take with work queued before it; 0 without.
   [[nodiscard]] Duration EstimatedWait(const WorkItem& aItem) const;
+  [[nodiscard]] Duration TimeNeeded() const;
   [[nodiscard]] uint32_t ConnectionsAllowed() const;
   [[nodiscard]] uint32_t Inherited(TimePoint aNow) const;
 
