Bound the claims' store writes by a spacing, and count them

Weighed: fewer buckets (larger objects, no bound of its own), one record for several filings (answers wait). Chosen: writes of one bucket start at least 20 ms apart; replies are still answered at once.

--- a/packages/core/filing/claim_batcher.cc
+++ b/packages/core/filing/claim_batcher.cc
@@ -168,40 +168,51 @@
                       const EventTime& aAt,
                       BatcherActions& aActions)
 {
-  bool waits = aBucket.m_call != 0 || aAt.m_monotonic < aBucket.m_blockedUntil;
-  if (waits || aBucket.m_operations.empty()) {
+  bool blocked = aAt.m_monotonic < aBucket.m_blockedUntil;
+  bool answers = std::exchange(aBucket.m_hasAnswers, false);
+  if (aBucket.m_call != 0 || aBucket.m_operations.empty() ||
+      (blocked && !answers)) {
     return;
   }
   bool tooOld =
-    aBucket.m_shared && aBucket.m_content &&
+    aBucket.m_shared && aBucket.m_content && !answers &&
     aBucket.m_content->m_validAt < aBucket.m_operations.back().m_arrivedAt;
   if (!aBucket.m_content || tooOld) {
     StartRead(aBucket, aAt, aActions);
     return;
   }
   Draft draft = MakeDraft(*aBucket.m_content, aAt.m_wall);
-  bool write = false;
+  bool stale = ApplyAll(aBucket, draft, aAt, aActions);
+  if (blocked) {
+    return;
+  }
+  if (!draft.m_touched.empty()) {
+    StartWrite(aBucket, std::move(draft), aAt, aActions);
+  } else if (stale) {
+    StartRead(aBucket, aAt, aActions);
+  }
+}
+
+bool
+ClaimBatcher::ApplyAll(Bucket& aBucket,
+                       Draft& aDraft,
+                       const EventTime& aAt,
+                       BatcherActions& aActions) const
+{
   bool stale = false;
   std::erase_if(aBucket.m_operations, [&](Operation& aOperation) {
     // The store may refuse what the draft changed: nothing builds on it yet.
-    if (draft.m_touched.contains(aOperation.m_key)) {
+    if (aDraft.m_touched.contains(aOperation.m_key)) {
       return false;
     }
-    Verdict verdict = Apply(aOperation, draft, aAt, aActions);
+    Verdict verdict = Apply(aOperation, aDraft, aAt, aActions);
     if (verdict == Verdict::kWrite) {
-      draft.m_touched.insert(aOperation.m_key);
-      aOperation.m_tried = true;
-      aOperation.m_triedVersion = draft.m_version;
+      aDraft.m_touched.insert(aOperation.m_key);
     }
-    write = write || verdict == Verdict::kWrite;
     stale = stale || verdict == Verdict::kStale;
     return verdict == Verdict::kDone;
   });
-  if (write) {
-    StartWrite(aBucket, std::move(draft), aAt, aActions);
-  } else if (stale) {
-    StartRead(aBucket, aAt, aActions);
-  }
+  return stale;
 }
 
 ClaimBatcher::Draft
@@ -241,6 +252,12 @@
   aBucket.m_writing = true;
   aBucket.m_calledAt = aAt.m_monotonic;
   aBucket.m_written = std::move(aDraft.m_claims);
+  for (Operation& operation : aBucket.m_operations) {
+    if (aDraft.m_touched.contains(operation.m_key)) {
+      operation.m_tried = true;
+      operation.m_triedVersion = aDraft.m_version;
+    }
+  }
   aActions.emplace_back(BatcherWrite{
     .m_call = aBucket.m_call,
     .m_key = absl::StrCat(m_settings.m_keyPrefix, aBucket.m_number),
@@ -271,6 +288,8 @@
     return;
   }
   aBucket.m_lastVersion = aReply.m_version;
+  aBucket.m_hasAnswers = true;
+  aBucket.m_blockedUntil = aBucket.m_calledAt + m_settings.m_writeSpacing;
   aBucket.m_content = Content{ .m_version = aReply.m_version,
                                .m_claims = std::move(aBucket.m_written),
                                .m_validAt = aBucket.m_calledAt };
--- a/packages/core/filing/claim_batcher.h
+++ b/packages/core/filing/claim_batcher.h
@@ -2,8 +2,8 @@
 //
 // A bucket of claims is one object. At most one call is outstanding for each
 // bucket; what arrives meanwhile goes into the next write, so that the rate of
-// writes is bounded by buckets over the store's reply time, however many
-// requests there are. Several instances may write one bucket: only the store's
+// writes is bounded by buckets over `m_writeSpacing`, however many requests
+// there are. Several instances may write one bucket: only the store's
 // conditional update decides who holds a claim.
 //
 //   ClaimBatcher batcher(settings, self, bitGen);
@@ -51,6 +51,9 @@
   // The pause after a conflict or a failure, with jitter; it doubles.
   Duration m_shortestBackoff = Milliseconds(2);
   Duration m_longestBackoff = Milliseconds(500);
+  // Writes of one bucket start at least this far apart, so that more requests
+  // share one.
+  Duration m_writeSpacing = Milliseconds(20);
   // How long a bucket is remembered without use.
   Duration m_cacheLifetime = Seconds(10);
   // The name of a bucket's object is this and its number.
@@ -232,6 +235,8 @@
     ClaimBucket m_written;
     Duration m_backoff{ 0 };
     TimePoint m_blockedUntil;
+    // A write has just succeeded: its requests can be answered at once.
+    bool m_hasAnswers = false;
     TimePoint m_usedAt;
     // Another instance writes this bucket too, so that it pays to read before
     // a write.
@@ -263,6 +268,12 @@
 
   [[nodiscard]] Bucket& BucketFor(const ClaimKey& aKey, const EventTime& aAt);
   void Advance(Bucket& aBucket, const EventTime& aAt, BatcherActions& aActions);
+  // Applies each operation and drops the answered ones. Returns whether one
+  // needs newer content.
+  [[nodiscard]] bool ApplyAll(Bucket& aBucket,
+                              Draft& aDraft,
+                              const EventTime& aAt,
+                              BatcherActions& aActions) const;
   [[nodiscard]] Draft MakeDraft(const Content& aContent, WallTime aWall) const;
   void StartRead(Bucket& aBucket,
                  const EventTime& aAt,
--- a/packages/core/filing/claim_slope.cc
+++ b/packages/core/filing/claim_slope.cc
@@ -48,13 +48,14 @@
 class Fleet
 {
 public:
-  Fleet(uint32_t aInstances, uint32_t aBuckets)
+  Fleet(uint32_t aInstances, uint32_t aBuckets, Duration aSpacing)
   {
     for (uint32_t i = 0; i < aInstances; ++i) {
       m_batchers.push_back(std::make_unique<ClaimBatcher>(
         ClaimBatcherSettings{ .m_buckets = aBuckets,
                               .m_horizon = kHorizon,
-                              .m_clockSkew = std::chrono::milliseconds(0) },
+                              .m_clockSkew = std::chrono::milliseconds(0),
+                              .m_writeSpacing = aSpacing },
         InstanceId(absl::StrCat("n", i)),
         m_random));
     }
@@ -204,17 +205,21 @@
 };
 
 void
-PrintLine(uint32_t aInstances, uint32_t aBuckets, uint32_t aRate)
+PrintLine(uint32_t aInstances,
+          uint32_t aBuckets,
+          Duration aSpacing,
+          uint32_t aRate)
 {
-  Fleet fleet(aInstances, aBuckets);
+  Fleet fleet(aInstances, aBuckets, aSpacing);
   Counts counts = fleet.Run(aRate);
   double seconds = ToMillisecondsF(kMeasured) / 1000;
   auto filings = static_cast<double>(counts.m_filings);
   auto writes = static_cast<double>(counts.m_writes);
   auto reads = static_cast<double>(counts.m_reads);
-  std::printf("%9u %7u %9u %8.1f %8.1f %8.1f %11.2f %11.2f %11.0f\n",
+  std::printf("%9u %7u %7lld %9u %8.1f %8.1f %8.1f %11.2f %11.2f %11.0f\n",
               aInstances,
               aBuckets,
+              static_cast<long long>(ToMilliseconds(aSpacing)),
               aRate,
               filings / seconds,
               writes / seconds,
@@ -234,12 +239,15 @@
 {
   std::printf("count of the machine's own calls, paused clock, store reply "
               "5 ms, seed 7\n"
-              "instances buckets filings/s  ended/s writes/s  reads/s "
+              "instances buckets spacing filings/s  ended/s writes/s  reads/s "
               "writes/each  reads/each bytes/claim\n");
   for (uint32_t instances : { 1U, 15U }) {
-    for (uint32_t buckets : { 4U, 16U, 64U }) {
-      for (uint32_t rate : { 1U, 10U, 100U, 1000U }) {
-        ebonykeel::PrintLine(instances, buckets, rate);
+    for (uint32_t buckets : { 4U, 16U }) {
+      for (int64_t spacing : { 0, 20 }) {
+        for (uint32_t rate : { 1U, 10U, 100U, 1000U }) {
+          ebonykeel::PrintLine(
+            instances, buckets, ebonykeel::Milliseconds(spacing), rate);
+        }
       }
     }
   }
--- a/packages/core/filing/filing_property_test.cc
+++ b/packages/core/filing/filing_property_test.cc
@@ -113,7 +113,8 @@
                             .m_horizon = kHorizon,
                             .m_clockSkew = kSkew,
                             .m_callTimeout = Milliseconds(40),
-                            .m_longestBackoff = Milliseconds(50) },
+                            .m_longestBackoff = Milliseconds(50),
+                            .m_writeSpacing = aInstance * Milliseconds(5) },
       InstanceId(absl::StrCat("n", aInstance)),
       instance.m_bitGen);
   }
--- a/packages/core/filing/filing_test.cc
+++ b/packages/core/filing/filing_test.cc
@@ -46,7 +46,9 @@
 ClaimBatcherSettings
 OneBucket()
 {
-  return { .m_buckets = 1, .m_maxBucketBytes = 20'000 };
+  return { .m_buckets = 1,
+           .m_maxBucketBytes = 20'000,
+           .m_writeSpacing = Duration{ 0 } };
 }
 
 // A batcher over a store that does what each test says.
@@ -240,6 +242,29 @@
   DOCTEST_CHECK(bench.m_batcher.Pending() == 0);
 }
 
+DOCTEST_TEST_CASE("what arrives during and soon after a write shares the next")
+{
+  Bench bench({ .m_buckets = 1, .m_writeSpacing = Milliseconds(20) });
+  auto first = OnlyOne<BatcherWrite>(
+    bench.Absent(bench.m_batcher.Acquire(RequestOf(1), kStart)));
+  for (uint64_t number : { 2U, 3U, 4U }) {
+    ClaimRequest request = RequestOf(number);
+    request.m_key.m_request = RequestId(std::to_string(number));
+    EventTime at = Later(Milliseconds(3 * static_cast<int64_t>(number)));
+    DOCTEST_CHECK(bench.m_batcher.Acquire(request, at).empty());
+    if (number == 2) {
+      // The reply answers the first at once.
+      DOCTEST_CHECK(bench.Reply(bench.Written(first, at)) ==
+                    ClaimReplyKind::kGranted);
+    }
+  }
+  EventTime due = Later(Milliseconds(20));
+  DOCTEST_REQUIRE(bench.m_batcher.NextTimer() == due.m_monotonic);
+  auto second = OnlyOne<BatcherWrite>(bench.m_batcher.OnTimer(due));
+  DOCTEST_CHECK(DecodeBucket(second.m_value)->size() == 4);
+  DOCTEST_CHECK(bench.Written(second, due).size() == 3);
+}
+
 DOCTEST_TEST_CASE("a full bucket refuses, and an unreadable one is left alone")
 {
   Bench bench;
--- /dev/null
+++ b/packages/core/upstream/upstream_gate_results.cc
@@ -0,0 +1,198 @@
+// What the upstream holds, and what results say about it.
+#include <algorithm>
+#include <utility>
+
+#include "core/upstream/upstream_gate.h"
+
+namespace ebonykeel {
+namespace {
+
+// Returns true when the upstream cannot be working on the work any more.
+bool
+EndsWork(UpstreamResultKind aKind)
+{
+  switch (aKind) {
+    case UpstreamResultKind::kOk:
+    case UpstreamResultKind::kShed:
+    case UpstreamResultKind::kVersionNotHeld:
+    case UpstreamResultKind::kDraining:
+    case UpstreamResultKind::kCancelled:
+    case UpstreamResultKind::kConnectFailed:
+      return true;
+    case UpstreamResultKind::kReset:
+    case UpstreamResultKind::kTimeout:
+    case UpstreamResultKind::kBadAnswer:
+      return false;
+  }
+  return false;
+}
+
+} // namespace
+
+GateActions
+UpstreamGate::OnResult(WorkId aWork,
+                       const UpstreamResult& aResult,
+                       TimePoint aNow)
+{
+  GateActions actions;
+  auto sent = m_sent.find(aWork);
+  if (sent == m_sent.end()) {
+    return actions;
+  }
+  SettleConnection(sent->second, aResult.m_connection);
+  NoteBoot(aResult.m_bootId, sent->second.m_dispatchedAt, aNow);
+  NoteResult(sent->second, aResult, aNow);
+  if (EndsWork(aResult.m_kind)) {
+    m_sent.erase(sent);
+  } else {
+    sent->second.m_abandoned = true;
+  }
+  Pump(aNow, actions);
+  return actions;
+}
+
+uint32_t
+UpstreamGate::HeldWork(TimePoint aNow) const
+{
+  uint32_t probes = m_probeSentAt ? 1 : 0;
+  auto held = std::ranges::count_if(
+    m_sent, [&](const auto& aEntry) { return Holds(aEntry.second, aNow); });
+  return static_cast<uint32_t>(held) + Inherited(aNow) + probes;
+}
+
+uint32_t
+UpstreamGate::InFlight() const
+{
+  return static_cast<uint32_t>(std::ranges::count_if(
+    m_sent, [](const auto& aEntry) { return !aEntry.second.m_abandoned; }));
+}
+
+uint32_t
+UpstreamGate::OpenConnections() const
+{
+  auto busy = std::ranges::count_if(m_sent, [](const auto& aEntry) {
+    return !aEntry.second.m_connectionSettled;
+  });
+  uint32_t probes = m_probeSentAt ? 1 : 0;
+  return static_cast<uint32_t>(busy) + m_idleConnections +
+         m_lingeringConnections + probes;
+}
+
+void
+UpstreamGate::Abandon(SentMap::iterator aSent, GateActions& aActions)
+{
+  if (std::exchange(aSent->second.m_abandoned, true)) {
+    return;
+  }
+  aActions.emplace_back(GateCancelInFlight{ aSent->first });
+}
+
+void
+UpstreamGate::SettleConnection(SentWork& aSent, ConnectionFate aFate)
+{
+  if (std::exchange(aSent.m_connectionSettled, true)) {
+    return;
+  }
+  m_idleConnections += aFate == ConnectionFate::kKept ? 1 : 0;
+  m_lingeringConnections += aFate == ConnectionFate::kLingering ? 1 : 0;
+}
+
+void
+UpstreamGate::NoteBoot(BootId aBoot, TimePoint aDispatchedAt, TimePoint aNow)
+{
+  // A late answer may come from an earlier run of the upstream.
+  if (aBoot == 0 || aBoot == m_bootId || aDispatchedAt < m_bootSince) {
+    return;
+  }
+  bool known = m_bootId != 0;
+  m_bootId = aBoot;
+  if (known) {
+    m_bootSince = aNow;
+    m_policy->BecomeCold(aNow);
+  }
+}
+
+void
+UpstreamGate::NoteResult(const SentWork& aSent,
+                         const UpstreamResult& aResult,
+                         TimePoint aNow)
+{
+  if (aResult.m_draining) {
+    MarkDraining(aNow);
+  }
+  // The owner itself closes the connection of abandoned work.
+  if (aSent.m_abandoned && !EndsWork(aResult.m_kind)) {
+    return;
+  }
+  switch (aResult.m_kind) {
+    case UpstreamResultKind::kOk: {
+      m_backoff = Duration{ 0 };
+      if (m_hint && m_hint->m_bootId != 0 && m_hint->m_bootId == m_bootId) {
+        m_policy->Resume(m_hint->m_limit, m_hint->m_expectedLatency);
+      }
+      m_hint.reset();
+      auto latency = static_cast<double>((aNow - aSent.m_dispatchedAt).count());
+      m_policy->OnAnswer(Duration(static_cast<int64_t>(latency / aSent.m_cost)),
+                         aSent.m_dispatchedAt,
+                         aNow);
+      return;
+    }
+    case UpstreamResultKind::kShed:
+      m_policy->BecomeCold(aNow);
+      m_backoffReason = MissingReason::kShed;
+      BackOff(aResult.m_retryAfter, aNow);
+      return;
+    case UpstreamResultKind::kReset:
+    case UpstreamResultKind::kConnectFailed:
+      m_policy->BecomeCold(aNow);
+      m_backoffReason = MissingReason::kUnreachable;
+      BackOff(Duration{ 0 }, aNow);
+      return;
+    case UpstreamResultKind::kDraining:
+      MarkDraining(aNow);
+      return;
+    case UpstreamResultKind::kTimeout:
+      m_policy->OnTimeout(aSent.m_dispatchedAt, aNow);
+      return;
+    case UpstreamResultKind::kVersionNotHeld:
+    case UpstreamResultKind::kCancelled:
+    case UpstreamResultKind::kBadAnswer:
+      return;
+  }
+}
+
+void
+UpstreamGate::BackOff(Duration aAtLeast, TimePoint aNow)
+{
+  m_backoff = std::clamp(
+    m_backoff * 2, m_settings.m_shortestBackoff, m_settings.m_longestBackoff);
+  Duration pause = std::clamp(aAtLeast, m_backoff, m_settings.m_longestBackoff);
+  m_backoffUntil = std::max(m_backoffUntil, aNow + pause);
+}
+
+void
+UpstreamGate::MarkDraining(TimePoint aNow)
+{
+  if (m_markedDraining) {
+    return;
+  }
+  m_markedDraining = true;
+  m_nextProbe = aNow + m_settings.m_probeInterval;
+  m_policy->BecomeCold(aNow);
+}
+
+bool
+UpstreamGate::Holds(const SentWork& aSent, TimePoint aNow) const
+{
+  return !aSent.m_abandoned ||
+         aNow < aSent.m_deadline + m_settings.m_abandonedMargin;
+}
+
+uint32_t
+UpstreamGate::Inherited(TimePoint aNow) const
+{
+  uint32_t told = aNow < m_inheritedUntil ? m_inheritedWork : 0;
+  return std::max(told, m_permit.PredecessorWork(m_upstream, aNow));
+}
+
+} // namespace ebonykeel
