Match forwarded filings by name and count the warm-up's work

A trial against three nodes showed every filing as never executed: nodes send the caller beside a name that already holds it.

--- a/packages/load/filing_check.cc
+++ b/packages/load/filing_check.cc
@@ -30,12 +30,11 @@
 {
   std::map<std::string, uint64_t> counts;
   for (const ExecutionRecord& execution : aExecutions) {
-    // A searcher that was told the caller got the plain request id.
-    std::string name =
-      execution.m_caller.empty()
-        ? execution.m_requestId
-        : ForwardedFilingName(execution.m_caller, execution.m_requestId);
-    counts[name] += execution.m_count;
+    // A node forwards a filing under a name made of caller and request id;
+    // a caller that asks a searcher itself sends the plain ones.
+    counts[execution.m_requestId] += execution.m_count;
+    counts[ForwardedFilingName(execution.m_caller, execution.m_requestId)] +=
+      execution.m_count;
   }
   FilingCheck check;
   for (const FilingRecord& filing : aFilings) {
--- a/packages/load/filing_check_test.cc
+++ b/packages/load/filing_check_test.cc
@@ -15,7 +15,7 @@
     { "c1", "lost", Outcome::kRan },      { "c2", "ran", Outcome::kNotRun },
   };
   std::vector<ExecutionRecord> executions = {
-    { "", ForwardedFilingName("c1", "ran"), 1 },
+    { "c1", ForwardedFilingName("c1", "ran"), 1 },
     { "", ForwardedFilingName("c1", "twice"), 1 },
     { "c1", "twice", 1 },
     { "c1", "lie", 1 },
--- a/packages/load/load_result.cc
+++ b/packages/load/load_result.cc
@@ -51,13 +51,19 @@
   bool answered = aRecord.m_outcome == Outcome::kRan;
   bool query = aRecord.m_kind == RequestKind::kQuery;
   bool partial = answered && query && aRecord.m_answered < aRecord.m_shards;
+  for (Violation violation : aRecord.m_violations) {
+    ++m_violations[std::string(ViolationName(violation))];
+  }
+  if (answered) {
+    m_neededWork += query ? aRecord.m_shards : 1;
+  }
+  if (!aRecord.m_measured) {
+    return;
+  }
   ++m_requests;
   m_queries += query;
   m_attempts += aRecord.m_attempts;
   ++m_outcomes[std::string(OutcomeName(aRecord.m_outcome))];
-  for (Violation violation : aRecord.m_violations) {
-    ++m_violations[std::string(ViolationName(violation))];
-  }
   if (!aRecord.m_refusal.empty()) {
     ++m_refusals[aRecord.m_refusal];
   }
@@ -75,7 +81,6 @@
   m_latency.Add(aRecord.m_latency);
   bin.m_milliseconds.push_back(
     static_cast<float>(ToMillisecondsF(aRecord.m_latency)));
-  m_neededWork += query ? aRecord.m_shards : 1;
   if (query && aRecord.m_shards > 0) {
     m_partial += partial;
     m_whole += !partial;
--- a/packages/load/load_result.h
+++ b/packages/load/load_result.h
@@ -30,6 +30,9 @@
 struct RequestRecord
 {
   RequestKind m_kind = RequestKind::kQuery;
+  // False for a request of the warm-up, of which only the work and the broken
+  // promises count.
+  bool m_measured = true;
   // From the start of the experiment.
   Duration m_start = Duration::zero();
   Duration m_latency = Duration::zero();
--- a/packages/load/load_runner.cc
+++ b/packages/load/load_runner.cc
@@ -320,10 +320,8 @@
                           aRequest.m_id,
                           record.m_outcome });
   }
-  bool measured = record.m_start >= m_experiment.m_warmUp;
-  if (measured || !record.m_violations.empty()) {
-    m_result.Add(record);
-  }
+  record.m_measured = record.m_start >= m_experiment.m_warmUp;
+  m_result.Add(record);
 }
 
 kj::Promise<void>
