--- a/packages/node/admission/admission_service.h
+++ b/packages/node/admission/admission_service.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <map>
+#include <span>
 
 #include <kj/async.h>
 
--- a/packages/node/api/admin_api.cc
+++ b/packages/node/api/admin_api.cc
@@ -140,11 +140,13 @@
 AdminApi::AdminApi(ConfigurationService& aConfiguration,
                    MembershipService& aMembership,
                    StatusPage& aStatus,
+                   BurnReportService& aReports,
                    std::string aToken,
                    absl::BitGenRef aRandom)
   : m_configuration(aConfiguration)
   , m_membership(aMembership)
   , m_status(aStatus)
+  , m_reports(aReports)
   , m_token(std::move(aToken))
   , m_random(aRandom)
 {
@@ -170,6 +172,11 @@
   if (get && path == "/v1/admin/status") {
     return JsonResponse(m_status.Status());
   }
+  if (get && path == "/v1/admin/report") {
+    return m_reports.Collect().then([](BurnReport&& aReport) {
+      return HttpResponse{ .m_body = EncodeBurnReport(aReport) };
+    });
+  }
   if (get && path == "/v1/admin/history") {
     return History(aRequest);
   }
--- a/packages/node/api/admin_api.h
+++ b/packages/node/api/admin_api.h
@@ -9,6 +9,7 @@
 #include "node/api/status_page.h"
 #include "node/cluster/membership_service.h"
 #include "node/configuration/configuration_service.h"
+#include "node/report/burn_report_service.h"
 #include "runtime/http/server.h"
 
 namespace ebonykeel {
@@ -21,6 +22,7 @@
   AdminApi(ConfigurationService& aConfiguration,
            MembershipService& aMembership,
            StatusPage& aStatus,
+           BurnReportService& aReports,
            std::string aToken,
            absl::BitGenRef aRandom);
 
@@ -46,6 +48,7 @@
   ConfigurationService& m_configuration;
   MembershipService& m_membership;
   StatusPage& m_status;
+  BurnReportService& m_reports;
   std::string m_token;
   absl::BitGenRef m_random;
 };
--- a/packages/node/api/public_api.cc
+++ b/packages/node/api/public_api.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "core/routing/routing.h"
+#include "node/api/answers.h"
 #include "node/api/api_error.h"
 #include "runtime/log/events.h"
 
@@ -25,51 +26,6 @@
     { .m_code = "bad_request", .m_message = std::string(aStatus.message()) });
 }
 
-Json
-CoverageJson(const Coverage& aCoverage)
-{
-  Json missing = Json::array();
-  for (const MissingShard& shard : aCoverage.m_missing) {
-    missing.push_back({ { "shard", shard.m_shard.Text() },
-                        { "reason", MissingReasonName(shard.m_reason) },
-                        { "partial", shard.m_partial } });
-  }
-  return { { "shards", aCoverage.m_shards },
-           { "answered", aCoverage.m_answered },
-           { "missing", std::move(missing) } };
-}
-
-Json
-ServiceJson(const ServiceAnswer& aAnswer)
-{
-  Json hits = Json::array();
-  for (const Hit& hit : aAnswer.m_hits) {
-    hits.push_back({ { "document", hit.m_document },
-                     { "score", hit.m_score },
-                     { "text", hit.m_text } });
-  }
-  return { { "service", aAnswer.m_service.Text() },
-           { "index_version", aAnswer.m_indexVersion },
-           { "coverage", CoverageJson(aAnswer.m_coverage) },
-           { "hits", std::move(hits) } };
-}
-
-HttpResponse
-QueryResponse(const QueryAnswer& aAnswer)
-{
-  Json services = Json::array();
-  for (const ServiceAnswer& service : aAnswer.m_services) {
-    services.push_back(ServiceJson(service));
-  }
-  HttpResponse response =
-    JsonResponse({ { "request_id", aAnswer.m_requestId.Text() },
-                   { "services", std::move(services) },
-                   { "whole", aAnswer.Whole() },
-                   { "outcome", OutcomeName(aAnswer.m_outcome) } });
-  response.m_headers.push_back({ "x-request-id", aAnswer.m_requestId.Text() });
-  return response;
-}
-
 void
 LogPartial(const QueryAnswer& aAnswer)
 {
@@ -87,54 +43,6 @@
   }
 }
 
-int
-FilingStatus(Outcome aOutcome)
-{
-  switch (aOutcome) {
-    case Outcome::kRan:
-      return 200;
-    case Outcome::kNotRun:
-      return 503;
-    case Outcome::kUnknown:
-      return 504;
-  }
-  return 500;
-}
-
-HttpResponse
-FilingResponse(const RequestId& aRequest, const FilingAnswer& aAnswer)
-{
-  Json body{ { "request_id", aRequest.Text() },
-             { "outcome", OutcomeName(aAnswer.m_outcome) },
-             { "repeated", aAnswer.m_repeated } };
-  if (aAnswer.m_outcome == Outcome::kRan) {
-    body["result"] = aAnswer.m_result;
-    body["result_kept"] = aAnswer.m_resultKept;
-  } else {
-    body["code"] = FilingReasonName(aAnswer.m_reason);
-    body["message"] = absl::StrCat("the filing is ",
-                                   std::string(OutcomeName(aAnswer.m_outcome)));
-    body["refusal"] = MissingReasonName(aAnswer.m_refusal);
-  }
-  HttpResponse response = JsonResponse(body);
-  response.m_status = FilingStatus(aAnswer.m_outcome);
-  response.m_headers.push_back(
-    { "x-outcome", std::string(OutcomeName(aAnswer.m_outcome)) });
-  return response;
-}
-
-Json
-AddressesJson(const RoutingAnswer& aAnswer)
-{
-  Json addresses = Json::array();
-  for (const RoutedAddress& address : aAnswer.m_addresses) {
-    addresses.push_back({ { "instance", address.m_instance.Text() },
-                          { "address", address.m_publicAddress },
-                          { "data_centre", address.m_dataCentre.Text() } });
-  }
-  return addresses;
-}
-
 // Names the services of a query; every one of the group if it names a group.
 std::vector<ServiceName>
 ResolveServices(const Configuration& aConfiguration, const QueryBody& aBody)
@@ -151,6 +59,43 @@
   return services;
 }
 
+uint32_t
+CountShards(const Configuration& aConfiguration,
+            std::span<const ServiceName> aServices)
+{
+  size_t shards = 0;
+  for (const ServiceName& name : aServices) {
+    shards += aConfiguration.FindService(name)->m_shards.size();
+  }
+  return static_cast<uint32_t>(std::max<size_t>(shards, 1));
+}
+
+RequestEnding
+EndingOf(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::kRan:
+      return RequestEnding::kAnswered;
+    case Outcome::kNotRun:
+      return RequestEnding::kRefused;
+    case Outcome::kUnknown:
+      return RequestEnding::kFailed;
+  }
+  return RequestEnding::kFailed;
+}
+
+HttpResponse
+NotAdmitted(const CallerName& aCaller, RefusalReason aReason)
+{
+  LogEvent(Event::kQueryRefused,
+           { { "caller", aCaller.Text() },
+             { "reason", std::string(RefusalReasonName(aReason)) } });
+  return ErrorResponse(
+    { .m_status = 429,
+      .m_code = RefusalReasonName(aReason),
+      .m_message = "this instance is too busy; the request was not run" });
+}
+
 Duration
 LongestDeadline(const Configuration& aConfiguration,
                 std::span<const ServiceName> aServices)
@@ -172,6 +117,8 @@
                      SnapshotTracker& aSnapshots,
                      QueryService& aQueries,
                      FilingService& aFilings,
+                     AdmissionService& aAdmission,
+                     BurnRecorder& aBurn,
                      StatusPage& aStatus,
                      absl::BitGenRef aRandom)
   : m_loop(aLoop)
@@ -179,6 +126,8 @@
   , m_snapshots(aSnapshots)
   , m_queries(aQueries)
   , m_filings(aFilings)
+  , m_admission(aAdmission)
+  , m_burn(aBurn)
   , m_status(aStatus)
   , m_random(aRandom)
 {
@@ -272,6 +221,13 @@
   }
   Duration longest = LongestDeadline(configuration, services);
   Duration allowed = std::min(body->m_deadline.value_or(longest), longest);
+  AdmissionTicket ticket{
+    .m_caller = body->m_caller,
+    .m_group = configuration.FindService(services.front())->m_group,
+    .m_priority = body->m_batch ? Priority::kBatch : Priority::kInteractive,
+    .m_cost = CountShards(configuration, services),
+    .m_deadline = arrival + allowed
+  };
   QueryRequest request{ .m_requestId = body->m_requestId,
                         .m_caller = body->m_caller,
                         .m_services = std::move(services),
@@ -279,10 +235,51 @@
                         .m_limit = body->m_limit,
                         .m_arrival = arrival,
                         .m_deadline = arrival + allowed };
-  return m_queries.Run(std::move(request)).then([](QueryAnswer&& aAnswer) {
-    LogPartial(aAnswer);
-    return QueryResponse(aAnswer);
-  });
+  return m_admission.Enter(ticket).then(
+    [this, request = std::move(request)](
+      AdmissionEntry&& aEntry) mutable -> kj::Promise<HttpResponse> {
+      KJ_IF_MAYBE (pass, aEntry.m_pass) {
+        return RunQuery(std::move(request)).attach(kj::mv(*pass));
+      }
+      RecordRefusal(request);
+      return NotAdmitted(request.m_caller, aEntry.m_reason);
+    });
+}
+
+kj::Promise<HttpResponse>
+PublicApi::RunQuery(QueryRequest aRequest)
+{
+  TimePoint arrival = aRequest.m_arrival;
+  return m_queries.Run(std::move(aRequest))
+    .then([this, arrival](QueryAnswer&& aAnswer) {
+      LogPartial(aAnswer);
+      Record(aAnswer, m_loop.Clock().Now() - arrival);
+      return QueryResponse(aAnswer);
+    });
+}
+
+void
+PublicApi::Record(const QueryAnswer& aAnswer, Duration aLatency)
+{
+  for (const ServiceAnswer& service : aAnswer.m_services) {
+    const Coverage& coverage = service.m_coverage;
+    double covered =
+      coverage.m_shards == 0
+        ? 1.0
+        : static_cast<double>(coverage.m_answered) / coverage.m_shards;
+    m_burn.Record(service.m_service,
+                  { .m_latency = aLatency, .m_coverage = covered },
+                  m_loop.Clock().Now());
+  }
+}
+
+void
+PublicApi::RecordRefusal(const QueryRequest& aRequest)
+{
+  for (const ServiceName& service : aRequest.m_services) {
+    m_burn.Record(
+      service, { .m_ending = RequestEnding::kRefused }, m_loop.Clock().Now());
+  }
 }
 
 kj::Promise<HttpResponse>
@@ -320,8 +317,35 @@
                      .m_issuedAt = WallTime(
                        std::chrono::milliseconds(body->m_issuedAtMilliseconds)),
                      .m_deadline = arrival + allowed };
-  return m_filings.Run(std::move(input))
-    .then([id = body->m_requestId](FilingAnswer&& aAnswer) {
+  AdmissionTicket ticket{ .m_caller = body->m_caller,
+                          .m_group = service->m_group,
+                          .m_priority = Priority::kFiling,
+                          .m_deadline = arrival + allowed };
+  return m_admission.Enter(ticket).then(
+    [this, arrival, input = std::move(input)](
+      AdmissionEntry&& aEntry) mutable -> kj::Promise<HttpResponse> {
+      KJ_IF_MAYBE (pass, aEntry.m_pass) {
+        return RunFiling(std::move(input), arrival).attach(kj::mv(*pass));
+      }
+      m_burn.Record(input.m_service,
+                    { .m_ending = RequestEnding::kRefused },
+                    m_loop.Clock().Now());
+      return NotAdmitted(input.m_caller, aEntry.m_reason);
+    });
+}
+
+kj::Promise<HttpResponse>
+PublicApi::RunFiling(FilingInput aInput, TimePoint aArrival)
+{
+  RequestId id = aInput.m_requestId;
+  ServiceName service = aInput.m_service;
+  return m_filings.Run(std::move(aInput))
+    .then([this, id, service, aArrival](FilingAnswer&& aAnswer) {
+      TimePoint now = m_loop.Clock().Now();
+      m_burn.Record(service,
+                    { .m_ending = EndingOf(aAnswer.m_outcome),
+                      .m_latency = now - aArrival },
+                    now);
       return FilingResponse(id, aAnswer);
     });
 }
--- a/packages/node/api/public_api.h
+++ b/packages/node/api/public_api.h
@@ -4,9 +4,10 @@
 #include <string>
 
 #include "absl/random/bit_gen_ref.h"
-#include "core/admission/admission.h"
 #include "core/query/snapshot_tracker.h"
 #include "core/routing/routing.h"
+#include "core/slo/burn_recorder.h"
+#include "node/admission/admission_service.h"
 #include "node/api/request_reader.h"
 #include "node/api/status_page.h"
 #include "node/cluster/membership_service.h"
@@ -26,6 +27,8 @@
             SnapshotTracker& aSnapshots,
             QueryService& aQueries,
             FilingService& aFilings,
+            AdmissionService& aAdmission,
+            BurnRecorder& aBurn,
             StatusPage& aStatus,
             absl::BitGenRef aRandom);
 
@@ -40,7 +43,12 @@
 private:
   [[nodiscard]] HttpResponse Instances(const HttpRequest& aRequest);
   [[nodiscard]] kj::Promise<HttpResponse> Query(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse> RunQuery(QueryRequest aRequest);
+  void Record(const QueryAnswer& aAnswer, Duration aLatency);
+  void RecordRefusal(const QueryRequest& aRequest);
   [[nodiscard]] kj::Promise<HttpResponse> File(const HttpRequest& aRequest);
+  [[nodiscard]] kj::Promise<HttpResponse> RunFiling(FilingInput aInput,
+                                                    TimePoint aArrival);
   [[nodiscard]] RoutingAnswer Route(const std::string& aTarget,
                                     const DataCentre& aDataCentre,
                                     size_t aCount);
@@ -53,6 +61,8 @@
   SnapshotTracker& m_snapshots;
   QueryService& m_queries;
   FilingService& m_filings;
+  AdmissionService& m_admission;
+  BurnRecorder& m_burn;
   StatusPage& m_status;
   absl::BitGenRef m_random;
   bool m_refusing = false;
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -136,6 +136,8 @@
                 m_selector,
                 aSelf.m_id,
                 aRandom)
+    , m_admission(aLoop, {})
+    , m_burn({}, aLoop.Clock().Now())
     , m_status({ m_membership,
                  m_ownership,
                  m_configuration,
@@ -148,9 +150,17 @@
                   m_snapshots,
                   m_queries,
                   m_filings,
+                  m_admission,
+                  m_burn,
                   m_status,
                   aRandom)
-    , m_adminApi(m_configuration, m_membership, m_status, aAdminToken, aRandom)
+    , m_burnReports(aLoop, m_links, m_membership, m_burn)
+    , m_adminApi(m_configuration,
+                 m_membership,
+                 m_status,
+                 m_burnReports,
+                 aAdminToken,
+                 aRandom)
   {
   }
 
@@ -166,8 +176,11 @@
   QuantileHedging m_hedges;
   QueryService m_queries;
   FilingService m_filings;
+  AdmissionService m_admission;
+  BurnRecorder m_burn;
   StatusPage m_status;
   PublicApi m_publicApi;
+  BurnReportService m_burnReports;
   AdminApi m_adminApi;
 };
 
@@ -210,7 +223,8 @@
                                           m_parts->m_membership,
                                           m_parts->m_ownership,
                                           m_parts->m_configuration,
-                                          m_parts->m_upstreams));
+                                          m_parts->m_upstreams,
+                                          m_parts->m_burnReports));
   m_publicHandler->Set(m_parts->m_publicApi);
   m_adminHandler->Set(m_parts->m_adminApi);
   m_parts->m_ownership.Start(*this);
@@ -278,6 +292,7 @@
 {
   m_parts->m_snapshots.OnConfiguration(aConfiguration);
   m_parts->m_selector.OnConfiguration(aConfiguration);
+  m_parts->m_burn.SetTargets(*aConfiguration);
   m_parts->m_ownership.Update(aConfiguration);
   m_parts->m_upstreams.OnConfiguration(aConfiguration,
                                        m_parts->m_snapshots.UsableUpstreams());
--- a/packages/node/peer/peer_service.cc
+++ b/packages/node/peer/peer_service.cc
@@ -177,12 +177,14 @@
                          MembershipService& aMembership,
                          OwnershipService& aOwnership,
                          ConfigurationService& aConfiguration,
-                         UpstreamService& aUpstreams)
+                         UpstreamService& aUpstreams,
+                         BurnReportService& aReports)
   : m_loop(aLoop)
   , m_membership(aMembership)
   , m_ownership(aOwnership)
   , m_configuration(aConfiguration)
   , m_upstreams(aUpstreams)
+  , m_reports(aReports)
 {
 }
 
@@ -281,4 +283,11 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void>
+PeerService::burnReport(BurnReportContext aContext)
+{
+  aContext.getResults().setReport(ToText(EncodeBurnReport(m_reports.Own())));
+  return kj::READY_NOW;
+}
+
 } // namespace ebonykeel
--- a/packages/node/peer/peer_service.h
+++ b/packages/node/peer/peer_service.h
@@ -7,6 +7,7 @@
 #include "node/cluster/membership_service.h"
 #include "node/cluster/ownership_service.h"
 #include "node/configuration/configuration_service.h"
+#include "node/report/burn_report_service.h"
 #include "node/upstream/upstream_service.h"
 #include "runtime/peer/peer.capnp.h"
 
@@ -20,7 +21,8 @@
               MembershipService& aMembership,
               OwnershipService& aOwnership,
               ConfigurationService& aConfiguration,
-              UpstreamService& aUpstreams);
+              UpstreamService& aUpstreams,
+              BurnReportService& aReports);
 
   kj::Promise<void> ping(PingContext aContext) override;
   kj::Promise<void> search(SearchContext aContext) override;
@@ -30,6 +32,7 @@
   kj::Promise<void> offer(OfferContext aContext) override;
   kj::Promise<void> acquire(AcquireContext aContext) override;
   kj::Promise<void> handOver(HandOverContext aContext) override;
+  kj::Promise<void> burnReport(BurnReportContext aContext) override;
 
 private:
   class SearchSession;
@@ -39,6 +42,7 @@
   OwnershipService& m_ownership;
   ConfigurationService& m_configuration;
   UpstreamService& m_upstreams;
+  BurnReportService& m_reports;
   // The sessions that work on a sub-query, by its id.
   std::map<std::string, SearchSession*, std::less<>> m_running;
 };
--- /dev/null
+++ b/packages/node/report/burn_report_service.cc
@@ -0,0 +1,80 @@
+#include "node/report/burn_report_service.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <kj/vector.h>
+
+#include "node/wire/convert.h"
+
+namespace ebonykeel {
+namespace {
+
+// The bound of asking one instance.
+constexpr Duration kAskTimeout = Seconds(1);
+
+} // namespace
+
+BurnReportService::BurnReportService(Loop& aLoop,
+                                     PeerLinks& aLinks,
+                                     MembershipService& aMembership,
+                                     BurnRecorder& aRecorder)
+  : m_loop(aLoop)
+  , m_links(aLinks)
+  , m_membership(aMembership)
+  , m_recorder(aRecorder)
+{
+}
+
+BurnReport
+BurnReportService::Own() const
+{
+  return m_recorder.Report(m_loop.Clock().Now());
+}
+
+kj::Promise<BurnReport>
+BurnReportService::Collect()
+{
+  kj::Vector<kj::Promise<std::vector<BurnReport>>> asked;
+  for (const InstanceRecord& record : m_membership.View().m_records) {
+    if (record.m_id != m_membership.Self().m_id &&
+        record.m_state != InstanceState::kDead) {
+      asked.add(Ask(record.m_peerAddress));
+    }
+  }
+  return kj::joinPromises(asked.releaseAsArray())
+    .then([own = Own()](kj::Array<std::vector<BurnReport>>&& aAnswers) {
+      std::vector<BurnReport> reports{ own };
+      for (std::vector<BurnReport>& answer : aAnswers) {
+        std::ranges::move(answer, std::back_inserter(reports));
+      }
+      return MergeBurnReports(reports);
+    });
+}
+
+kj::Promise<std::vector<BurnReport>>
+BurnReportService::Ask(const std::string& aPeerAddress)
+{
+  auto call = m_links.Connect(aPeerAddress).then([](wire::Peer::Client aPeer) {
+    return aPeer.burnReportRequest().send().then(
+      [](capnp::Response<wire::Peer::BurnReportResults>&& aResults) {
+        std::vector<BurnReport> reports;
+        absl::StatusOr<BurnReport> report =
+          DecodeBurnReport(ToView(aResults.getReport()));
+        if (report.ok()) {
+          reports.push_back(*std::move(report));
+        }
+        return reports;
+      });
+  });
+  return m_loop.Clock()
+    .Timer()
+    .timeoutAfter(kAskTimeout.count() * kj::NANOSECONDS, kj::mv(call))
+    .catch_([](kj::Exception&& /* aException */) {
+      // The report says how many instances it covers.
+      return std::vector<BurnReport>();
+    });
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/report/burn_report_service.h
@@ -0,0 +1,40 @@
+// Collects the service-level burn of all instances.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <kj/async.h>
+
+#include "core/slo/burn_recorder.h"
+#include "node/cluster/membership_service.h"
+#include "runtime/loop/loop.h"
+#include "runtime/peer/links.h"
+
+namespace ebonykeel {
+
+// All references must outlive the service.
+class BurnReportService
+{
+public:
+  BurnReportService(Loop& aLoop,
+                    PeerLinks& aLinks,
+                    MembershipService& aMembership,
+                    BurnRecorder& aRecorder);
+
+  // Returns this instance's own report.
+  [[nodiscard]] BurnReport Own() const;
+  // Returns the merged report of every live instance that answers in time.
+  [[nodiscard]] kj::Promise<BurnReport> Collect();
+
+private:
+  [[nodiscard]] kj::Promise<std::vector<BurnReport>> Ask(
+    const std::string& aPeerAddress);
+
+  Loop& m_loop;
+  PeerLinks& m_links;
+  MembershipService& m_membership;
+  BurnRecorder& m_recorder;
+};
+
+} // namespace ebonykeel
--- a/packages/runtime/peer/peer.capnp
+++ b/packages/runtime/peer/peer.capnp
@@ -178,4 +178,6 @@
   acquire @6 (request :AcquireRequest) -> (reply :AcquireReply);
   # Tells the next owner that it can ask for upstreams now.
   handOver @7 (notice :HandOverNotice) -> ();
+  # The service-level burn counted there, as JSON.
+  burnReport @8 () -> (report :Text);
 }
--- a/packages/runtime/peer/peer.capnp.c++
+++ b/packages/runtime/peer/peer.capnp.c++
@@ -2385,7 +2385,7 @@
   1, 3, i_b9e18691eb2ab2c1, nullptr, nullptr, { &s_b9e18691eb2ab2c1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<102> b_ea80a4179595bf3b = {
+static const ::capnp::_::AlignedData<113> b_ea80a4179595bf3b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      59, 191, 149, 149,  23, 164, 128, 234,
      33,   0,   0,   0,   3,   0,   0,   0,
@@ -2395,8 +2395,8 @@
      21,   0,   0,   0,  50,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,   7,   2,   0,   0,
-    105,   1,   0,   0,   7,   0,   0,   0,
+     33,   0,   0,   0,  71,   2,   0,   0,
+    149,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112,  97,  99, 107,  97, 103, 101, 115,
      47, 114, 117, 110, 116, 105, 109, 101,
@@ -2404,71 +2404,79 @@
     101, 114,  46,  99,  97, 112, 110, 112,
      58,  80, 101, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     32,   0,   0,   0,   3,   0,   5,   0,
+     36,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     209,  58, 155, 189,  98, 105,  23, 202,
      26, 216,  37, 170,  39, 210, 142, 142,
-    241,   0,   0,   0,  42,   0,   0,   0,
+     17,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    229,   0,   0,   0,   7,   0,   0,   0,
+      5,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     114, 176, 206, 139, 170, 232, 205, 220,
     127,  92,  40, 146,  46, 214, 187, 147,
-    217,   0,   0,   0,  58,   0,   0,   0,
+    249,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    205,   0,   0,   0,   7,   0,   0,   0,
+    237,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      47, 150, 239,  34, 224, 127, 192, 217,
      60,  72, 210, 245, 211, 247, 165, 198,
-    193,   0,   0,   0,  58,   0,   0,   0,
+    225,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    181,   0,   0,   0,   7,   0,   0,   0,
+    213,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     231, 126, 237,  35, 215, 112, 237, 214,
      70, 216, 209, 223,  26, 169, 200, 207,
-    169,   0,   0,   0,  42,   0,   0,   0,
+    201,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,   7,   0,   0,   0,
+    189,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     201, 133, 248,  46, 166, 231, 115, 249,
      40, 144,  14, 233, 158, 237, 127, 164,
-    145,   0,   0,   0, 114,   0,   0,   0,
+    177,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      53, 121,  38,  61, 238, 182, 229, 204,
     191,  30,  32, 119, 125, 100,  13, 143,
-    125,   0,   0,   0,  50,   0,   0,   0,
+    157,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,   7,   0,   0,   0,
+    145,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     193, 117,  89,  92,  72, 224,  38, 236,
      44, 125, 211, 234,  86, 188, 101, 191,
-    101,   0,   0,   0,  66,   0,   0,   0,
+    133,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,   7,   0,   0,   0,
+    121,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     219,  32,  97,   6,  19,  52, 140, 230,
     183, 181,  84,   4,  83,   3,  79, 169,
-     77,   0,   0,   0,  74,   0,   0,   0,
+    109,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+    101,   0,   0,   0,   7,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+    100,  67,  98,  44, 215,  33, 112, 167,
+     76, 123, 204, 116, 163, 189, 159, 194,
+     89,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 101,  97, 114,  99, 104,   0,   0,
@@ -2487,6 +2495,9 @@
     104,  97, 110, 100,  79, 118, 101, 114,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     98, 117, 114, 110,  82, 101, 112, 111,
+    114, 116,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_ea80a4179595bf3b = b_ea80a4179595bf3b.words;
@@ -2496,8 +2507,10 @@
   &s_8f0d647d77201ebf,
   &s_93bbd62e92285c7f,
   &s_a47fed9ee90e9028,
+  &s_a77021d72c624364,
   &s_a94f03530454b5b7,
   &s_bf65bc56ead37d2c,
+  &s_c29fbda374cc7b4c,
   &s_c6a5f7d3f5d2483c,
   &s_ca176962bd9b3ad1,
   &s_cce5b6ee3d267935,
@@ -2509,10 +2522,10 @@
   &s_ec26e0485c5975c1,
   &s_f973e7a62ef885c9,
 };
-static const uint16_t m_ea80a4179595bf3b[] = {6, 2, 4, 3, 7, 5, 0, 1};
+static const uint16_t m_ea80a4179595bf3b[] = {6, 8, 2, 4, 3, 7, 5, 0, 1};
 const ::capnp::_::RawSchema s_ea80a4179595bf3b = {
-  0xea80a4179595bf3b, b_ea80a4179595bf3b.words, 102, d_ea80a4179595bf3b, m_ea80a4179595bf3b,
-  16, 8, nullptr, nullptr, nullptr, { &s_ea80a4179595bf3b, nullptr, nullptr, 0, 0, nullptr }
+  0xea80a4179595bf3b, b_ea80a4179595bf3b.words, 113, d_ea80a4179595bf3b, m_ea80a4179595bf3b,
+  18, 9, nullptr, nullptr, nullptr, { &s_ea80a4179595bf3b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<35> b_ca176962bd9b3ad1 = {
@@ -3258,6 +3271,81 @@
   0, 0, nullptr, nullptr, nullptr, { &s_a94f03530454b5b7, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<19> b_a77021d72c624364 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    100,  67,  98,  44, 215,  33, 112, 167,
+     38,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,  97,  99, 107,  97, 103, 101, 115,
+     47, 114, 117, 110, 116, 105, 109, 101,
+     47, 112, 101, 101, 114,  47, 112, 101,
+    101, 114,  46,  99,  97, 112, 110, 112,
+     58,  80, 101, 101, 114,  46,  98, 117,
+    114, 110,  82, 101, 112, 111, 114, 116,
+     36,  80,  97, 114,  97, 109, 115,   0, }
+};
+::capnp::word const* const bp_a77021d72c624364 = b_a77021d72c624364.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_a77021d72c624364 = {
+  0xa77021d72c624364, b_a77021d72c624364.words, 19, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_a77021d72c624364, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_c29fbda374cc7b4c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     76, 123, 204, 116, 163, 189, 159, 194,
+     38,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 202,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,  97,  99, 107,  97, 103, 101, 115,
+     47, 114, 117, 110, 116, 105, 109, 101,
+     47, 112, 101, 101, 114,  47, 112, 101,
+    101, 114,  46,  99,  97, 112, 110, 112,
+     58,  80, 101, 101, 114,  46,  98, 117,
+    114, 110,  82, 101, 112, 111, 114, 116,
+     36,  82, 101, 115, 117, 108, 116, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c29fbda374cc7b4c = b_c29fbda374cc7b4c.words;
+#if !CAPNP_LITE
+static const uint16_t m_c29fbda374cc7b4c[] = {0};
+static const uint16_t i_c29fbda374cc7b4c[] = {0};
+const ::capnp::_::RawSchema s_c29fbda374cc7b4c = {
+  0xc29fbda374cc7b4c, b_c29fbda374cc7b4c.words, 36, nullptr, m_c29fbda374cc7b4c,
+  0, 1, i_c29fbda374cc7b4c, nullptr, nullptr, { &s_c29fbda374cc7b4c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3545,6 +3633,16 @@
       "packages/runtime/peer/peer.capnp:Peer", "handOver",
       0xea80a4179595bf3bull, 7);
 }
+::capnp::Request< ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults>
+Peer::Client::burnReportRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults>(
+      0xea80a4179595bf3bull, 8, sizeHint);
+}
+::kj::Promise<void> Peer::Server::burnReport(BurnReportContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "packages/runtime/peer/peer.capnp:Peer", "burnReport",
+      0xea80a4179595bf3bull, 8);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3607,6 +3705,12 @@
              ::ebonykeel::wire::Peer::HandOverParams,  ::ebonykeel::wire::Peer::HandOverResults>(context)),
         false
       };
+    case 8:
+      return {
+        burnReport(::capnp::Capability::Server::internalGetTypedContext<
+             ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3750,6 +3854,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::HandOverResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::BurnReportParams
+constexpr uint16_t Peer::BurnReportParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::BurnReportParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::BurnReportParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::BurnReportParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::BurnReportResults
+constexpr uint16_t Peer::BurnReportResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::BurnReportResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::BurnReportResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::BurnReportResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/packages/runtime/peer/peer.capnp.h
+++ b/packages/runtime/peer/peer.capnp.h
@@ -56,6 +56,8 @@
 CAPNP_DECLARE_SCHEMA(bf65bc56ead37d2c);
 CAPNP_DECLARE_SCHEMA(e68c3413066120db);
 CAPNP_DECLARE_SCHEMA(a94f03530454b5b7);
+CAPNP_DECLARE_SCHEMA(a77021d72c624364);
+CAPNP_DECLARE_SCHEMA(c29fbda374cc7b4c);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -394,6 +396,8 @@
   struct AcquireResults;
   struct HandOverParams;
   struct HandOverResults;
+  struct BurnReportParams;
+  struct BurnReportResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -643,6 +647,36 @@
   };
 };
 
+struct Peer::BurnReportParams {
+  BurnReportParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a77021d72c624364, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::BurnReportResults {
+  BurnReportResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c29fbda374cc7b4c, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -2883,6 +2917,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ebonykeel::wire::Peer::HandOverParams,  ::ebonykeel::wire::Peer::HandOverResults> handOverRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults> burnReportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2931,6 +2967,10 @@
   typedef  ::ebonykeel::wire::Peer::HandOverResults HandOverResults;
   typedef ::capnp::CallContext<HandOverParams, HandOverResults> HandOverContext;
   virtual ::kj::Promise<void> handOver(HandOverContext context);
+  typedef  ::ebonykeel::wire::Peer::BurnReportParams BurnReportParams;
+  typedef  ::ebonykeel::wire::Peer::BurnReportResults BurnReportResults;
+  typedef ::capnp::CallContext<BurnReportParams, BurnReportResults> BurnReportContext;
+  virtual ::kj::Promise<void> burnReport(BurnReportContext context);
 
   inline  ::ebonykeel::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4228,6 +4268,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::BurnReportParams::Reader {
+public:
+  typedef BurnReportParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::BurnReportParams::Builder {
+public:
+  typedef BurnReportParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::BurnReportParams::Pipeline {
+public:
+  typedef BurnReportParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::BurnReportResults::Reader {
+public:
+  typedef BurnReportResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::capnp::Text::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::BurnReportResults::Builder {
+public:
+  typedef BurnReportResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::capnp::Text::Builder getReport();
+  inline void setReport( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReport(unsigned int size);
+  inline void adoptReport(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::BurnReportResults::Pipeline {
+public:
+  typedef BurnReportResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool InstanceRef::Reader::hasId() const {
@@ -7359,6 +7551,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::BurnReportResults::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::BurnReportResults::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::BurnReportResults::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::BurnReportResults::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::BurnReportResults::Builder::setReport( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::BurnReportResults::Builder::initReport(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::BurnReportResults::Builder::adoptReport(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::BurnReportResults::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,130 @@
+#!/usr/bin/env bash
+# Runs the whole system on this machine: the platform's stand-in, three data
+# centres with two instances each, searchers, callers. Publishes the examples,
+# loses an instance, takes a data centre out and back, and reports.
+# Usage: tools/demo.sh BUILD_FOLDER
+set -euo pipefail
+bin=$1/bin
+run=$(mktemp -d)
+pids=()
+declare -A node_pid
+
+cleanup() {
+  for pid in "${pids[@]}"; do
+    kill -KILL "$pid" 2>/dev/null || true
+  done
+  rm -rf "$run"
+}
+trap cleanup EXIT
+
+launch() { # NAME PROGRAM ARGUMENTS...
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  pids+=($!)
+  node_pid[$name]=$!
+}
+
+# Waits for a ready file and prints one of its numbers.
+port_of() { # NAME KEY
+  for _ in $(seq 300); do
+    [ -s "$run/$1.json" ] && break
+    sleep 0.1
+  done
+  sed -E "s/.*\"$2\": *([0-9]+).*/\1/" "$run/$1.json"
+}
+
+put_instance() { # NAME DATA_CENTRE
+  local body
+  body=$(printf '{"id":"%s","peer_address":"127.0.0.1:%s","public_address":"127.0.0.1:%s","admin_address":"127.0.0.1:%s","data_centre":"%s","region":"cantabrian","state":"live"}' \
+    "$1" "$(port_of "$1" peer)" "$(port_of "$1" public)" "$(port_of "$1" admin)" "$2")
+  "$bin/standin_control" PUT "127.0.0.1:$platform/standin/instances/$1" "$body" >/dev/null
+}
+
+start_node() { # NAME DATA_CENTRE
+  cat >"$run/$1.toml" <<TOML
+id = "$1"
+data_centre = "$2"
+region = "cantabrian"
+ready_file = "$run/$1.json"
+
+[store]
+address = "127.0.0.1:$platform"
+TOML
+  launch "$1" "$bin/ebonykeeld" --settings="$run/$1.toml"
+  put_instance "$1" "$2"
+}
+
+echo "demo: starting the platform's stand-in, searchers and six instances"
+launch platform "$bin/standin_platform" --listen=127.0.0.1:0 --ready-file="$run/platform.json"
+platform=$(port_of platform port)
+
+# The examples' searchers listen where the service files say.
+mkdir "$run/services"
+cp examples/tasadores/*.toml "$run/services"
+searcher=0
+for file in "$run"/services/*.toml; do
+  service=$(sed -nE 's/^name = "([^"]+)".*/\1/p' "$file")
+  shards=$(awk '/^\[\[shard\]\]/{f=1} f && /^name = /{gsub(/"/,"",$3); print $3; f=0}' "$file" | paste -sd,)
+  slots=$(sed -nE 's/^slots = ([0-9]+).*/\1/p' "$file")
+  for address in $(grep -oE 'address = "[^"]+"' "$file" | cut -d'"' -f2); do
+    launch "searcher-$searcher" "$bin/standin_upstream" --listen="$address" \
+      --ready-file="$run/searcher-$searcher.json" --id-prefix="searcher-$searcher-" \
+      --service="$service" --shards="$shards" --slots="$slots" --service-ms=4 \
+      --straggler-share=0.01 --seed="$searcher"
+    port_of "searcher-$searcher" control_port >/dev/null
+    searcher=$((searcher + 1))
+  done
+done
+
+i=0
+for data_centre in oviedo santander bilbao oviedo santander bilbao; do
+  i=$((i + 1))
+  start_node "entry-$i" "$data_centre"
+done
+admin=127.0.0.1:$(port_of entry-1 admin)
+node=127.0.0.1:$(port_of entry-1 public)
+tool=("$bin/ebonykeel" --admin="$admin" --node="$node")
+
+for _ in $(seq 100); do
+  active=$("${tool[@]}" status | grep -c ' active ' || true)
+  [ "$active" -ge 6 ] && break
+  sleep 0.2
+done
+"$bin/ebonykeel" check "$run"/services/*.toml
+"${tool[@]}" publish "$run/services" --wait=20
+
+echo "demo: load for 20 s; entry-5 is killed and bilbao is taken out and back"
+controls=$(for s in "$run"/searcher-*.json; do sed -E 's/.*"control_port": *([0-9]+).*/127.0.0.1:\1/' "$s"; done | paste -sd,)
+load_log=$run/load.json
+"$bin/ebonykeel" load --seeds="$node,127.0.0.1:$(port_of entry-2 public),127.0.0.1:$(port_of entry-3 public)" \
+  --group=valuation-desk --filing-service=certificate-office --filing-operation=file \
+  --rate=100 --filing-share=0.05 --duration=20 --callers=20 --seed=7 \
+  --upstream-controls="$controls" --result="$load_log" >"$run/load.log" 2>&1 &
+load=$!
+pids+=("$load")
+sleep 5
+kill -KILL "${node_pid[entry-5]}"
+sleep 4
+"${tool[@]}" data-centre out bilbao
+sleep 4
+"${tool[@]}" data-centre in bilbao
+status=0
+wait "$load" || status=$?
+cat "$run/load.log"
+"${tool[@]}" report
+
+echo "demo: graceful stop"
+for name in entry-1 entry-2 entry-3 entry-4 entry-6; do
+  kill -TERM "${node_pid[$name]}"
+done
+for name in entry-1 entry-2 entry-3 entry-4 entry-6; do
+  code=0
+  wait "${node_pid[$name]}" || code=$?
+  if [ "$code" -ne 0 ]; then
+    echo "demo: $name stopped with exit code $code"
+    status=1
+  fi
+done
+grep -h '^demo:' "$run/load.log" | tail -1
+exit "$status"
