Ask one peer at a time for a newer configuration

Cause: several peers offer a new generation at about the same time, and each offer led to a fetch of the whole configuration. Weighed: bounding it in the node; the tracker already sees every offer and the time, and a test can drive it there. Changed: a generation is asked for once until the peer has been silent for 1 s; a still newer one is asked for at once.

--- a/packages/core/config/configuration_tracker.cc
+++ b/packages/core/config/configuration_tracker.cc
@@ -110,10 +110,14 @@
 ConfigurationActions
 ConfigurationTracker::OnPeerGeneration(const InstanceId& aPeer,
                                        Generation aGeneration,
-                                       TimePoint /*aNow*/)
+                                       TimePoint aNow)
 {
   ConfigurationActions actions;
-  if (aGeneration > InForceGeneration()) {
+  // A body is large: it is asked for once, whoever else offers it meanwhile.
+  bool asked = aGeneration <= m_fetching && aNow < m_fetchEnd;
+  if (aGeneration > InForceGeneration() && !asked) {
+    m_fetching = aGeneration;
+    m_fetchEnd = aNow + m_options.m_fetchTimeout;
     actions.emplace_back(FetchFromPeer{ aPeer });
   }
   return actions;
--- a/packages/core/config/configuration_tracker.h
+++ b/packages/core/config/configuration_tracker.h
@@ -52,6 +52,9 @@
   // Between two reads by an instance that is no watcher and has a
   // configuration. Spread by up to a half.
   Duration m_rareRead = Milliseconds(60'000);
+  // A peer that was asked for its configuration counts as silent after this
+  // time; until then no other is asked for the same generation.
+  Duration m_fetchTimeout = Milliseconds(1000);
   // Pauses between attempts grow from the first to the second.
   Duration m_minPause = Milliseconds(100);
   Duration m_maxPause = Milliseconds(2000);
@@ -208,6 +211,10 @@
   StoreVersion m_version = 0;
   // The last version whose body was reported as unreadable or old.
   std::optional<StoreVersion> m_reportedVersion;
+  // The newest generation that a peer was asked for, and until when it may
+  // answer.
+  Generation m_fetching = 0;
+  TimePoint m_fetchEnd;
   Recurring m_read;
   Recurring m_watch;
   Recurring m_attemptCall;
--- a/packages/core/config/configuration_tracker_test.cc
+++ b/packages/core/config/configuration_tracker_test.cc
@@ -137,6 +137,22 @@
   DOCTEST_CHECK(bench.m_tracker.InForceGeneration() == 3);
 }
 
+DOCTEST_TEST_CASE("a generation is asked for once until the peer is silent")
+{
+  Bench bench;
+  bench.Boot(1);
+  auto fetches = [&](Generation aGeneration, Duration aAfter) {
+    return Only<FetchFromPeer>(bench.m_tracker.OnPeerGeneration(
+                                 kPeer, aGeneration, kStart + aAfter))
+      .size();
+  };
+  DOCTEST_CHECK(fetches(2, Milliseconds(0)) == 1);
+  DOCTEST_CHECK(fetches(2, Milliseconds(10)) == 0);
+  DOCTEST_CHECK(fetches(3, Milliseconds(20)) == 1);
+  DOCTEST_CHECK(fetches(3, Milliseconds(1019)) == 0);
+  DOCTEST_CHECK(fetches(3, Milliseconds(1020)) == 1);
+}
+
 DOCTEST_TEST_CASE("an older generation is never put in force")
 {
   Bench bench;
