--- /dev/null
+++ b/packages/load/load_runner_test.cc
@@ -0,0 +1,168 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "load/load_runner.h"
+#include "runtime/http/server.h"
+
+namespace ebonykeel {
+namespace {
+
+using Json = nlohmann::json;
+
+class NoProgress final : public LoadProgress
+{
+public:
+  void Show(double /* aShare */,
+            uint64_t /* aSent */,
+            uint64_t /* aInFlight */) override
+  {
+  }
+};
+
+// Plays both a node and a searcher's control API.
+class FakeNode final : public HttpHandler
+{
+public:
+  kj::Promise<HttpResponse> Handle(HttpRequest aRequest) override
+  {
+    Json body = Json::parse(aRequest.m_body, nullptr, false);
+    if (aRequest.m_path == "/v1/instances") {
+      return Routes();
+    }
+    if (aRequest.m_path == "/v1/query") {
+      return Query(body);
+    }
+    if (aRequest.m_path == "/v1/file") {
+      return File(body);
+    }
+    Json executions = { { "executions", m_executions } };
+    return HttpResponse{ .m_body = executions.dump() };
+  }
+
+  HttpResponse Routes()
+  {
+    ++m_routes;
+    Json addresses = Json::array();
+    for (uint16_t port : m_ports) {
+      addresses.push_back("127.0.0.1:" + std::to_string(port));
+    }
+    Json answer = { { "addresses", addresses }, { "lifetime_ms", 60'000 } };
+    return { .m_body = answer.dump() };
+  }
+
+  HttpResponse Query(const Json& aBody)
+  {
+    if (m_refuse) {
+      return { .m_status = 503,
+               .m_body = R"({"code":"leaving","outcome":"not-run"})" };
+    }
+    std::string text = aBody["query"].get<std::string>() + " #0";
+    Json hit = { { "document", "desk/s0/v7/000" },
+                 { "score", 1.0 },
+                 { "text", text } };
+    Json service = {
+      { "service", "desk" },
+      { "index_version", 7 },
+      { "coverage",
+        { { "shards", 1 }, { "answered", 1 }, { "missing", Json::array() } } },
+      { "hits", { hit } }
+    };
+    Json answer = { { "request_id", aBody["request_id"] },
+                    { "services", { service } },
+                    { "outcome", "ran" } };
+    return { .m_body = answer.dump() };
+  }
+
+  HttpResponse File(const Json& aBody)
+  {
+    m_executions.push_back({ { "caller", aBody["caller"] },
+                             { "request_id", aBody["request_id"] },
+                             { "count", 2 } });
+    Json answer = { { "request_id", aBody["request_id"] },
+                    { "outcome", "ran" } };
+    return { .m_body = answer.dump() };
+  }
+
+  std::vector<uint16_t> m_ports;
+  Json m_executions = Json::array();
+  int m_routes = 0;
+  bool m_refuse = false;
+};
+
+struct Fixture
+{
+  Fixture()
+    : m_client(m_loop, {})
+    , m_good(Listen(m_goodNode))
+    , m_refusing(Listen(m_refusingNode))
+  {
+    m_refusingNode.m_refuse = true;
+    m_goodNode.m_ports = { m_refusing->Port(), m_good->Port() };
+    m_experiment.m_duration = Milliseconds(200);
+    m_experiment.m_rate = 500;
+    m_experiment.m_callers = 4;
+    m_experiment.m_timeout = Seconds(60);
+    m_experiment.m_nodes = { { "127.0.0.1", m_good->Port() } };
+    m_experiment.m_upstreams = m_experiment.m_nodes;
+    m_experiment.m_query.m_services = { "desk" };
+  }
+
+  std::unique_ptr<HttpServer> Listen(FakeNode& aNode)
+  {
+    return *HttpServer::Listen(m_loop, { "127.0.0.1", 0 }, {}, aNode);
+  }
+
+  Json Run()
+  {
+    std::mt19937_64 random(7);
+    NoProgress progress;
+    LoadRunner runner(m_loop, m_client, m_experiment, "test", random, progress);
+    return runner.Run().wait(m_loop.WaitScope()).ToJson();
+  }
+
+  Loop m_loop;
+  H2oHttpClient m_client;
+  FakeNode m_goodNode;
+  FakeNode m_refusingNode;
+  std::unique_ptr<HttpServer> m_good;
+  std::unique_ptr<HttpServer> m_refusing;
+  Experiment m_experiment;
+};
+
+DOCTEST_TEST_CASE("a refusal as not run is tried elsewhere and routes are kept")
+{
+  Fixture fixture;
+  Json result = fixture.Run();
+  DOCTEST_CHECK(result["requests"].get<int>() > 0);
+  DOCTEST_CHECK(result["failed"] == 0);
+  DOCTEST_CHECK(result["broken_promises"] == 0);
+  DOCTEST_CHECK(result["attempts"] > result["requests"]);
+  // Callers ask at most once for each request that is sent before the first
+  // answer, and not again while the answer lives.
+  DOCTEST_CHECK(fixture.m_goodNode.m_routes < result["requests"].get<int>());
+}
+
+DOCTEST_TEST_CASE("a refusal everywhere is reported by its code")
+{
+  Fixture fixture;
+  fixture.m_goodNode.m_refuse = true;
+  Json result = fixture.Run();
+  DOCTEST_CHECK(result["answered"] == 0);
+  DOCTEST_CHECK(result["refusals"]["leaving"] == result["requests"]);
+}
+
+DOCTEST_TEST_CASE("doubled filings are found in the searchers' lists")
+{
+  Fixture fixture;
+  fixture.m_goodNode.m_ports = { fixture.m_good->Port() };
+  fixture.m_experiment.m_filing = { .m_share = 0.5,
+                                    .m_services = { "office" } };
+  Json result = fixture.Run();
+  DOCTEST_CHECK(result["filings"]["sent"].get<int>() > 0);
+  DOCTEST_CHECK(result["filings"]["doubled"] == result["filings"]["sent"]);
+  DOCTEST_CHECK(result["broken_promises"] == result["filings"]["sent"]);
+}
+
+} // namespace
+} // namespace ebonykeel
