--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 SANITIZED ?= build-sanitized
 JOBS ?= $(shell nproc)
 
-.PHONY: deps configure build test sanitize lint format generate clean
+# The first command of the README runs `demo`, the second `test`.
+.PHONY: demo programs deps configure build test sanitize lint format generate clean
 
 deps:
 	tools/install_deps.sh
@@ -27,6 +28,12 @@
 test: deps build lint sanitize
 	ctest --test-dir $(BUILD) -j 4 --output-on-failure
 
+programs: configure
+	cmake --build $(BUILD) -j $(JOBS) --target ebonykeeld ebonykeel standin_platform standin_upstream standin_relay
+
+demo: deps programs
+	tools/demo.sh $(BUILD)
+
 clean:
 	rm -rf $(BUILD) $(SANITIZED)
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -38,7 +38,7 @@
   local body
   body=$(printf '{"id":"%s","peer_address":"127.0.0.1:%s","public_address":"127.0.0.1:%s","admin_address":"127.0.0.1:%s","data_centre":"%s","region":"cantabrian","state":"live"}' \
     "$1" "$(port_of "$1" peer)" "$(port_of "$1" public)" "$(port_of "$1" admin)" "$2")
-  "$bin/standin_control" PUT "127.0.0.1:$platform/standin/instances/$1" "$body" >/dev/null
+  curl -sSf -o /dev/null -X PUT -d "$body" "http://127.0.0.1:$platform/standin/instances/$1"
 }
 
 start_node() { # NAME DATA_CENTRE
@@ -95,12 +95,27 @@
 "${tool[@]}" publish "$run/services" --wait=20
 
 echo "demo: load for 20 s; entry-5 is killed and bilbao is taken out and back"
-controls=$(for s in "$run"/searcher-*.json; do sed -E 's/.*"control_port": *([0-9]+).*/127.0.0.1:\1/' "$s"; done | paste -sd,)
-load_log=$run/load.json
-"$bin/ebonykeel" load --seeds="$node,127.0.0.1:$(port_of entry-2 public),127.0.0.1:$(port_of entry-3 public)" \
-  --group=valuation-desk --filing-service=certificate-office --filing-operation=file \
-  --rate=100 --filing-share=0.05 --duration=20 --callers=20 --seed=7 \
-  --upstream-controls="$controls" --result="$load_log" >"$run/load.log" 2>&1 &
+controls=$(for file in "$run"/searcher-*.json; do
+  sed -E 's/.*"control_port": *([0-9]+).*/"127.0.0.1:\1"/' "$file"
+done | paste -sd,)
+cat >"$run/experiment.toml" <<TOML
+name = "demo"
+seed = 7
+nodes = ["$node", "127.0.0.1:$(port_of entry-2 public)", "127.0.0.1:$(port_of entry-3 public)"]
+upstreams = [$controls]
+duration_s = 20
+rate = 100
+callers = 20
+
+[query]
+group = "valuation-desk"
+
+[filing]
+share = 0.05
+services = ["certificate-office"]
+operation = "file"
+TOML
+"$bin/ebonykeel" load "$run/experiment.toml" >"$run/load.log" 2>&1 &
 load=$!
 pids+=("$load")
 sleep 5
@@ -126,5 +141,10 @@
     status=1
   fi
 done
-grep -h '^demo:' "$run/load.log" | tail -1
+value() { sed -nE "s/.*$1.*/\\1/p" "$run/load.log" | head -1; }
+requests=$(value 'requests ([0-9]+),')
+filings=$(value 'filings: sent ([0-9]+),')
+printf 'demo: %s queries, %s filings, whole %s, partial %s, doubled %s, p50 %s ms, p99 %s ms\n' \
+  "$((requests - filings))" "$filings" "$(value 'whole ([0-9]+),')" "$(value 'partial ([0-9]+)')" \
+  "$(value 'doubled ([0-9]+)')" "$(value 'p50 ([0-9.]+),')" "$(value 'p99 ([0-9.]+),')"
 exit "$status"
--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -7,7 +7,7 @@
   libh2o-dev libuv1-dev libssl-dev libcapnp-dev libabsl-dev
   libtomlplusplus-dev nlohmann-json3-dev libboost-dev
   libdocopt-dev libgoogle-glog-dev doctest-dev librapidcheck-dev
-  gnuplot-nox
+  gnuplot-nox curl
 )
 
 missing=()
