--- a/packages/runtime/loop/loop.cc
+++ b/packages/runtime/loop/loop.cc
@@ -38,8 +38,8 @@
 TimePoint
 RuntimeClock::Now() const
 {
-  return TimePoint(
-    Duration((m_monotonic.now() - kj::origin<kj::TimePoint>()) / kj::NANOSECONDS));
+  return TimePoint(Duration((m_monotonic.now() - kj::origin<kj::TimePoint>()) /
+                            kj::NANOSECONDS));
 }
 
 kj::Promise<void>
@@ -114,6 +114,7 @@
 void
 Loop::RunTurn()
 {
+  ++m_turns;
   int descriptor = uv_backend_fd(&m_uv);
   bool readable = true;
   for (int turn = 0; readable && turn < kMaxTurnsInARow; ++turn) {
@@ -134,6 +135,10 @@
   if (uv_loop_alive(&m_uv) == 0) {
     return;
   }
+  // Without anything to do libuv reports a timeout of zero, as if it were due.
+  if (uv_loop_alive(&m_uv) == 0) {
+    return;
+  }
   int timeout = uv_backend_timeout(&m_uv);
   if (timeout < 0) {
     return;
--- a/packages/runtime/loop/loop.h
+++ b/packages/runtime/loop/loop.h
@@ -58,6 +58,9 @@
   // made from a kj callback, since libuv registers descriptors only in a turn.
   void Kick();
 
+  // The turns that libuv got since the start.
+  [[nodiscard]] uint64_t Turns() const { return m_turns; }
+
   // Runs `aAction` in a later turn of the loop.
   void RunLater(kj::Function<void()> aAction);
 
@@ -76,6 +79,7 @@
   RuntimeClock m_clock;
   kj::UnixEventPort::FdObserver m_observer;
   bool m_kicked = false;
+  uint64_t m_turns = 0;
   // The instant for which `m_timer` is set, if any.
   kj::Maybe<TimePoint> m_timerAt;
   kj::Promise<void> m_timer;
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -13,6 +13,7 @@
   for pid in "${pids[@]}"; do
     kill -KILL "$pid" 2>/dev/null || true
   done
+  wait 2>/dev/null || true
   rm -rf "$run"
 }
 trap cleanup EXIT
@@ -64,7 +65,7 @@
 cp examples/tasadores/*.toml "$run/services"
 searcher=0
 for file in "$run"/services/*.toml; do
-  service=$(sed -nE 's/^name = "([^"]+)".*/\1/p' "$file")
+  service=$(sed -nE 's/^name = "([^"]+)".*/\1/p' "$file" | head -1)
   shards=$(awk '/^\[\[shard\]\]/{f=1} f && /^name = /{gsub(/"/,"",$3); print $3; f=0}' "$file" | paste -sd,)
   slots=$(sed -nE 's/^slots = ([0-9]+).*/\1/p' "$file")
   for address in $(grep -oE 'address = "[^"]+"' "$file" | cut -d'"' -f2); do
@@ -95,8 +96,8 @@
 "${tool[@]}" publish "$run/services" --wait=20
 
 echo "demo: load for 20 s; entry-5 is killed and bilbao is taken out and back"
-controls=$(for file in "$run"/searcher-*.json; do
-  sed -E 's/.*"control_port": *([0-9]+).*/"127.0.0.1:\1"/' "$file"
+controls=$(for ((s = 0; s < searcher; s++)); do
+  printf '"127.0.0.1:%s"\n' "$(port_of "searcher-$s" control_port)"
 done | paste -sd,)
 cat >"$run/experiment.toml" <<TOML
 name = "demo"
