Split the monitors from membership and the answers from the holder

No change of behaviour; the five tests pass. Seen red with each of these mechanisms switched off, then put back (on a scratch copy): lease counted from the acknowledgement; lease or incarnation not checked before sending; a suspecting monitor's acknowledgement counted; one vote enough; no joint change of monitors; nobody asked; refusal ignored; attempt not checked; askers forgotten; no release on request; monitors silent; suspicion before the lease ends; alone in spite of the list; the dead resurrected; own death not refuted; abandoned ones never judged; load bound off; routing naming suspected ones.

--- /dev/null
+++ b/packages/core/ownership/acquire.cc
@@ -0,0 +1,234 @@
+// How an upstream changes hands: the answers to those who ask for it, and what
+// the asker makes of them.
+#include <algorithm>
+
+#include "core/ownership/holder.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr size_t kMaxContacts = 8;
+
+} // namespace
+
+bool
+Holder::IsOver(const InstanceRef& aRef) const
+{
+  const auto found = m_records.find(aRef.m_id);
+  if (found == m_records.end()) {
+    return false;
+  }
+  const InstanceRecord& record = found->second;
+  return record.m_incarnation > aRef.m_incarnation ||
+         (record.m_incarnation == aRef.m_incarnation &&
+          record.m_state == InstanceState::kDead);
+}
+
+std::vector<Holder::Contact>
+Holder::MissingAnswers(const Entry& aEntry, TimePoint aNow) const
+{
+  std::vector<Contact> missing;
+  const auto need = [&](const InstanceRef& aRef, const std::string& aAddress) {
+    const bool known =
+      std::ranges::find(missing, aRef, &Contact::m_instance) != missing.end();
+    if (!known && aRef.m_id != m_self && !aEntry.m_answered.contains(aRef) &&
+        !IsOver(aRef)) {
+      missing.push_back({ .m_instance = aRef, .m_peerAddress = aAddress });
+    }
+  };
+  for (const Contact& contact : aEntry.m_contacts) {
+    need(contact.m_instance, contact.m_peerAddress);
+  }
+  if (aEntry.m_released) {
+    return missing;
+  }
+  // One that is joining may by now be active; a silent one never came so far.
+  const bool joiningWaitedOut =
+    aNow - aEntry.m_attemptStartedAt >= m_settings.m_joiningPatience;
+  const auto region = m_regionOf.find(aEntry.m_dataCentre);
+  const Region& upstreamRegion =
+    region == m_regionOf.end() ? m_region : region->second;
+  for (const auto& [id, record] : m_records) {
+    const bool mayHold = record.m_state == InstanceState::kJoining
+                           ? !joiningWaitedOut
+                           : record.m_state != InstanceState::kDead;
+    const bool concerned = record.m_region == m_region ||
+                           record.m_region == upstreamRegion ||
+                           id == aEntry.m_formerOwner;
+    if (mayHold && concerned) {
+      need({ id, record.m_incarnation }, record.m_peerAddress);
+    }
+  }
+  return missing;
+}
+
+void
+Holder::Remember(Entry& aEntry, const Contact& aContact)
+{
+  const auto known =
+    std::ranges::find_if(aEntry.m_contacts, [&](const Contact& aKnown) {
+      return aKnown.m_instance.m_id == aContact.m_instance.m_id;
+    });
+  if (known != aEntry.m_contacts.end()) {
+    if (known->m_instance.m_incarnation > aContact.m_instance.m_incarnation) {
+      return;
+    }
+    aEntry.m_contacts.erase(known);
+  }
+  aEntry.m_contacts.push_back(aContact);
+  if (aEntry.m_contacts.size() > kMaxContacts) {
+    aEntry.m_contacts.erase(aEntry.m_contacts.begin());
+  }
+}
+
+void
+Holder::ForgetOldContacts(Entry& aEntry, TimePoint aNow) const
+{
+  std::erase_if(aEntry.m_contacts, [&](const Contact& aContact) {
+    return aNow - aContact.m_seenAt >= m_settings.m_askerLifetime ||
+           IsOver(aContact.m_instance);
+  });
+}
+
+AcquireReply
+Holder::OnAcquire(const AcquireRequest& aRequest, TimePoint aNow)
+{
+  AcquireReply reply{ .m_responder = { m_self, m_incarnation },
+                      .m_requesterIncarnation =
+                        aRequest.m_requester.m_incarnation,
+                      .m_viewVersion = m_viewVersion };
+  for (const AcquireRequestItem& item : aRequest.m_items) {
+    reply.m_items.push_back(Answer(aRequest, item, aNow));
+  }
+  return reply;
+}
+
+AcquireReplyItem
+Holder::Answer(const AcquireRequest& aRequest,
+               const AcquireRequestItem& aItem,
+               TimePoint aNow)
+{
+  if (IsOver(aRequest.m_requester)) {
+    // It will learn that it was superseded or declared dead, and ask again.
+    return { .m_upstream = aItem.m_upstream,
+             .m_attempt = aItem.m_attempt,
+             .m_outcome = AcquireOutcome::kRefused };
+  }
+  Entry& entry = m_entries[aItem.m_upstream];
+  const uint64_t epochBefore = entry.m_epoch;
+  AcquireReplyItem answer{ .m_upstream = aItem.m_upstream,
+                           .m_attempt = aItem.m_attempt,
+                           .m_outcome = Decide(entry, aRequest, aItem) };
+  entry.m_epoch = std::max(entry.m_epoch, aItem.m_epoch);
+  answer.m_epoch = answer.m_outcome == AcquireOutcome::kReleased
+                     ? std::max(epochBefore, aItem.m_epoch)
+                     : entry.m_epoch;
+  answer.m_inFlight = entry.m_inFlight;
+  answer.m_remaining = std::max(Duration{}, entry.m_latestDeadline - aNow);
+  if (entry.m_inFlight == 0) {
+    answer.m_remaining = Duration{};
+  }
+  answer.m_warm = entry.m_warm;
+  ForgetOldContacts(entry, aNow);
+  for (const Contact& contact : entry.m_contacts) {
+    if (contact.m_instance.m_id != aRequest.m_requester.m_id) {
+      answer.m_others.push_back({ .m_instance = contact.m_instance,
+                                  .m_peerAddress = contact.m_peerAddress,
+                                  .m_age = aNow - contact.m_seenAt });
+    }
+  }
+  Remember(entry,
+           { .m_instance = aRequest.m_requester,
+             .m_peerAddress = aRequest.m_requesterPeerAddress,
+             .m_seenAt = aNow });
+  return answer;
+}
+
+AcquireOutcome
+Holder::Decide(Entry& aEntry,
+               const AcquireRequest& aRequest,
+               const AcquireRequestItem& aItem) const
+{
+  const bool mine = m_active && m_owners->OwnerOf(aItem.m_upstream) == m_self;
+  if (mine && (aEntry.m_held || aEntry.m_wanted)) {
+    return AcquireOutcome::kRefused;
+  }
+  GiveUpAttempt(aEntry);
+  if (aEntry.m_held) {
+    aEntry.m_held = false;
+    aEntry.m_releasedTo = aRequest.m_requester;
+    aEntry.m_releasedToEpoch = aEntry.m_heldEpoch;
+    return AcquireOutcome::kReleased;
+  }
+  const bool repeated = aEntry.m_releasedTo == aRequest.m_requester &&
+                        aItem.m_heldEpoch <= aEntry.m_releasedToEpoch;
+  if (repeated) {
+    return AcquireOutcome::kReleased;
+  }
+  aEntry.m_releasedTo = InstanceRef();
+  return AcquireOutcome::kNotHeld;
+}
+
+void
+Holder::OnReply(const AcquireReply& aReply, TimePoint aNow)
+{
+  if (aReply.m_requesterIncarnation != m_incarnation) {
+    return;
+  }
+  for (const AcquireReplyItem& item : aReply.m_items) {
+    TakeAnswer(aReply, item, aNow);
+  }
+}
+
+void
+Holder::TakeAnswer(const AcquireReply& aReply,
+                   const AcquireReplyItem& aItem,
+                   TimePoint aNow)
+{
+  const auto found = m_entries.find(aItem.m_upstream);
+  if (found == m_entries.end() || found->second.m_attempt != aItem.m_attempt) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (entry.m_held) {
+    // An answer of the predecessor about its last requests.
+    if (aReply.m_responder == entry.m_releasedBy) {
+      entry.m_predecessorInFlight = aItem.m_inFlight;
+      const uint32_t taken = std::min(aItem.m_inFlight, entry.m_slots);
+      entry.m_rampSlots = entry.m_slots - taken;
+    }
+    return;
+  }
+  entry.m_epoch = std::max(entry.m_epoch, aItem.m_epoch);
+  for (const OtherAsker& other : aItem.m_others) {
+    const bool known =
+      std::ranges::any_of(entry.m_contacts, [&](const Contact& aContact) {
+        return aContact.m_instance.m_id == other.m_instance.m_id &&
+               aContact.m_instance.m_incarnation >=
+                 other.m_instance.m_incarnation;
+      });
+    if (!known && other.m_instance.m_id != m_self) {
+      Remember(entry,
+               { .m_instance = other.m_instance,
+                 .m_peerAddress = other.m_peerAddress,
+                 .m_seenAt = aNow - other.m_age });
+      entry.m_nextAsk = aNow;
+    }
+  }
+  if (aItem.m_outcome == AcquireOutcome::kRefused) {
+    return;
+  }
+  entry.m_answered.insert(aReply.m_responder);
+  if (aItem.m_outcome == AcquireOutcome::kReleased) {
+    entry.m_released = true;
+    entry.m_releasedBy = aReply.m_responder;
+    entry.m_predecessorInFlight = aItem.m_inFlight;
+    entry.m_predecessorEnds = aNow + aItem.m_remaining;
+    entry.m_warm = aItem.m_warm;
+  }
+  if (entry.m_wanted && MissingAnswers(entry, aNow).empty()) {
+    Start(entry, aNow);
+  }
+}
+
+} // namespace ebonykeel
