--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SANITIZED ?= build-sanitized
 JOBS ?= $(shell nproc)
 
-.PHONY: deps configure build test sanitize lint format generate clean
+.PHONY: plots deps configure build test sanitize lint format generate clean
 
 deps:
 	tools/install_deps.sh
@@ -33,3 +33,8 @@
 # Needs Debian's package capnproto; its output is committed.
 generate:
 	capnp compile -oc++ -I/usr/include packages/runtime/peer/peer.capnp
+
+# Draws the plots of every result folder under RESULTS.
+RESULTS ?= results
+plots:
+	find $(RESULTS) -name '*.gp' -execdir gnuplot {} \;
