--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 
 # The first command of the README runs `demo`, the second `test`.
-.PHONY: demo programs deps configure build test sanitize lint format generate clean
+.PHONY: demo programs plots deps configure build test sanitize lint format generate clean
 
 deps:
 	tools/install_deps.sh
@@ -40,3 +40,8 @@
 # Needs Debian's package capnproto; its output is committed.
 generate:
 	capnp compile -oc++ -I/usr/include packages/runtime/peer/peer.capnp
+
+# Draws the plots of every result folder under RESULTS.
+RESULTS ?= results
+plots:
+	find $(RESULTS) -name '*.gp' -execdir gnuplot {} \;
--- a/packages/cli/command_line.cc
+++ b/packages/cli/command_line.cc
@@ -26,6 +26,7 @@
   ebonykeel upstream (drain | restore) ID [options]
   ebonykeel rollback GENERATION [options]
   ebonykeel report [options]
+  ebonykeel load FILE [options]
   ebonykeel --help
   ebonykeel --version
 
@@ -41,6 +42,7 @@
   upstream     Drain an upstream, or restore it.
   rollback     Publish the services of an old generation again.
   report       Show how the services burn their service levels.
+  load         Run an experiment file: open-loop load and scheduled faults.
 
 Options:
   --admin=HOST:PORT    Administration address of a node [default: 127.0.0.1:7002].
@@ -61,6 +63,11 @@
   --key=KEY            Key of the filing.
   --payload=TEXT       Payload of the filing.
   --payload-file=FILE  File with the payload of the filing.
+  --issued-at-ms=N     When the filing was first issued, in Unix milliseconds;
+                       give the same one to try again; 0 is now [default: 0].
+  --result=FOLDER      Where load writes result, data and plot scripts.
+  --rate=N             Requests a second, in place of the experiment's.
+  --duration=SECONDS   Duration, in place of the experiment's.
   --output=FORMAT      text or json [default: text].
   -h --help            Show this text.
   --version            Show the version.
@@ -157,6 +164,7 @@
       { "upstream", Command::kUpstream, "ID" },
       { "rollback", Command::kRollback, "" },
       { "report", Command::kReport, "" },
+      { "load", Command::kLoad, "" },
     };
     for (const Form& form : kForms) {
       if (IsSet(m_values, form.m_name)) {
@@ -182,6 +190,14 @@
     }
     m_line.m_limit = NumberOf("--limit");
     m_line.m_deadlineMs = NumberOf("--deadline-ms");
+    m_line.m_issuedAtMs = NumberOf("--issued-at-ms");
+    m_line.m_resultFolder = TextOf(m_values, "--result");
+    if (!TextOf(m_values, "--rate").empty()) {
+      m_line.m_rate = static_cast<double>(NumberOf("--rate"));
+    }
+    if (!TextOf(m_values, "--duration").empty()) {
+      m_line.m_duration = SecondsOf("--duration", 0.001);
+    }
     m_line.m_wait = SecondsOf("--wait", 0);
     m_line.m_timeout = SecondsOf("--timeout", 0.001);
   }
--- a/packages/cli/command_line.h
+++ b/packages/cli/command_line.h
@@ -32,6 +32,7 @@
   kUpstream,
   kRollback,
   kReport,
+  kLoad,
 };
 
 enum class OutputFormat
@@ -74,6 +75,13 @@
   std::string m_key;
   std::string m_payload;
   std::string m_payloadFile;
+  // When the filing was first issued, in Unix milliseconds; 0 for now.
+  uint64_t m_issuedAtMs = 0;
+  // Where `load` writes its result; empty for nowhere. The rest replaces what
+  // the experiment file says.
+  std::string m_resultFolder;
+  std::optional<double> m_rate;
+  std::optional<Duration> m_duration;
 };
 
 // Either a command line, or a text to print and how to exit.
