--- a/packages/cli/requests.cc
+++ b/packages/cli/requests.cc
@@ -173,6 +173,7 @@
     case Command::kStatus:
     case Command::kCheck:
     case Command::kPublish:
+    case Command::kLoad:
       break;
   }
   return MakeStatusRequest(aLine, aContext);
--- a/packages/cli/text_view.cc
+++ b/packages/cli/text_view.cc
@@ -232,6 +232,7 @@
     case Command::kReport:
       return RenderReport(aAnswer);
     case Command::kCheck:
+    case Command::kLoad:
       break;
   }
   return {};
--- /dev/null
+++ b/tools/measure_control.sh
@@ -0,0 +1,99 @@
+#!/usr/bin/env bash
+# Measures what control costs an idle fleet of several sizes: bytes on the
+# loopback interface, processor time and memory a node, the store's calls, and
+# how long a change takes to be in force everywhere. Prints one line a size.
+# Usage: tools/measure_control.sh BUILD_FOLDER SECONDS SIZE...
+set -euo pipefail
+bin=$1/bin
+seconds=$2
+shift 2
+
+ticks=$(getconf CLK_TCK)
+
+lo_bytes() { awk '/^ *lo:/ {print $2}' /proc/net/dev; }
+
+cpu_ticks() { # PIDS...
+  for pid in "$@"; do
+    awk '{print $14 + $15}' "/proc/$pid/stat"
+  done | awk '{s += $1} END {print s}'
+}
+
+resident_kb() {
+  for pid in "$@"; do
+    awk '/^VmRSS/ {print $2}' "/proc/$pid/status"
+  done | awk '{s += $1} END {printf "%d", s / NR}'
+}
+
+store_counter() { # NAME
+  curl -s "http://127.0.0.1:$platform/standin/counters" |
+    sed -E "s/.*\"$1\": *([0-9]+).*/\1/"
+}
+
+port_of() { # NAME KEY
+  for _ in $(seq 300); do
+    [ -s "$run/$1.json" ] && break
+    sleep 0.1
+  done
+  sed -E "s/.*\"$2\": *([0-9]+).*/\1/" "$run/$1.json"
+}
+
+measure() { # SIZE
+  local size=$1 pids=() all=() data_centres=(a1 a2 a3 a4)
+  run=$(mktemp -d)
+  "$bin/standin_platform" --listen=127.0.0.1:0 --ready-file="$run/platform.json" >/dev/null 2>&1 &
+  all+=($!)
+  platform=$(port_of platform port)
+  for ((i = 0; i < size; i++)); do
+    local dc=${data_centres[$((i % 4))]}
+    printf 'id = "n%d"\ndata_centre = "%s"\nregion = "a"\nready_file = "%s"\n[store]\naddress = "127.0.0.1:%s"\n[log]\nmin_level = 1\n' \
+      "$i" "$dc" "$run/n$i.json" "$platform" >"$run/n$i.toml"
+    "$bin/ebonykeeld" --settings="$run/n$i.toml" >/dev/null 2>&1 &
+    pids+=($!)
+    all+=($!)
+  done
+  for ((i = 0; i < size; i++)); do
+    curl -sSf -o /dev/null -X PUT "http://127.0.0.1:$platform/standin/instances/n$i" -d \
+      "{\"id\":\"n$i\",\"peer_address\":\"127.0.0.1:$(port_of "n$i" peer)\",\"public_address\":\"127.0.0.1:$(port_of "n$i" public)\",\"admin_address\":\"127.0.0.1:$(port_of "n$i" admin)\",\"data_centre\":\"${data_centres[$((i % 4))]}\",\"region\":\"a\",\"state\":\"live\"}"
+  done
+  local admin
+  admin=127.0.0.1:$(port_of n0 admin)
+  for _ in $(seq 300); do
+    [ "$("$bin/ebonykeel" --admin="$admin" status | grep -c ' active ' || true)" -ge "$size" ] && break
+    sleep 0.2
+  done
+  sleep 15
+  local bytes0 cpu0 reads0 writes0 lists0 watches
+  bytes0=$(lo_bytes)
+  cpu0=$(cpu_ticks "${pids[@]}")
+  reads0=$(store_counter reads)
+  writes0=$(store_counter writes)
+  lists0=$(store_counter instance_list_reads)
+  sleep "$seconds"
+  watches=$(store_counter watches_waiting)
+  local bytes cpu reads writes lists
+  bytes=$(($(lo_bytes) - bytes0))
+  cpu=$(($(cpu_ticks "${pids[@]}") - cpu0))
+  reads=$(($(store_counter reads) - reads0))
+  writes=$(($(store_counter writes) - writes0))
+  lists=$(($(store_counter instance_list_reads) - lists0))
+  local rss started in_force
+  rss=$(resident_kb "${pids[@]}")
+  mkdir "$run/services"
+  cp examples/tasadores/valuation-desk-01.toml "$run/services"
+  started=$(date +%s%N)
+  in_force=-
+  if "$bin/ebonykeel" --admin="$admin" publish "$run/services" --wait=20 >/dev/null 2>&1; then
+    in_force=$((($(date +%s%N) - started) / 1000000))
+  fi
+  awk -v n="$size" -v s="$seconds" -v b="$bytes" -v c="$cpu" -v t="$ticks" -v r="$rss" \
+    -v reads="$reads" -v writes="$writes" -v lists="$lists" -v w="$watches" -v f="$in_force" 'BEGIN {
+      printf "%5d nodes: %7.2f KB/s a node, %5.2f%% of a core a node, %6.1f MB a node, store %.2f reads/s %.2f writes/s %.2f lists/s %d watches waiting, publish in force in %s ms\n",
+        n, b / s / n / 1000, 100 * c / t / s / n, r / 1000, reads / s, writes / s, lists / s, w, f }'
+  kill -KILL "${all[@]}" 2>/dev/null || true
+  wait "${all[@]}" 2>/dev/null || true
+  rm -rf "$run"
+}
+
+for size in "$@"; do
+  measure "$size"
+done
