--- a/packages/node/api/public_api.cc
+++ b/packages/node/api/public_api.cc
@@ -120,6 +120,7 @@
                      AdmissionService& aAdmission,
                      BurnRecorder& aBurn,
                      StatusPage& aStatus,
+                     LatencySummary& aLatency,
                      absl::BitGenRef aRandom)
   : m_loop(aLoop)
   , m_membership(aMembership)
@@ -129,6 +130,7 @@
   , m_admission(aAdmission)
   , m_burn(aBurn)
   , m_status(aStatus)
+  , m_latency(aLatency)
   , m_random(aRandom)
 {
 }
@@ -147,6 +149,9 @@
     ++m_inFlight;
     return File(aRequest).attach(kj::defer([this]() { --m_inFlight; }));
   }
+  if (aRequest.m_method == "GET" && aRequest.m_path == "/healthz") {
+    return HttpResponse{ .m_contentType = "text/plain", .m_body = "ok\n" };
+  }
   if (aRequest.m_method == "GET" && aRequest.m_path == "/v1/status") {
     return JsonResponse(m_status.Status());
   }
@@ -253,7 +258,9 @@
   return m_queries.Run(std::move(aRequest))
     .then([this, arrival](QueryAnswer&& aAnswer) {
       LogPartial(aAnswer);
-      Record(aAnswer, m_loop.Clock().Now() - arrival);
+      Duration latency = m_loop.Clock().Now() - arrival;
+      m_latency.Add(latency);
+      Record(aAnswer, latency);
       return QueryResponse(aAnswer);
     });
 }
--- a/packages/node/api/public_api.h
+++ b/packages/node/api/public_api.h
@@ -30,6 +30,7 @@
             AdmissionService& aAdmission,
             BurnRecorder& aBurn,
             StatusPage& aStatus,
+            LatencySummary& aLatency,
             absl::BitGenRef aRandom);
 
   kj::Promise<HttpResponse> Handle(HttpRequest aRequest) override;
@@ -64,6 +65,7 @@
   AdmissionService& m_admission;
   BurnRecorder& m_burn;
   StatusPage& m_status;
+  LatencySummary& m_latency;
   absl::BitGenRef m_random;
   bool m_refusing = false;
   size_t m_inFlight = 0;
--- a/packages/node/api/status_page.cc
+++ b/packages/node/api/status_page.cc
@@ -29,6 +29,26 @@
   absl::StrAppend(&aPage, "ebonykeel_", aName, " ", aValue, "\n");
 }
 
+void
+AddLatency(std::string& aPage, const LatencySummary& aLatency)
+{
+  constexpr std::pair<LatencySummary::Which, const char*> kQuantiles[] = {
+    { LatencySummary::kP50, "0.5" },
+    { LatencySummary::kP90, "0.9" },
+    { LatencySummary::kP99, "0.99" },
+    { LatencySummary::kP999, "0.999" },
+  };
+  for (const auto& [which, label] : kQuantiles) {
+    absl::StrAppend(&aPage,
+                    "ebonykeel_query_latency_ms{quantile=\"",
+                    label,
+                    "\"} ",
+                    aLatency.Quantile(which),
+                    "\n");
+  }
+  AddMetric(aPage, "query_latency_ms_count", aLatency.Count());
+}
+
 } // namespace
 
 StatusPage::StatusPage(const StatusSources& aSources)
@@ -129,6 +149,11 @@
   AddMetric(page, "upstream_in_flight", m_sources.m_upstreams.InFlight());
   AddMetric(page, "upstreams_owned", m_sources.m_ownership.Named().size());
   AddMetric(page, "upstreams_cold", m_sources.m_upstreams.Cold());
+  const AdmissionTotals& admission = m_sources.m_admission.Totals();
+  AddMetric(page, "admitted_total", admission.m_admitted);
+  AddMetric(page, "queued_total", admission.m_queued);
+  AddMetric(page, "refused_total", admission.m_refused);
+  AddLatency(page, m_sources.m_latency);
   AddMetric(page, "store_reads_total", store.m_reads);
   AddMetric(page, "store_writes_total", store.m_writes);
   AddMetric(page, "store_watches_total", store.m_watches);
--- a/packages/node/api/status_page.h
+++ b/packages/node/api/status_page.h
@@ -6,12 +6,14 @@
 #include <nlohmann/json.hpp>
 
 #include "core/base/ids.h"
+#include "node/admission/admission_service.h"
 #include "node/cluster/membership_service.h"
 #include "node/cluster/ownership_service.h"
 #include "node/configuration/configuration_service.h"
 #include "node/filing/filing_service.h"
 #include "node/query/query_service.h"
 #include "node/upstream/upstream_service.h"
+#include "runtime/metrics/latency_summary.h"
 #include "runtime/store/http_store.h"
 
 namespace ebonykeel {
@@ -26,6 +28,8 @@
   QueryService& m_queries;
   FilingService& m_filings;
   const HttpObjectStore& m_store;
+  const AdmissionService& m_admission;
+  const LatencySummary& m_latency;
 };
 
 class StatusPage
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -39,6 +39,17 @@
   return options;
 }
 
+// A share of zero stands for the baseline without hedges.
+std::unique_ptr<HedgePolicy>
+MakeHedgePolicy(double aShare)
+{
+  if (aShare <= 0) {
+    return std::make_unique<NoHedging>();
+  }
+  return std::make_unique<QuantileHedging>(
+    QuantileHedgingOptions{ .m_budgetShare = aShare });
+}
+
 Endpoint
 ToEndpoint(const Address& aAddress)
 {
@@ -118,14 +129,14 @@
                       ConfigurationOptions(aSettings),
                       aRandom)
     , m_selector({ .m_ownDataCentre = aSettings.m_dataCentre }, aRandom)
-    , m_hedges({})
+    , m_hedges(MakeHedgePolicy(aSettings.m_limits.m_hedgeShare))
     , m_queries(aLoop,
                 m_links,
                 m_ownership,
                 m_upstreams,
                 m_snapshots,
                 m_selector,
-                m_hedges,
+                *m_hedges,
                 absl::Uniform<BootId>(aRandom, 1, UINT64_MAX))
     , m_filings(aLoop,
                 m_links,
@@ -144,7 +155,9 @@
                  m_upstreams,
                  m_queries,
                  m_filings,
-                 m_store })
+                 m_store,
+                 m_admission,
+                 m_latency })
     , m_publicApi(aLoop,
                   m_membership,
                   m_snapshots,
@@ -153,6 +166,7 @@
                   m_admission,
                   m_burn,
                   m_status,
+                  m_latency,
                   aRandom)
     , m_burnReports(aLoop, m_links, m_membership, m_burn)
     , m_adminApi(m_configuration,
@@ -173,11 +187,12 @@
   ConfigurationService m_configuration;
   SnapshotTracker m_snapshots;
   AdaptiveSelector m_selector;
-  QuantileHedging m_hedges;
+  std::unique_ptr<HedgePolicy> m_hedges;
   QueryService m_queries;
   FilingService m_filings;
   AdmissionService m_admission;
   BurnRecorder m_burn;
+  LatencySummary m_latency;
   StatusPage m_status;
   PublicApi m_publicApi;
   BurnReportService m_burnReports;
