--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 SANITIZED ?= build-sanitized
 JOBS ?= $(shell nproc)
 
-.PHONY: deps configure build test sanitize lint format generate clean fault-matrix
+# The first command of the README runs `demo`, the second `test`.
+.PHONY: demo programs plots deps configure build test sanitize lint format generate clean fault-matrix
 
 deps:
 	tools/install_deps.sh
@@ -32,9 +33,20 @@
 test: deps build lint sanitize
 	ctest --test-dir $(BUILD) -j 4 --output-on-failure
 
+programs: configure
+	cmake --build $(BUILD) -j $(JOBS) --target ebonykeeld ebonykeel standin_platform standin_upstream standin_relay
+
+demo: deps programs
+	tools/demo.sh $(BUILD)
+
 clean:
 	rm -rf $(BUILD) $(SANITIZED)
 
 # Needs Debian's package capnproto; its output is committed.
 generate:
 	capnp compile -oc++ -I/usr/include packages/runtime/peer/peer.capnp
+
+# Draws the plots of every result folder under RESULTS.
+RESULTS ?= results
+plots:
+	find $(RESULTS) -name '*.gp' -execdir gnuplot {} \;
--- a/packages/cli/main.cc
+++ b/packages/cli/main.cc
@@ -12,10 +12,14 @@
 #include "cli/files.h"
 #include "cli/http_node_client.h"
 #include "cli/runner.h"
+#include "load/load_command.h"
 
 namespace ebonykeel::cli {
 namespace {
 
+// A kept connection of the tool is closed after this time.
+constexpr Duration kIdleTimeout = Seconds(5);
+
 class StandardConsole final : public Console
 {
 public:
@@ -37,6 +41,26 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+ExitCode
+RunLoad(Loop& aLoop, HttpClient& aClient, const CommandLine& aLine)
+{
+  LoadCommandOptions options{ .m_experiment = aLine.m_files.front(),
+                              .m_output = aLine.m_resultFolder,
+                              .m_json = aLine.m_output == OutputFormat::kJson,
+                              .m_progressBar = isatty(STDERR_FILENO) == 1,
+                              .m_rate = aLine.m_rate,
+                              .m_duration = aLine.m_duration };
+  switch (RunLoadCommand(aLoop, aClient, options, std::cout, std::cerr)) {
+    case LoadExit::kOk:
+      return ExitCode::kOk;
+    case LoadExit::kBroken:
+      return ExitCode::kRefused;
+    case LoadExit::kBadInput:
+      return ExitCode::kUsage;
+  }
+  return ExitCode::kUsage;
+}
+
 ExitCode
 Main(const std::vector<std::string>& aArguments)
 {
@@ -47,7 +71,10 @@
     return parsed.m_exit;
   }
   Loop loop;
-  H2oHttpClient http(loop, {});
+  H2oHttpClient http(loop, { .m_idleTimeout = kIdleTimeout });
+  if (parsed.m_line->m_command == Command::kLoad) {
+    return RunLoad(loop, http, *parsed.m_line);
+  }
   HttpNodeClient client(loop, http);
   DiskFileReader files;
   StandardConsole console;
--- a/packages/cli/requests.cc
+++ b/packages/cli/requests.cc
@@ -114,7 +114,9 @@
              { "request_id", OrRandom(aLine.m_requestId, aContext) },
              { "key", aLine.m_key },
              { "payload", aLine.m_payload },
-             { "issued_at_ms", aContext.m_unixMs } };
+             { "issued_at_ms",
+               aLine.m_issuedAtMs != 0 ? static_cast<int64_t>(aLine.m_issuedAtMs)
+                                       : aContext.m_unixMs } };
   if (aLine.m_deadlineMs > 0) {
     body["deadline_ms"] = aLine.m_deadlineMs;
   }
@@ -171,6 +173,7 @@
     case Command::kStatus:
     case Command::kCheck:
     case Command::kPublish:
+    case Command::kLoad:
       break;
   }
   return MakeStatusRequest(aLine, aContext);
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -39,6 +39,17 @@
   return options;
 }
 
+// A share of zero stands for the baseline without hedges.
+std::unique_ptr<HedgePolicy>
+MakeHedgePolicy(double aShare)
+{
+  if (aShare <= 0) {
+    return std::make_unique<NoHedging>();
+  }
+  return std::make_unique<QuantileHedging>(
+    QuantileHedgingOptions{ .m_budgetShare = aShare });
+}
+
 Endpoint
 ToEndpoint(const Address& aAddress)
 {
@@ -118,14 +129,14 @@
                       ConfigurationOptions(aSettings),
                       aRandom)
     , m_selector({ .m_ownDataCentre = aSettings.m_dataCentre }, aRandom)
-    , m_hedges({})
+    , m_hedges(MakeHedgePolicy(aSettings.m_limits.m_hedgeShare))
     , m_queries(aLoop,
                 m_links,
                 m_ownership,
                 m_upstreams,
                 m_snapshots,
                 m_selector,
-                m_hedges,
+                *m_hedges,
                 absl::Uniform<BootId>(aRandom, 1, UINT64_MAX))
     , m_filings(aLoop,
                 m_links,
@@ -136,21 +147,34 @@
                 m_selector,
                 aSelf.m_id,
                 aRandom)
+    , m_admission(aLoop, {})
+    , m_burn({}, aLoop.Clock().Now())
     , m_status({ m_membership,
                  m_ownership,
                  m_configuration,
                  m_upstreams,
                  m_queries,
                  m_filings,
-                 m_store })
+                 m_store,
+                 m_admission,
+                 m_latency })
     , m_publicApi(aLoop,
                   m_membership,
                   m_snapshots,
                   m_queries,
                   m_filings,
+                  m_admission,
+                  m_burn,
                   m_status,
+                  m_latency,
                   aRandom)
-    , m_adminApi(m_configuration, m_membership, m_status, aAdminToken, aRandom)
+    , m_burnReports(aLoop, m_links, m_membership, m_burn)
+    , m_adminApi(m_configuration,
+                 m_membership,
+                 m_status,
+                 m_burnReports,
+                 aAdminToken,
+                 aRandom)
   {
   }
 
@@ -163,11 +187,15 @@
   ConfigurationService m_configuration;
   SnapshotTracker m_snapshots;
   AdaptiveSelector m_selector;
-  QuantileHedging m_hedges;
+  std::unique_ptr<HedgePolicy> m_hedges;
   QueryService m_queries;
   FilingService m_filings;
+  AdmissionService m_admission;
+  BurnRecorder m_burn;
+  LatencySummary m_latency;
   StatusPage m_status;
   PublicApi m_publicApi;
+  BurnReportService m_burnReports;
   AdminApi m_adminApi;
 };
 
@@ -210,7 +238,8 @@
                                           m_parts->m_membership,
                                           m_parts->m_ownership,
                                           m_parts->m_configuration,
-                                          m_parts->m_upstreams));
+                                          m_parts->m_upstreams,
+                                          m_parts->m_burnReports));
   m_publicHandler->Set(m_parts->m_publicApi);
   m_adminHandler->Set(m_parts->m_adminApi);
   m_parts->m_ownership.Start(*this);
@@ -278,6 +307,7 @@
 {
   m_parts->m_snapshots.OnConfiguration(aConfiguration);
   m_parts->m_selector.OnConfiguration(aConfiguration);
+  m_parts->m_burn.SetTargets(*aConfiguration);
   m_parts->m_ownership.Update(aConfiguration);
   m_parts->m_upstreams.OnConfiguration(aConfiguration,
                                        m_parts->m_snapshots.UsableUpstreams());
