Name what a searcher did, not the queue behind it, as a shard's reason

Cause: after a bad answer, a reset or silence the retry is sent where slots are still held by the work given up, so the gate refuses it as overloaded; the answer then told the caller "overloaded" for a shard whose searchers had failed. Change: overloaded does not displace the reason of an attempt that reached a searcher. A list of all reasons was ruled out: it changes the interface. Seen red: process_upstream_test "a shard whose searchers all fail" failed 9 of 158 assertions before, none after; query_run_test passes.

--- a/packages/core/query/query_run.cc
+++ b/packages/core/query/query_run.cc
@@ -28,6 +28,17 @@
   }
 }
 
+// Whether an upstream failed the shard, which tells more than that the queue
+// for the next one is too long.
+bool
+HasFailedUpstream(const internal::ShardState& aShard)
+{
+  return aShard.m_reason == MissingReason::kBadAnswer ||
+         aShard.m_reason == MissingReason::kUnreachable ||
+         std::ranges::any_of(aShard.m_requests,
+                             &internal::SubRequest::m_silent);
+}
+
 } // namespace
 
 bool
@@ -241,7 +252,9 @@
 {
   ShardState& shard =
     m_parts[aPosition.m_part].m_try.m_shards[aPosition.m_shard];
-  shard.m_reason = aReason;
+  if (aReason != MissingReason::kOverloaded || !HasFailedUpstream(shard)) {
+    shard.m_reason = aReason;
+  }
   if (!shard.Waiting()) {
     Recover(aPosition, aNow, aActions);
   }
