Hand an upstream's warmth to its next owner; count a predecessor's work at a takeover

A planned handover started each upstream cold. The holder's answer now carries boot id, earned limit and latency, which the gate believes once an answer names the same boot id. A dead predecessor's work counts against what the upstream bears until its longest deadline has passed.

--- a/packages/core/ownership/acquire.cc
+++ b/packages/core/ownership/acquire.cc
@@ -128,7 +128,7 @@
   if (entry.m_inFlight == 0) {
     answer.m_remaining = Duration{};
   }
-  answer.m_warm = entry.m_warm;
+  answer.m_warmth = entry.m_warmth;
   ForgetOldContacts(entry, aNow);
   for (const Contact& contact : entry.m_contacts) {
     if (contact.m_instance.m_id != aRequest.m_requester.m_id) {
@@ -224,7 +224,7 @@
     entry.m_releasedBy = aReply.m_responder;
     entry.m_predecessorInFlight = aItem.m_inFlight;
     entry.m_predecessorEnds = aNow + aItem.m_remaining;
-    entry.m_warm = aItem.m_warm;
+    entry.m_warmth = aItem.m_warmth;
   }
   if (entry.m_wanted && MissingAnswers(entry, aNow).empty()) {
     Start(entry, aNow);
--- a/packages/core/ownership/acquire_messages.h
+++ b/packages/core/ownership/acquire_messages.h
@@ -56,6 +56,19 @@
   Duration m_age{};
 };
 
+// What a holder knows of an upstream's cold start, for the next holder. Of use
+// only while the upstream is still in the same run.
+struct Warmth
+{
+  // 0 when nothing is known.
+  BootId m_bootId = 0;
+  // The slots that the upstream had earned.
+  uint32_t m_limit = 0;
+  Duration m_expectedLatency{};
+
+  friend bool operator==(const Warmth&, const Warmth&) = default;
+};
+
 struct AcquireReplyItem
 {
   UpstreamId m_upstream;
@@ -68,8 +81,8 @@
   // last of them must have ended.
   uint32_t m_inFlight = 0;
   Duration m_remaining{};
-  // The upstream bore full load when last held.
-  bool m_warm = false;
+  // What the responder learnt of the upstream's cold start.
+  Warmth m_warmth;
   std::vector<OtherAsker> m_others;
 };
 
--- a/packages/core/ownership/holder.cc
+++ b/packages/core/ownership/holder.cc
@@ -311,6 +311,18 @@
   return aNow < entry.m_rampUntil ? entry.m_rampSlots : entry.m_slots;
 }
 
+uint32_t
+Holder::PredecessorWork(const UpstreamId& aUpstream, TimePoint aNow) const
+{
+  const auto found = m_entries.find(aUpstream);
+  if (found == m_entries.end() || !found->second.m_held ||
+      aNow >= found->second.m_rampUntil) {
+    return 0;
+  }
+  const Entry& entry = found->second;
+  return entry.m_slots - std::min(entry.m_slots, entry.m_rampSlots);
+}
+
 void
 Holder::OnSent(const UpstreamId& aUpstream, TimePoint aDeadline)
 {
@@ -357,16 +369,16 @@
 }
 
 void
-Holder::SetWarm(const UpstreamId& aUpstream, bool aWarm)
+Holder::SetWarmth(const UpstreamId& aUpstream, const Warmth& aWarmth)
 {
-  m_entries[aUpstream].m_warm = aWarm;
+  m_entries[aUpstream].m_warmth = aWarmth;
 }
 
-bool
-Holder::WasWarm(const UpstreamId& aUpstream) const
+Warmth
+Holder::WarmthOf(const UpstreamId& aUpstream) const
 {
   const auto found = m_entries.find(aUpstream);
-  return found != m_entries.end() && found->second.m_warm;
+  return found == m_entries.end() ? Warmth() : found->second.m_warmth;
 }
 
 TimePoint
--- a/packages/core/ownership/holder.h
+++ b/packages/core/ownership/holder.h
@@ -151,6 +151,11 @@
                                       const Lease& aLease,
                                       TimePoint aNow) const;
 
+  // Returns how many requests of a predecessor `aUpstream` may still be
+  // working on at `aNow`.
+  [[nodiscard]] uint32_t PredecessorWork(const UpstreamId& aUpstream,
+                                         TimePoint aNow) const;
+
   // Counts a request that was sent, which ends by `aDeadline` at the latest.
   void OnSent(const UpstreamId& aUpstream, TimePoint aDeadline);
   // Counts the end of a request that was sent.
@@ -166,10 +171,10 @@
   [[nodiscard]] HoldState StateOf(const UpstreamId& aUpstream,
                                   TimePoint aNow) const;
 
-  // Notes whether the upstream bears full load, for its next holder, and
-  // returns what the predecessor said; false when nothing is known.
-  void SetWarm(const UpstreamId& aUpstream, bool aWarm);
-  [[nodiscard]] bool WasWarm(const UpstreamId& aUpstream) const;
+  // Notes what is known of the upstream's cold start, for its next holder, and
+  // returns what the predecessor or this instance noted last.
+  void SetWarmth(const UpstreamId& aUpstream, const Warmth& aWarmth);
+  [[nodiscard]] Warmth WarmthOf(const UpstreamId& aUpstream) const;
 
   // Returns when Tick is next due; TimePoint::max() when nothing is sought.
   [[nodiscard]] TimePoint NextTick() const;
@@ -218,7 +223,7 @@
 
     uint32_t m_inFlight = 0;
     TimePoint m_latestDeadline = TimePoint::min();
-    bool m_warm = false;
+    Warmth m_warmth;
   };
 
   using Asks = std::map<InstanceId, AcquireAction>;
--- a/packages/core/ownership/holder_test.cc
+++ b/packages/core/ownership/holder_test.cc
@@ -138,10 +138,11 @@
   AcquireReply reply = MakeReply(owner.m_asks[0], AcquireOutcome::kReleased);
   reply.m_items[0].m_inFlight = 2;
   reply.m_items[0].m_remaining = Milliseconds(200);
-  reply.m_items[0].m_warm = true;
+  const Warmth warmth{ .m_bootId = 7, .m_limit = 3 };
+  reply.m_items[0].m_warmth = warmth;
   owner.m_holder.OnReply(reply, kStart);
   DOCTEST_CHECK(owner.Slots(kStart) == 1);
-  DOCTEST_CHECK(owner.m_holder.WasWarm(kUpstream));
+  DOCTEST_CHECK(owner.m_holder.WarmthOf(kUpstream) == warmth);
   const TimePoint polled = kStart + Milliseconds(50);
   const auto polls = owner.m_holder.Tick(polled);
   DOCTEST_REQUIRE(polls.size() == 1);
--- a/packages/node/api/answers.cc
+++ b/packages/node/api/answers.cc
@@ -87,6 +87,7 @@
     body["message"] = absl::StrCat("the filing is ",
                                    std::string(OutcomeName(aAnswer.m_outcome)));
     body["refusal"] = MissingReasonName(aAnswer.m_refusal);
+    body["earlier_unknown"] = aAnswer.m_earlierUnknown;
   }
   HttpResponse response = JsonResponse(body);
   response.m_status = FilingStatus(aAnswer.m_outcome);
--- a/packages/node/cluster/ownership_service.cc
+++ b/packages/node/cluster/ownership_service.cc
@@ -76,10 +76,17 @@
   return m_holder.AllowedSlots(aUpstream, m_membership.CurrentLease(), aNow);
 }
 
-bool
-OwnershipService::WasWarm(const UpstreamId& aUpstream) const
+uint32_t
+OwnershipService::PredecessorWork(const UpstreamId& aUpstream,
+                                  TimePoint aNow) const
+{
+  return m_holder.PredecessorWork(aUpstream, aNow);
+}
+
+Warmth
+OwnershipService::WarmthOf(const UpstreamId& aUpstream) const
 {
-  return m_holder.WasWarm(aUpstream);
+  return m_holder.WarmthOf(aUpstream);
 }
 
 void
@@ -95,9 +102,9 @@
 }
 
 void
-OwnershipService::SetWarm(const UpstreamId& aUpstream, bool aWarm)
+OwnershipService::SetWarmth(const UpstreamId& aUpstream, const Warmth& aWarmth)
 {
-  m_holder.SetWarm(aUpstream, aWarm);
+  m_holder.SetWarmth(aUpstream, aWarmth);
 }
 
 AcquireReply
--- a/packages/node/cluster/ownership_service.h
+++ b/packages/node/cluster/ownership_service.h
@@ -57,11 +57,13 @@
   // The slots that may be used now; 0 without a lease.
   [[nodiscard]] uint32_t AllowedSlots(const UpstreamId& aUpstream,
                                       TimePoint aNow) const override;
-  [[nodiscard]] bool WasWarm(const UpstreamId& aUpstream) const;
+  [[nodiscard]] uint32_t PredecessorWork(const UpstreamId& aUpstream,
+                                         TimePoint aNow) const override;
+  [[nodiscard]] Warmth WarmthOf(const UpstreamId& aUpstream) const;
 
   void OnSent(const UpstreamId& aUpstream, TimePoint aDeadline);
   void OnFinished(const UpstreamId& aUpstream);
-  void SetWarm(const UpstreamId& aUpstream, bool aWarm);
+  void SetWarmth(const UpstreamId& aUpstream, const Warmth& aWarmth);
 
   [[nodiscard]] AcquireReply OnAcquire(const AcquireRequest& aRequest);
   void OnHandOver(const HandOverNotice& aNotice);
--- a/packages/node/upstream/upstream_protocol.cc
+++ b/packages/node/upstream/upstream_protocol.cc
@@ -134,8 +134,11 @@
     result.m_kind = UpstreamResultKind::kVersionNotHeld;
   } else if (said && code == "draining") {
     result.m_kind = UpstreamResultKind::kDraining;
-  } else if (said && (code == "shed" || code == "deadline")) {
+  } else if (said && code == "shed") {
     result.m_kind = UpstreamResultKind::kShed;
+  } else if (said && code == "deadline") {
+    // Too late to begin: says nothing of the upstream's state.
+    result.m_kind = UpstreamResultKind::kCancelled;
   }
   return result;
 }
--- a/packages/node/upstream/upstream_service.cc
+++ b/packages/node/upstream/upstream_service.cc
@@ -125,7 +125,7 @@
   for (auto& [id, owned] : m_owned) {
     bool held = m_ownership.AllowedSlots(id, now) > 0;
     if (held && !owned->m_held) {
-      owned->m_gate->OnOwnershipGained({}, now);
+      owned->m_gate->OnOwnershipGained(StartOf(id), now);
     }
     owned->m_held = held;
     Perform(*owned, owned->m_gate->OnPermitChanged(now));
@@ -284,17 +284,48 @@
                  [&](const GateProbe& /* aProbe */) { Probe(aOwned); } },
                action);
   }
+  NoteWarmth(aOwned);
+  Arm(aOwned);
+}
+
+void
+UpstreamService::NoteWarmth(Owned& aOwned)
+{
+  if (!aOwned.m_held) {
+    return;
+  }
+  WarmthHint hint = aOwned.m_gate->Hint(m_loop.Clock().Now());
   bool warm = aOwned.m_gate->Warm();
-  if (warm != aOwned.m_warm) {
-    aOwned.m_warm = warm;
-    m_ownership.SetWarm(aOwned.m_config.m_id, warm);
-    if (!warm) {
-      LogEvent(Event::kUpstreamCold,
-               { { "upstream", aOwned.m_config.m_id.Text() },
-                 { "boot", absl::StrCat(aOwned.m_gate->Boot()) } });
-    }
+  bool changed = warm != aOwned.m_warm || hint.m_limit != aOwned.m_limit ||
+                 hint.m_bootId != aOwned.m_bootId;
+  if (!changed) {
+    return;
   }
-  Arm(aOwned);
+  if (aOwned.m_warm && !warm) {
+    LogEvent(Event::kUpstreamCold,
+             { { "upstream", aOwned.m_config.m_id.Text() },
+               { "boot", absl::StrCat(hint.m_bootId) } });
+  }
+  aOwned.m_warm = warm;
+  aOwned.m_limit = hint.m_limit;
+  aOwned.m_bootId = hint.m_bootId;
+  m_ownership.SetWarmth(aOwned.m_config.m_id,
+                        { .m_bootId = hint.m_bootId,
+                          .m_limit = hint.m_limit,
+                          .m_expectedLatency = hint.m_expectedLatency });
+}
+
+OwnershipStart
+UpstreamService::StartOf(const UpstreamId& aUpstream) const
+{
+  Warmth warmth = m_ownership.WarmthOf(aUpstream);
+  if (warmth.m_bootId == 0) {
+    return {};
+  }
+  return { .m_hint =
+             WarmthHint{ .m_bootId = warmth.m_bootId,
+                         .m_limit = warmth.m_limit,
+                         .m_expectedLatency = warmth.m_expectedLatency } };
 }
 
 void
--- a/packages/node/upstream/upstream_service.h
+++ b/packages/node/upstream/upstream_service.h
@@ -120,7 +120,10 @@
     std::unique_ptr<Alarm> m_alarm;
     std::map<WorkId, ActiveTask> m_tasks;
     bool m_held = false;
+    // What was noted last for the next owner.
     bool m_warm = false;
+    uint32_t m_limit = 0;
+    BootId m_bootId = 0;
   };
 
   void taskFailed(kj::Exception&& aException) override;
@@ -129,6 +132,10 @@
                    const ServiceConfig& aService);
   void ApplyClosures(Owned& aOwned);
   void Perform(Owned& aOwned, GateActions aActions);
+  // Tells the next owner what is known of the upstream's cold start.
+  void NoteWarmth(Owned& aOwned);
+  // What a predecessor told of it.
+  [[nodiscard]] OwnershipStart StartOf(const UpstreamId& aUpstream) const;
   void Dispatch(Owned& aOwned, WorkId aWork);
   void OnReply(const UpstreamId& aUpstream,
                WorkId aWork,
--- a/packages/node/wire/convert.cc
+++ b/packages/node/wire/convert.cc
@@ -119,7 +119,9 @@
   aBuilder.setEpoch(aItem.m_epoch);
   aBuilder.setInFlight(aItem.m_inFlight);
   aBuilder.setRemaining(ToMicroseconds(aItem.m_remaining));
-  aBuilder.setWarm(aItem.m_warm);
+  aBuilder.setBootId(aItem.m_warmth.m_bootId);
+  aBuilder.setLimit(aItem.m_warmth.m_limit);
+  aBuilder.setExpectedLatency(ToMicroseconds(aItem.m_warmth.m_expectedLatency));
   auto others = aBuilder.initOthers(aItem.m_others.size());
   for (size_t i = 0; i < aItem.m_others.size(); ++i) {
     const OtherAsker& other = aItem.m_others[i];
@@ -142,7 +144,10 @@
   item.m_epoch = aReader.getEpoch();
   item.m_inFlight = aReader.getInFlight();
   item.m_remaining = FromMicroseconds(aReader.getRemaining());
-  item.m_warm = aReader.getWarm();
+  item.m_warmth = { .m_bootId = aReader.getBootId(),
+                    .m_limit = aReader.getLimit(),
+                    .m_expectedLatency =
+                      FromMicroseconds(aReader.getExpectedLatency()) };
   for (wire::AcquireReply::OtherAsker::Reader other : aReader.getOthers()) {
     item.m_others.push_back({ ReadRef(other.getInstance()),
                               std::string(ToView(other.getPeerAddress())),
--- a/packages/runtime/peer/peer.capnp
+++ b/packages/runtime/peer/peer.capnp
@@ -148,8 +148,10 @@
     epoch @3 :UInt64;
     inFlight @4 :UInt32;
     remaining @5 :UInt64;
-    warm @6 :Bool;
-    others @7 :List(OtherAsker);
+    others @6 :List(OtherAsker);
+    bootId @7 :UInt64;
+    limit @8 :UInt32;
+    expectedLatency @9 :UInt64;
   }
   responder @0 :InstanceRef;
   requesterIncarnation @1 :UInt64;
--- a/packages/runtime/peer/peer.capnp.h
+++ b/packages/runtime/peer/peer.capnp.h
@@ -350,7 +350,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e7b1f4e0cbd2bf02, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e7b1f4e0cbd2bf02, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2688,11 +2688,15 @@
 
   inline  ::uint64_t getRemaining() const;
 
-  inline bool getWarm() const;
-
   inline bool hasOthers() const;
   inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader getOthers() const;
 
+  inline  ::uint64_t getBootId() const;
+
+  inline  ::uint32_t getLimit() const;
+
+  inline  ::uint64_t getExpectedLatency() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2743,9 +2747,6 @@
   inline  ::uint64_t getRemaining();
   inline void setRemaining( ::uint64_t value);
 
-  inline bool getWarm();
-  inline void setWarm(bool value);
-
   inline bool hasOthers();
   inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Builder getOthers();
   inline void setOthers( ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader value);
@@ -2753,6 +2754,15 @@
   inline void adoptOthers(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>> disownOthers();
 
+  inline  ::uint64_t getBootId();
+  inline void setBootId( ::uint64_t value);
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+  inline  ::uint64_t getExpectedLatency();
+  inline void setExpectedLatency( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6869,20 +6879,6 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AcquireReply::Item::Reader::getWarm() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
-}
-
-inline bool AcquireReply::Item::Builder::getWarm() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
-}
-inline void AcquireReply::Item::Builder::setWarm(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool AcquireReply::Item::Reader::hasOthers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -6917,6 +6913,48 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AcquireReply::Item::Reader::getBootId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Item::Builder::getBootId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setBootId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AcquireReply::Item::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AcquireReply::Item::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcquireReply::Item::Reader::getExpectedLatency() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Item::Builder::getExpectedLatency() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setExpectedLatency( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HandOverNotice::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
