--- a/packages/standins/upstream/upstream_service.cc
+++ b/packages/standins/upstream/upstream_service.cc
@@ -176,8 +176,7 @@
                                      { "upstream", m_settings.m_id } } } })));
   };
   // kj::Function keeps a reference to an lvalue, so both are moved.
-  return Run(
-    aRequest, kj::Function<void()>(kj::mv(execute)), kj::mv(answer));
+  return Run(aRequest, kj::Function<void()>(kj::mv(execute)), kj::mv(answer));
 }
 
 kj::Promise<Reply>
