--- a/packages/load/bench_client.cc
+++ b/packages/load/bench_client.cc
@@ -69,7 +69,7 @@
       return kj::READY_NOW;
     }
     return m_client.Send(m_endpoint, m_request, kTimeout)
-      .then([this, sent, aEnd](HttpReply aReply) {
+      .then([this, sent, aEnd](const HttpReply& aReply) {
         bool good = aReply.m_status.ok() && aReply.m_response.m_status == 200;
         m_failed += !good;
         if (good) {
--- a/packages/load/load_result.cc
+++ b/packages/load/load_result.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -29,8 +30,8 @@
   if (aValues.empty()) {
     return 0;
   }
-  auto rank =
-    static_cast<size_t>(aShare * static_cast<double>(aValues.size() - 1) + 0.5);
+  auto rank = static_cast<size_t>(
+    std::lround(aShare * static_cast<double>(aValues.size() - 1)));
   auto position = aValues.begin() + static_cast<ptrdiff_t>(rank);
   std::ranges::nth_element(aValues, position);
   return *position;
--- a/packages/load/load_runner.cc
+++ b/packages/load/load_runner.cc
@@ -136,7 +136,7 @@
       return m_client.Send(
         fault.m_endpoint, std::move(request), kControlTimeout);
     })
-    .then([this, aNext, &fault](HttpReply aReply) {
+    .then([this, aNext, &fault](const HttpReply& aReply) {
       bool taken =
         aReply.m_status.ok() && aReply.m_response.m_status / 100 == 2;
       m_result.AddFault(
@@ -233,7 +233,7 @@
 }
 
 kj::Promise<void>
-LoadRunner::Attempt(RequestPtr aRequest)
+LoadRunner::Attempt(const RequestPtr& aRequest)
 {
   ++aRequest->m_record.m_attempts;
   return Route(*aRequest).then([this, aRequest]() -> kj::Promise<void> {
@@ -246,16 +246,16 @@
     }
     Endpoint endpoint = *picked;
     return m_client.Send(endpoint, aRequest->m_message, m_experiment.m_timeout)
-      .then([this, aRequest, endpoint](HttpReply aReply) {
-        return OnReply(aRequest, endpoint, std::move(aReply));
+      .then([this, aRequest, endpoint](const HttpReply& aReply) {
+        return OnReply(aRequest, endpoint, aReply);
       });
   });
 }
 
 kj::Promise<void>
-LoadRunner::OnReply(RequestPtr aRequest,
+LoadRunner::OnReply(const RequestPtr& aRequest,
                     const Endpoint& aEndpoint,
-                    HttpReply aReply)
+                    const HttpReply& aReply)
 {
   RequestRecord& record = aRequest->m_record;
   bool elsewhere = true;
@@ -350,7 +350,7 @@
   HttpRequest request{ .m_path = "/v1/instances", .m_query = query };
   return m_client.Send(node, std::move(request), kRoutingTimeout)
     .then([this, &aCache, aTarget, aTurn, aTries](
-            HttpReply aReply) -> kj::Promise<void> {
+            const HttpReply& aReply) -> kj::Promise<void> {
       Json body = Json::parse(aReply.m_response.m_body, nullptr, false);
       std::vector<Endpoint> endpoints;
       if (aReply.m_status.ok() && body.is_object()) {
@@ -384,7 +384,7 @@
 {
   return m_client
     .Send(aEndpoint, { .m_path = std::move(aPath) }, kControlTimeout)
-    .then([](HttpReply aReply) {
+    .then([](const HttpReply& aReply) {
       return Json::parse(aReply.m_response.m_body, nullptr, false);
     });
 }
@@ -395,10 +395,10 @@
   auto reads =
     kj::heapArrayBuilder<kj::Promise<void>>(m_experiment.m_upstreams.size());
   for (const Endpoint& endpoint : m_experiment.m_upstreams) {
-    reads.add(
-      ReadControl(endpoint, "/standin/counters").then([&aCounters](Json aBody) {
-        AppendCounters(aBody, aCounters);
-      }));
+    reads.add(ReadControl(endpoint, "/standin/counters")
+                .then([&aCounters](const Json& aBody) {
+                  AppendCounters(aBody, aCounters);
+                }));
   }
   return kj::joinPromises(reads.finish());
 }
@@ -409,10 +409,10 @@
   auto reads =
     kj::heapArrayBuilder<kj::Promise<void>>(m_experiment.m_upstreams.size());
   for (const Endpoint& endpoint : m_experiment.m_upstreams) {
-    reads.add(
-      ReadControl(endpoint, "/standin/executions").then([this](Json aBody) {
-        AppendExecutions(aBody, m_executions);
-      }));
+    reads.add(ReadControl(endpoint, "/standin/executions")
+                .then([this](const Json& aBody) {
+                  AppendExecutions(aBody, m_executions);
+                }));
   }
   return kj::joinPromises(reads.finish());
 }
--- a/packages/load/load_runner.h
+++ b/packages/load/load_runner.h
@@ -70,10 +70,10 @@
   void StartRequest(Duration aIntended);
   [[nodiscard]] RequestPtr MakeQuery();
   [[nodiscard]] RequestPtr MakeFiling();
-  kj::Promise<void> Attempt(RequestPtr aRequest);
-  kj::Promise<void> OnReply(RequestPtr aRequest,
+  kj::Promise<void> Attempt(const RequestPtr& aRequest);
+  kj::Promise<void> OnReply(const RequestPtr& aRequest,
                             const Endpoint& aEndpoint,
-                            HttpReply aReply);
+                            const HttpReply& aReply);
   void ReadAnswer(Request& aRequest, const HttpResponse& aResponse);
   void Finish(const Request& aRequest);
 
