--- a/packages/core/config/node_settings.cc
+++ b/packages/core/config/node_settings.cc
@@ -110,10 +110,8 @@
 {
   TableReader table(aReader);
   table.Timer("heartbeat_ms", aTimers.m_heartbeat);
-  table.Timer("suspect_ms", aTimers.m_suspect);
   table.Timer("lease_ms", aTimers.m_lease);
   table.Timer("lease_margin_ms", aTimers.m_leaseMargin);
-  table.Timer("routing_lifetime_ms", aTimers.m_routingLifetime);
   table.Timer("drain_ms", aTimers.m_drain);
   table.Timer("store_timeout_ms", aTimers.m_storeTimeout);
   table.Timer("store_watch_ms", aTimers.m_storeWatch);
@@ -152,9 +150,7 @@
   table.Count("request_bytes", kByteRange, aLimits.m_requestBytes);
   table.Count(
     "upstream_answer_bytes", kByteRange, aLimits.m_upstreamAnswerBytes);
-  table.Count("connections", kCountRange, aLimits.m_connections);
   table.Count("queries", kCountRange, aLimits.m_queries);
-  table.Count("queued_sub_queries", kCountRange, aLimits.m_queuedSubQueries);
   aLimits.m_hedgeShare = aReader.Number(
     "hedge_share", { .m_min = 0, .m_max = 1 }, aLimits.m_hedgeShare);
 }
@@ -211,11 +207,6 @@
 ReadCheckedTimers(TomlReader& aReader, TimerSettings& aTimers)
 {
   ReadTimers(aReader, aTimers);
-  CheckShorter(aReader,
-               "heartbeat_ms",
-               aTimers.m_heartbeat,
-               "suspect_ms",
-               aTimers.m_suspect);
   CheckShorter(
     aReader, "heartbeat_ms", aTimers.m_heartbeat, "lease_ms", aTimers.m_lease);
   CheckShorter(aReader,
--- a/packages/core/config/node_settings.h
+++ b/packages/core/config/node_settings.h
@@ -46,15 +46,11 @@
 struct TimerSettings
 {
   // Between two heartbeats to the same peer.
-  Duration m_heartbeat = Milliseconds(500);
-  // A peer that was silent this long is suspected.
-  Duration m_suspect = Milliseconds(1500);
+  Duration m_heartbeat = Milliseconds(1000);
   // How long an owner may send work after the last confirmation.
-  Duration m_lease = Milliseconds(2000);
+  Duration m_lease = Milliseconds(3000);
   // What a successor waits beyond the lease, for clocks that run apart.
   Duration m_leaseMargin = Milliseconds(500);
-  // How long callers may keep a routing answer.
-  Duration m_routingLifetime = Milliseconds(2000);
   // How long a graceful stop waits for running requests after the routing
   // lifetime has passed.
   Duration m_drain = Milliseconds(30'000);
@@ -80,12 +76,8 @@
   size_t m_requestBytes = size_t{ 1 } << 20;
   // The body of one answer of an upstream, in bytes.
   size_t m_upstreamAnswerBytes = size_t{ 4 } << 20;
-  // Connections of callers.
-  uint32_t m_connections = 4096;
-  // Requests that wait or run.
+  // Requests that wait to run.
   uint32_t m_queries = 4096;
-  // Sub-queries that wait for slots of the upstreams owned here.
-  uint32_t m_queuedSubQueries = 65'536;
   // The share of sub-queries that may be hedged, in [0, 1].
   double m_hedgeShare = 0.05;
 };
--- /dev/null
+++ b/packages/core/link_probe/main.cc
@@ -0,0 +1,7 @@
+// Links every library of the core. The test core_links_no_io looks at which
+// shared libraries this program needs.
+int
+main()
+{
+  return 0;
+}
--- a/packages/core/query/snapshot_tracker.cc
+++ b/packages/core/query/snapshot_tracker.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <map>
 #include <string_view>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
 
 namespace ebonykeel {
 namespace {
@@ -29,6 +32,17 @@
          SameShards(aLeft, aRight);
 }
 
+void
+AddUpstreams(const ServiceConfig& aService,
+             absl::flat_hash_set<UpstreamId>& aUpstreams)
+{
+  for (const ShardConfig& shard : aService.m_shards) {
+    for (const UpstreamConfig& replica : shard.m_replicas) {
+      aUpstreams.insert(replica.m_id);
+    }
+  }
+}
+
 ServiceSnapshot
 SnapshotOf(const ConfigurationPtr& aConfiguration,
            const ServiceConfig& aService)
@@ -195,4 +209,32 @@
          !m_inForce->m_withdrawnDataCentres.contains(aReplica.m_dataCentre);
 }
 
+ConfigurationPtr
+SnapshotTracker::WithEarlierShards() const
+{
+  if (m_inForce == nullptr) {
+    return nullptr;
+  }
+  absl::flat_hash_set<UpstreamId> known;
+  for (const ServiceConfig& service : m_inForce->m_services) {
+    AddUpstreams(service, known);
+  }
+  auto extended = std::make_shared<Configuration>(*m_inForce);
+  for (ServiceConfig& service : extended->m_services) {
+    const Snapshots& snapshots = m_services.at(service.m_name);
+    if (!snapshots.m_earlier.has_value()) {
+      continue;
+    }
+    for (ShardConfig shard : snapshots.m_earlier->m_service->m_shards) {
+      std::erase_if(shard.m_replicas, [&known](const UpstreamConfig& aReplica) {
+        return !known.insert(aReplica.m_id).second;
+      });
+      if (!shard.m_replicas.empty()) {
+        service.m_shards.push_back(std::move(shard));
+      }
+    }
+  }
+  return extended;
+}
+
 } // namespace ebonykeel
--- a/packages/core/query/snapshot_tracker.h
+++ b/packages/core/query/snapshot_tracker.h
@@ -74,6 +74,12 @@
   // The configuration in force; null before the first.
   [[nodiscard]] const ConfigurationPtr& InForce() const { return m_inForce; }
 
+  // Returns the configuration in force, in which each service has also the
+  // shards of its earlier snapshot that hold upstreams of their own, so that
+  // those upstreams keep an owner while queries may pin them. Null before the
+  // first configuration.
+  [[nodiscard]] ConfigurationPtr WithEarlierShards() const;
+
   // Every upstream of the snapshots that queries may still pin, which may be
   // more than the configuration in force has. Sorted by id, each once.
   [[nodiscard]] std::vector<UpstreamConfig> UsableUpstreams() const;
--- a/packages/core/query/snapshot_tracker_test.cc
+++ b/packages/core/query/snapshot_tracker_test.cc
@@ -94,6 +94,29 @@
   DOCTEST_CHECK(switched.m_tracker.UsableUpstreams().size() == 4);
 }
 
+DOCTEST_TEST_CASE("upstreams of the earlier snapshot stay reachable")
+{
+  Switched switched;
+  DOCTEST_CHECK(*switched.m_tracker.WithEarlierShards() ==
+                *switched.m_tracker.InForce());
+  auto repartitioned =
+    std::make_shared<Configuration>(*MakeConfiguration(3, 12));
+  ServiceConfig& service = repartitioned->m_services.front();
+  const size_t shards = service.m_shards.size();
+  for (ShardConfig& shard : service.m_shards) {
+    shard.m_name = ShardName(shard.m_name.Text() + "-new");
+    for (UpstreamConfig& replica : shard.m_replicas) {
+      replica.m_id = UpstreamId(replica.m_id.Text() + "-new");
+    }
+  }
+  switched.m_tracker.OnConfiguration(repartitioned);
+  ConfigurationPtr reachable = switched.m_tracker.WithEarlierShards();
+  const ServiceConfig* extended = reachable->FindService(kService);
+  DOCTEST_REQUIRE(extended != nullptr);
+  DOCTEST_CHECK(extended->m_shards.size() == 2 * shards);
+  DOCTEST_CHECK(reachable->m_generation == 3);
+}
+
 DOCTEST_TEST_CASE("a query whose version is gone restarts once as a whole")
 {
   Switched switched;
--- a/packages/node/cluster/membership_service.cc
+++ b/packages/node/cluster/membership_service.cc
@@ -49,7 +49,8 @@
 MembershipService::SetState(InstanceState aState)
 {
   m_membership.SetSelfState(aState, m_loop.Clock().Now());
-  AfterInput();
+  // Tells others at once.
+  Tick();
 }
 
 void
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -35,6 +35,7 @@
   ConfigurationServiceOptions options;
   options.m_tracker.m_storeTimeout = aSettings.m_timers.m_storeTimeout;
   options.m_tracker.m_storeWatch = aSettings.m_timers.m_storeWatch;
+  options.m_tracker.m_rareRead = aSettings.m_timers.m_configurationRead;
   options.m_fetchTimeout = aSettings.m_timers.m_peerTimeout;
   return options;
 }
@@ -147,7 +148,7 @@
                 m_selector,
                 aSelf.m_id,
                 aRandom)
-    , m_admission(aLoop, {})
+    , m_admission(aLoop, { .m_queueLength = aSettings.m_limits.m_queries })
     , m_burn({}, aLoop.Clock().Now())
     , m_status({ m_membership,
                  m_ownership,
@@ -224,7 +225,7 @@
   // The peer address is bound last but has to be announced first.
   InstanceRecord self{
     .m_id = m_settings.m_id,
-    .m_incarnation = static_cast<BootId>(absl::ToUnixMillis(absl::Now())),
+    .m_incarnation = static_cast<BootId>(absl::ToUnixNanos(absl::Now())),
     .m_publicAddress =
       advertise(m_settings.m_listen.m_public, m_ports.m_public),
     .m_adminAddress = advertise(m_settings.m_listen.m_admin, m_ports.m_admin),
@@ -260,11 +261,10 @@
   LogEvent(Event::kNodeStopping, { { "id", m_settings.m_id.Text() } });
   m_parts->m_membership.SetState(InstanceState::kLeaving);
   m_parts->m_ownership.HandOverAll();
-  TimePoint bound = m_loop.Clock().Now() +
-                    m_settings.m_timers.m_routingLifetime + kSpreadMargin +
+  TimePoint bound = m_loop.Clock().Now() + kAnswerLifetime + kSpreadMargin +
                     m_settings.m_timers.m_drain;
   return m_loop.Clock()
-    .After(m_settings.m_timers.m_routingLifetime + kSpreadMargin)
+    .After(kAnswerLifetime + kSpreadMargin)
     .then([this, bound]() {
       m_parts->m_publicApi.RefuseNewWork();
       m_publicServer->BeginShutdown();
@@ -287,7 +287,7 @@
 Node::OnMembershipChanged()
 {
   m_parts->m_configuration.OnMembershipChanged();
-  m_parts->m_ownership.Update(m_parts->m_configuration.InForce());
+  m_parts->m_ownership.Update(m_reachable);
 }
 
 void
@@ -308,9 +308,9 @@
   m_parts->m_snapshots.OnConfiguration(aConfiguration);
   m_parts->m_selector.OnConfiguration(aConfiguration);
   m_parts->m_burn.SetTargets(*aConfiguration);
-  m_parts->m_ownership.Update(aConfiguration);
-  m_parts->m_upstreams.OnConfiguration(aConfiguration,
-                                       m_parts->m_snapshots.UsableUpstreams());
+  m_reachable = m_parts->m_snapshots.WithEarlierShards();
+  m_parts->m_ownership.Update(m_reachable);
+  m_parts->m_upstreams.OnConfiguration(m_reachable);
 }
 
 absl::Status
--- a/packages/node/node.h
+++ b/packages/node/node.h
@@ -91,6 +91,9 @@
   class LateHandler;
   std::unique_ptr<LateHandler> m_publicHandler;
   std::unique_ptr<LateHandler> m_adminHandler;
+  // The configuration in force, with the shards of earlier snapshots that
+  // queries may still pin.
+  ConfigurationPtr m_reachable;
   LatePeer m_peerHandler;
   std::unique_ptr<HttpServer> m_publicServer;
   std::unique_ptr<HttpServer> m_adminServer;
--- a/packages/node/peer/peer_service.cc
+++ b/packages/node/peer/peer_service.cc
@@ -205,8 +205,8 @@
   kj::Promise<void> done = session->Start(params.getRequest());
   // Attachments are destroyed in no order that can be relied upon, so that
   // what cancels the session has to own it.
-  return done.attach(kj::defer(
-    [session = kj::mv(session)]() mutable { session->CancelAll(); }));
+  return done.attach(
+    kj::defer([session = kj::mv(session)]() mutable { session->CancelAll(); }));
 }
 
 kj::Promise<void>
@@ -284,6 +284,12 @@
   return kj::READY_NOW;
 }
 
+kj::Promise<void>
+PeerService::probe(ProbeContext /* aContext */)
+{
+  return kj::READY_NOW;
+}
+
 kj::Promise<void>
 PeerService::burnReport(BurnReportContext aContext)
 {
--- a/packages/node/peer/peer_service.h
+++ b/packages/node/peer/peer_service.h
@@ -33,6 +33,7 @@
   kj::Promise<void> acquire(AcquireContext aContext) override;
   kj::Promise<void> handOver(HandOverContext aContext) override;
   kj::Promise<void> burnReport(BurnReportContext aContext) override;
+  kj::Promise<void> probe(ProbeContext aContext) override;
 
 private:
   class SearchSession;
--- a/packages/node/query/query_service.cc
+++ b/packages/node/query/query_service.cc
@@ -258,6 +258,7 @@
     auto remote = m_remote.find(aCancel.m_id);
     if (remote != m_remote.end()) {
       m_cancels[remote->second.m_peerAddress].push_back(aCancel.m_id);
+      m_service.m_links.Verify(remote->second.m_peerAddress);
       m_remote.erase(remote);
     }
   }
--- a/packages/node/upstream/upstream_service.cc
+++ b/packages/node/upstream/upstream_service.cc
@@ -4,6 +4,8 @@
 #include <numeric>
 #include <utility>
 
+#include <absl/container/flat_hash_set.h>
+
 #include <kj/debug.h>
 #include <nlohmann/json.hpp>
 
@@ -76,31 +78,28 @@
 }
 
 void
-UpstreamService::OnConfiguration(const ConfigurationPtr& aConfiguration,
-                                 std::span<const UpstreamConfig> aUsable)
+UpstreamService::OnConfiguration(const ConfigurationPtr& aConfiguration)
 {
   m_configuration = aConfiguration;
+  absl::flat_hash_set<UpstreamId> configured;
   for (const ServiceConfig& service : aConfiguration->m_services) {
     for (const ShardConfig& shard : service.m_shards) {
       for (const UpstreamConfig& replica : shard.m_replicas) {
+        configured.insert(replica.m_id);
         if (Owned* owned = FindOwned(replica.m_id)) {
           owned->m_config = replica;
-        } else if (m_ownership.Owns(replica.m_id)) {
-          MakeOwned(replica, service);
         }
       }
     }
   }
   for (auto& [id, owned] : m_owned) {
-    bool usable =
-      std::ranges::find(aUsable, id, &UpstreamConfig::m_id) != aUsable.end();
-    if (!usable) {
-      Perform(*owned,
-              owned->m_gate->SetClosed(
-                Closure::kDrained, true, m_loop.Clock().Now()));
+    if (configured.contains(id)) {
+      ApplyClosures(*owned);
       continue;
     }
-    ApplyClosures(*owned);
+    Perform(
+      *owned,
+      owned->m_gate->SetClosed(Closure::kDrained, true, m_loop.Clock().Now()));
   }
   OnOwnershipChanged();
 }
@@ -424,6 +423,10 @@
         }
         bool acknowledged =
           aReply.m_status.ok() && aReply.m_response.m_status == 200;
+        if (!acknowledged) {
+          // Kept connections may have gone silent as well.
+          m_client.CloseIdle(EndpointOf(*owned));
+        }
         UpstreamResult result{ .m_kind = acknowledged
                                            ? UpstreamResultKind::kCancelled
                                            : UpstreamResultKind::kTimeout,
--- a/packages/node/upstream/upstream_service.h
+++ b/packages/node/upstream/upstream_service.h
@@ -78,10 +78,9 @@
                   OwnershipService& aOwnership,
                   const UpstreamServiceOptions& aOptions);
 
-  // Takes the configuration in force and the upstreams that queries may still
-  // pin from the one before.
-  void OnConfiguration(const ConfigurationPtr& aConfiguration,
-                       std::span<const UpstreamConfig> aUsable);
+  // Takes the configuration in force, with the shards of earlier snapshots that
+  // queries may still pin.
+  void OnConfiguration(const ConfigurationPtr& aConfiguration);
   // Brings the gates in line with what is owned now.
   void OnOwnershipChanged();
 
--- a/packages/runtime/http/client.cc
+++ b/packages/runtime/http/client.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <utility>
 
+#include <kj/debug.h>
+
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "runtime/http/h2o_include.h"
@@ -17,6 +19,8 @@
 // h2o's own I/O timeout only bounds what nobody waits for any more; each
 // request has its own timeout.
 constexpr uint64_t kIoTimeoutMilliseconds = 120'000;
+// How long a pool is kept after its last request.
+constexpr Duration kPoolLinger = Seconds(2);
 // The socket pool's capacity does not limit connections, so it is set high.
 constexpr size_t kPoolCapacity = 65'536;
 
@@ -213,7 +217,7 @@
 
 } // namespace
 
-class H2oHttpClient::Impl
+class H2oHttpClient::Impl final : private kj::TaskSet::ErrorHandler
 {
 public:
   Impl(Loop& aLoop, const HttpClientOptions& aOptions)
@@ -222,6 +226,7 @@
     , m_context()
     , m_timeout()
     , m_receiver()
+    , m_tasks(*this)
   {
     h2o_timeout_init(m_loop.Uv(), &m_timeout, kIoTimeoutMilliseconds);
     m_queue = h2o_multithread_create_queue(m_loop.Uv());
@@ -236,7 +241,7 @@
                               const HttpRequest& aRequest,
                               Duration aTimeout)
   {
-    h2o_socketpool_t* pool = FindPool(aEndpoint);
+    Pool* pool = FindPool(aEndpoint);
     if (pool == nullptr) {
       return HttpReply{ .m_status = absl::InvalidArgumentError(absl::StrCat(
                           aEndpoint.m_host, " is not an IP number")) };
@@ -246,7 +251,7 @@
     auto exchange = kj::newAdaptedPromise<HttpReply, Exchange>(
       m_loop,
       m_context,
-      *pool,
+      pool->m_sockets,
       m_options.m_maxBodyBytes,
       progressRef,
       Serialize(aEndpoint, aRequest));
@@ -254,7 +259,8 @@
       return HttpReply{ .m_status = absl::DeadlineExceededError("timeout"),
                         .m_progress = progressRef };
     });
-    return exchange.exclusiveJoin(kj::mv(timeout)).attach(kj::mv(progress));
+    return exchange.exclusiveJoin(kj::mv(timeout))
+      .attach(kj::mv(progress), kj::addRef(*pool));
   }
 
   void CloseIdle(const Endpoint& aEndpoint)
@@ -263,16 +269,42 @@
     if (found == m_pools.end()) {
       return;
     }
-    // h2o has no call to empty a pool; with a timeout of zero it does so at
-    // the next return of a connection or the next run of its timer.
-    found->second->timeout = 0;
-    m_draining.push_back(found->second.release());
+    kj::Own<Pool> pool = kj::mv(found->second);
     m_pools.erase(found);
+    // Requests in flight finish on this pool; others get a new one.
+    pool->m_sockets.timeout = 0;
+    m_tasks.add(DisposeLater(kj::mv(pool)));
     m_loop.Kick();
   }
 
 private:
-  h2o_socketpool_t* FindPool(const Endpoint& aEndpoint)
+  struct Pool : public kj::Refcounted
+  {
+    h2o_socketpool_t m_sockets{};
+  };
+
+  // h2o's sockets refer to their pool until libuv has closed them, which is
+  // some turns after the last request ended.
+  kj::Promise<void> DisposeLater(kj::Own<Pool> aPool)
+  {
+    return m_loop.Clock()
+      .After(kPoolLinger)
+      .then([this, pool = kj::mv(aPool)]() mutable -> kj::Promise<void> {
+        if (pool->isShared()) {
+          return DisposeLater(kj::mv(pool));
+        }
+        h2o_socketpool_dispose(&pool->m_sockets);
+        m_loop.Kick();
+        return m_loop.Clock().After(kPoolLinger).attach(kj::mv(pool));
+      });
+  }
+
+  void taskFailed(kj::Exception&& aException) override
+  {
+    KJ_LOG(ERROR, "closing connections failed", aException);
+  }
+
+  Pool* FindPool(const Endpoint& aEndpoint)
   {
     auto found = m_pools.find(aEndpoint);
     if (found != m_pools.end()) {
@@ -283,15 +315,15 @@
         0) {
       return nullptr;
     }
-    auto pool = std::make_unique<h2o_socketpool_t>();
-    h2o_socketpool_init_by_address(pool.get(),
+    auto pool = kj::refcounted<Pool>();
+    h2o_socketpool_init_by_address(&pool->m_sockets,
                                    reinterpret_cast<sockaddr*>(&address),
                                    sizeof(address),
                                    0,
                                    kPoolCapacity);
     h2o_socketpool_set_timeout(
-      pool.get(), m_loop.Uv(), ToMilliseconds(m_options.m_idleTimeout));
-    return m_pools.emplace(aEndpoint, std::move(pool)).first->second.get();
+      &pool->m_sockets, m_loop.Uv(), ToMilliseconds(m_options.m_idleTimeout));
+    return m_pools.emplace(aEndpoint, kj::mv(pool)).first->second.get();
   }
 
   Loop& m_loop;
@@ -300,9 +332,8 @@
   h2o_timeout_t m_timeout;
   h2o_multithread_queue_t* m_queue = nullptr;
   h2o_multithread_receiver_t m_receiver;
-  std::map<Endpoint, std::unique_ptr<h2o_socketpool_t>> m_pools;
-  // Pools that were closed while requests may still use them.
-  std::vector<h2o_socketpool_t*> m_draining;
+  std::map<Endpoint, kj::Own<Pool>> m_pools;
+  kj::TaskSet m_tasks;
 };
 
 H2oHttpClient::H2oHttpClient(Loop& aLoop, const HttpClientOptions& aOptions)
--- a/packages/runtime/peer/links.cc
+++ b/packages/runtime/peer/links.cc
@@ -7,9 +7,16 @@
 #include "absl/strings/str_cat.h"
 
 namespace ebonykeel {
+namespace {
+
+// A connection without a sign of life for this long is taken for silent.
+constexpr Duration kVerifyTimeout = Milliseconds(300);
+
+} // namespace
 
 PeerLinks::PeerLinks(Loop& aLoop)
   : m_loop(aLoop)
+  , m_tasks(*this)
 {
 }
 
@@ -76,6 +83,37 @@
   m_links.erase(found);
 }
 
+void
+PeerLinks::Verify(std::string_view aAddress)
+{
+  auto found = m_links.find(aAddress);
+  if (found == m_links.end() || found->second->m_verifying) {
+    return;
+  }
+  Link& link = *found->second;
+  link.m_verifying = true;
+  std::string address(aAddress);
+  auto sign = Connect(aAddress).then([](wire::Peer::Client aPeer) {
+    return aPeer.probeRequest().send().ignoreResult();
+  });
+  m_tasks.add(
+    m_loop.Clock()
+      .Timer()
+      .timeoutAfter(kVerifyTimeout.count() * kj::NANOSECONDS, kj::mv(sign))
+      .then([&link]() { link.m_verifying = false; },
+            [this, address, &link](kj::Exception&& /* aException */) {
+              link.m_verifying = false;
+              DropLink(address, link);
+            })
+      .attach(kj::addRef(link)));
+}
+
+void
+PeerLinks::taskFailed(kj::Exception&& aException)
+{
+  KJ_LOG(ERROR, "peer link task failed", aException);
+}
+
 PeerServer::PeerServer(Loop& aLoop,
                        wire::Peer::Client aPeer,
                        std::string_view aHost,
--- a/packages/runtime/peer/links.h
+++ b/packages/runtime/peer/links.h
@@ -19,7 +19,7 @@
 
 // One connection for each peer address. Not thread-safe; the loop must outlive
 // it.
-class PeerLinks
+class PeerLinks final : private kj::TaskSet::ErrorHandler
 {
 public:
   explicit PeerLinks(Loop& aLoop);
@@ -35,6 +35,10 @@
   // a connection can go silent for good while new ones work.
   void Drop(std::string_view aAddress);
 
+  // Asks the peer at `aAddress` for a sign of life, and drops the connection if
+  // none comes in time. Call it when a call went unanswered for long.
+  void Verify(std::string_view aAddress);
+
   [[nodiscard]] size_t Count() const { return m_links.size(); }
 
 private:
@@ -45,14 +49,19 @@
     // Resolves with the peer when the connection is open.
     kj::Maybe<kj::ForkedPromise<wire::Peer::Client>> m_peer;
     kj::Maybe<kj::Promise<void>> m_disconnected;
+    // The check that is under way, if any.
+    bool m_verifying = false;
   };
 
   kj::Promise<wire::Peer::Client> Open(std::string_view aAddress, Link& aLink);
   // Drops `aLink` unless another link has taken its place.
   void DropLink(const std::string& aAddress, const Link& aLink);
 
+  void taskFailed(kj::Exception&& aException) override;
+
   Loop& m_loop;
   std::map<std::string, kj::Own<Link>, std::less<>> m_links;
+  kj::TaskSet m_tasks;
 };
 
 // Serves a peer interface to other instances.
--- a/packages/runtime/peer/peer.capnp
+++ b/packages/runtime/peer/peer.capnp
@@ -182,4 +182,6 @@
   handOver @7 (notice :HandOverNotice) -> ();
   # The service-level burn counted there, as JSON.
   burnReport @8 () -> (report :Text);
+  # A sign of life of the connection.
+  probe @9 () -> ();
 }
--- a/packages/runtime/peer/peer.capnp.c++
+++ b/packages/runtime/peer/peer.capnp.c++
@@ -2416,7 +2416,7 @@
   1, 3, i_b9e18691eb2ab2c1, nullptr, nullptr, { &s_b9e18691eb2ab2c1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<113> b_ea80a4179595bf3b = {
+static const ::capnp::_::AlignedData<123> b_ea80a4179595bf3b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      59, 191, 149, 149,  23, 164, 128, 234,
      33,   0,   0,   0,   3,   0,   0,   0,
@@ -2426,8 +2426,8 @@
      21,   0,   0,   0,  50,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,  71,   2,   0,   0,
-    149,   1,   0,   0,   7,   0,   0,   0,
+     33,   0,   0,   0, 135,   2,   0,   0,
+    189,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112,  97,  99, 107,  97, 103, 101, 115,
      47, 114, 117, 110, 116, 105, 109, 101,
@@ -2435,79 +2435,87 @@
     101, 114,  46,  99,  97, 112, 110, 112,
      58,  80, 101, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     36,   0,   0,   0,   3,   0,   5,   0,
+     40,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     209,  58, 155, 189,  98, 105,  23, 202,
      26, 216,  37, 170,  39, 210, 142, 142,
-     17,   1,   0,   0,  42,   0,   0,   0,
+     49,   1,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   1,   0,   0,   7,   0,   0,   0,
+     37,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     114, 176, 206, 139, 170, 232, 205, 220,
     127,  92,  40, 146,  46, 214, 187, 147,
-    249,   0,   0,   0,  58,   0,   0,   0,
+     25,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    237,   0,   0,   0,   7,   0,   0,   0,
+     13,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      47, 150, 239,  34, 224, 127, 192, 217,
      60,  72, 210, 245, 211, 247, 165, 198,
-    225,   0,   0,   0,  58,   0,   0,   0,
+      1,   1,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    213,   0,   0,   0,   7,   0,   0,   0,
+    245,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     231, 126, 237,  35, 215, 112, 237, 214,
      70, 216, 209, 223,  26, 169, 200, 207,
-    201,   0,   0,   0,  42,   0,   0,   0,
+    233,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+    221,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     201, 133, 248,  46, 166, 231, 115, 249,
      40, 144,  14, 233, 158, 237, 127, 164,
-    177,   0,   0,   0, 114,   0,   0,   0,
+    209,   0,   0,   0, 114,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      53, 121,  38,  61, 238, 182, 229, 204,
     191,  30,  32, 119, 125, 100,  13, 143,
-    157,   0,   0,   0,  50,   0,   0,   0,
+    189,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    145,   0,   0,   0,   7,   0,   0,   0,
+    177,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     193, 117,  89,  92,  72, 224,  38, 236,
      44, 125, 211, 234,  86, 188, 101, 191,
-    133,   0,   0,   0,  66,   0,   0,   0,
+    165,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    121,   0,   0,   0,   7,   0,   0,   0,
+    153,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
     219,  32,  97,   6,  19,  52, 140, 230,
     183, 181,  84,   4,  83,   3,  79, 169,
-    109,   0,   0,   0,  74,   0,   0,   0,
+    141,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
     100,  67,  98,  44, 215,  33, 112, 167,
      76, 123, 204, 116, 163, 189, 159, 194,
-     89,   0,   0,   0,  90,   0,   0,   0,
+    121,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+    133,  11, 158,  21, 253, 116, 184, 195,
+    117, 251,  44, 125, 221,  32, 127, 202,
+    101,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
     112, 105, 110, 103,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 101,  97, 114,  99, 104,   0,   0,
@@ -2529,6 +2537,8 @@
      98, 117, 114, 110,  82, 101, 112, 111,
     114, 116,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 114, 111,  98, 101,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_ea80a4179595bf3b = b_ea80a4179595bf3b.words;
@@ -2542,8 +2552,10 @@
   &s_a94f03530454b5b7,
   &s_bf65bc56ead37d2c,
   &s_c29fbda374cc7b4c,
+  &s_c3b874fd159e0b85,
   &s_c6a5f7d3f5d2483c,
   &s_ca176962bd9b3ad1,
+  &s_ca7f20dd7d2cfb75,
   &s_cce5b6ee3d267935,
   &s_cfc8a91adfd1d846,
   &s_d6ed70d723ed7ee7,
@@ -2553,10 +2565,10 @@
   &s_ec26e0485c5975c1,
   &s_f973e7a62ef885c9,
 };
-static const uint16_t m_ea80a4179595bf3b[] = {6, 8, 2, 4, 3, 7, 5, 0, 1};
+static const uint16_t m_ea80a4179595bf3b[] = {6, 8, 2, 4, 3, 7, 5, 0, 9, 1};
 const ::capnp::_::RawSchema s_ea80a4179595bf3b = {
-  0xea80a4179595bf3b, b_ea80a4179595bf3b.words, 113, d_ea80a4179595bf3b, m_ea80a4179595bf3b,
-  18, 9, nullptr, nullptr, nullptr, { &s_ea80a4179595bf3b, nullptr, nullptr, 0, 0, nullptr }
+  0xea80a4179595bf3b, b_ea80a4179595bf3b.words, 123, d_ea80a4179595bf3b, m_ea80a4179595bf3b,
+  20, 10, nullptr, nullptr, nullptr, { &s_ea80a4179595bf3b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<35> b_ca176962bd9b3ad1 = {
@@ -3377,6 +3389,62 @@
   0, 1, i_c29fbda374cc7b4c, nullptr, nullptr, { &s_c29fbda374cc7b4c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<19> b_c3b874fd159e0b85 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    133,  11, 158,  21, 253, 116, 184, 195,
+     38,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 154,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,  97,  99, 107,  97, 103, 101, 115,
+     47, 114, 117, 110, 116, 105, 109, 101,
+     47, 112, 101, 101, 114,  47, 112, 101,
+    101, 114,  46,  99,  97, 112, 110, 112,
+     58,  80, 101, 101, 114,  46, 112, 114,
+    111,  98, 101,  36,  80,  97, 114,  97,
+    109, 115,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_c3b874fd159e0b85 = b_c3b874fd159e0b85.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_c3b874fd159e0b85 = {
+  0xc3b874fd159e0b85, b_c3b874fd159e0b85.words, 19, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_c3b874fd159e0b85, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<19> b_ca7f20dd7d2cfb75 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    117, 251,  44, 125, 221,  32, 127, 202,
+     38,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,  97,  99, 107,  97, 103, 101, 115,
+     47, 114, 117, 110, 116, 105, 109, 101,
+     47, 112, 101, 101, 114,  47, 112, 101,
+    101, 114,  46,  99,  97, 112, 110, 112,
+     58,  80, 101, 101, 114,  46, 112, 114,
+    111,  98, 101,  36,  82, 101, 115, 117,
+    108, 116, 115,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ca7f20dd7d2cfb75 = b_ca7f20dd7d2cfb75.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_ca7f20dd7d2cfb75 = {
+  0xca7f20dd7d2cfb75, b_ca7f20dd7d2cfb75.words, 19, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_ca7f20dd7d2cfb75, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3674,6 +3742,16 @@
       "packages/runtime/peer/peer.capnp:Peer", "burnReport",
       0xea80a4179595bf3bull, 8);
 }
+::capnp::Request< ::ebonykeel::wire::Peer::ProbeParams,  ::ebonykeel::wire::Peer::ProbeResults>
+Peer::Client::probeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::ebonykeel::wire::Peer::ProbeParams,  ::ebonykeel::wire::Peer::ProbeResults>(
+      0xea80a4179595bf3bull, 9, sizeHint);
+}
+::kj::Promise<void> Peer::Server::probe(ProbeContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "packages/runtime/peer/peer.capnp:Peer", "probe",
+      0xea80a4179595bf3bull, 9);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3742,6 +3820,12 @@
              ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults>(context)),
         false
       };
+    case 9:
+      return {
+        probe(::capnp::Capability::Server::internalGetTypedContext<
+             ::ebonykeel::wire::Peer::ProbeParams,  ::ebonykeel::wire::Peer::ProbeResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3901,6 +3985,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::BurnReportResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::ProbeParams
+constexpr uint16_t Peer::ProbeParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ProbeParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ProbeParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ProbeParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::ProbeResults
+constexpr uint16_t Peer::ProbeResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ProbeResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ProbeResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ProbeResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/packages/runtime/peer/peer.capnp.h
+++ b/packages/runtime/peer/peer.capnp.h
@@ -58,6 +58,8 @@
 CAPNP_DECLARE_SCHEMA(a94f03530454b5b7);
 CAPNP_DECLARE_SCHEMA(a77021d72c624364);
 CAPNP_DECLARE_SCHEMA(c29fbda374cc7b4c);
+CAPNP_DECLARE_SCHEMA(c3b874fd159e0b85);
+CAPNP_DECLARE_SCHEMA(ca7f20dd7d2cfb75);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -398,6 +400,8 @@
   struct HandOverResults;
   struct BurnReportParams;
   struct BurnReportResults;
+  struct ProbeParams;
+  struct ProbeResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -677,6 +681,36 @@
   };
 };
 
+struct Peer::ProbeParams {
+  ProbeParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3b874fd159e0b85, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ProbeResults {
+  ProbeResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca7f20dd7d2cfb75, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -2929,6 +2963,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults> burnReportRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::ProbeParams,  ::ebonykeel::wire::Peer::ProbeResults> probeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2981,6 +3017,10 @@
   typedef  ::ebonykeel::wire::Peer::BurnReportResults BurnReportResults;
   typedef ::capnp::CallContext<BurnReportParams, BurnReportResults> BurnReportContext;
   virtual ::kj::Promise<void> burnReport(BurnReportContext context);
+  typedef  ::ebonykeel::wire::Peer::ProbeParams ProbeParams;
+  typedef  ::ebonykeel::wire::Peer::ProbeResults ProbeResults;
+  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
+  virtual ::kj::Promise<void> probe(ProbeContext context);
 
   inline  ::ebonykeel::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4430,6 +4470,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::ProbeParams::Reader {
+public:
+  typedef ProbeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ProbeParams::Builder {
+public:
+  typedef ProbeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ProbeParams::Pipeline {
+public:
+  typedef ProbeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ProbeResults::Reader {
+public:
+  typedef ProbeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ProbeResults::Builder {
+public:
+  typedef ProbeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ProbeResults::Pipeline {
+public:
+  typedef ProbeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool InstanceRef::Reader::hasId() const {
--- a/packages/runtime/store/http_store.cc
+++ b/packages/runtime/store/http_store.cc
@@ -116,8 +116,10 @@
 {
   ++m_counters.m_reads;
   return m_client
-    .Send(m_options.m_store, { .m_path = ObjectPath(aKey) }, m_options.m_timeout)
+    .Send(
+      m_options.m_store, { .m_path = ObjectPath(aKey) }, m_options.m_timeout)
     .then([this](HttpReply aReply) {
+      DropSilent(aReply);
       StoreRead read = ToRead(std::move(aReply));
       m_counters.m_failed += read.m_outcome == StoreReadOutcome::kFailed;
       return read;
@@ -128,14 +130,15 @@
 HttpObjectStore::Watch(std::string_view aKey, uint64_t aVersion, Duration aWait)
 {
   ++m_counters.m_watches;
-  HttpRequest request{ .m_path = ObjectPath(aKey),
-                       .m_query = absl::StrCat("watch=",
-                                               aVersion,
-                                               "&timeout_ms=",
-                                               ToMilliseconds(aWait)) };
+  HttpRequest request{
+    .m_path = ObjectPath(aKey),
+    .m_query =
+      absl::StrCat("watch=", aVersion, "&timeout_ms=", ToMilliseconds(aWait))
+  };
   return m_client
     .Send(m_options.m_store, std::move(request), aWait + m_options.m_timeout)
     .then([this](HttpReply aReply) {
+      DropSilent(aReply);
       StoreRead read = ToRead(std::move(aReply));
       m_counters.m_failed += read.m_outcome == StoreReadOutcome::kFailed;
       return read;
@@ -159,6 +162,7 @@
   return m_client
     .Send(m_options.m_store, std::move(request), m_options.m_timeout)
     .then([this](HttpReply aReply) {
+      DropSilent(aReply);
       StoreWrite write = ToWrite(aReply);
       m_counters.m_failed += write.m_outcome == StoreWriteOutcome::kUnknown ||
                              write.m_outcome == StoreWriteOutcome::kRefused;
@@ -166,6 +170,14 @@
     });
 }
 
+void
+HttpObjectStore::DropSilent(const HttpReply& aReply)
+{
+  if (aReply.m_status.code() == absl::StatusCode::kDeadlineExceeded) {
+    m_client.CloseIdle(m_options.m_store);
+  }
+}
+
 kj::Promise<InstanceList>
 HttpObjectStore::ListInstances()
 {
--- a/packages/runtime/store/http_store.h
+++ b/packages/runtime/store/http_store.h
@@ -35,6 +35,10 @@
   [[nodiscard]] const StoreCounters& Counters() const { return m_counters; }
 
 private:
+  // A connection can go silent for good while new ones work: after a call that
+  // missed its bound no kept connection is trusted.
+  void DropSilent(const HttpReply& aReply);
+
   HttpClient& m_client;
   HttpStoreOptions m_options;
   StoreCounters m_counters;
