--- a/packages/cli/requests.cc
+++ b/packages/cli/requests.cc
@@ -115,8 +115,9 @@
              { "key", aLine.m_key },
              { "payload", aLine.m_payload },
              { "issued_at_ms",
-               aLine.m_issuedAtMs != 0 ? static_cast<int64_t>(aLine.m_issuedAtMs)
-                                       : aContext.m_unixMs } };
+               aLine.m_issuedAtMs != 0
+                 ? static_cast<int64_t>(aLine.m_issuedAtMs)
+                 : aContext.m_unixMs } };
   if (aLine.m_deadlineMs > 0) {
     body["deadline_ms"] = aLine.m_deadlineMs;
   }
--- a/packages/node/admission/admission_service.cc
+++ b/packages/node/admission/admission_service.cc
@@ -21,9 +21,8 @@
   : m_loop(aLoop)
   , m_options(aOptions)
   , m_admission(aOptions)
-  , m_alarm(aLoop.Clock(), [this]() {
-    Perform(m_admission.OnTimer(m_loop.Clock().Now()));
-  })
+  , m_alarm(aLoop.Clock(),
+            [this]() { Perform(m_admission.OnTimer(m_loop.Clock().Now())); })
 {
 }
 
@@ -31,8 +30,7 @@
 AdmissionService::Enter(AdmissionTicket aTicket)
 {
   aTicket.m_id = ++m_lastTicket;
-  AdmissionDecision decision =
-    m_admission.Offer(aTicket, m_loop.Clock().Now());
+  AdmissionDecision decision = m_admission.Offer(aTicket, m_loop.Clock().Now());
   if (decision.m_verdict != Verdict::kQueue) {
     Perform(decision.m_others);
     return decision.m_verdict == Verdict::kAdmit ? Admit(aTicket.m_id)
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -5,60 +5,10 @@
 # Usage: tools/demo.sh BUILD_FOLDER
 set -euo pipefail
 bin=$1/bin
-run=$(mktemp -d)
-pids=()
-declare -A node_pid
-
-cleanup() {
-  for pid in "${pids[@]}"; do
-    kill -KILL "$pid" 2>/dev/null || true
-  done
-  wait 2>/dev/null || true
-  rm -rf "$run"
-}
-trap cleanup EXIT
-
-launch() { # NAME PROGRAM ARGUMENTS...
-  local name=$1
-  shift
-  "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
-  node_pid[$name]=$!
-}
-
-# Waits for a ready file and prints one of its numbers.
-port_of() { # NAME KEY
-  for _ in $(seq 300); do
-    [ -s "$run/$1.json" ] && break
-    sleep 0.1
-  done
-  sed -E "s/.*\"$2\": *([0-9]+).*/\1/" "$run/$1.json"
-}
-
-put_instance() { # NAME DATA_CENTRE
-  local body
-  body=$(printf '{"id":"%s","peer_address":"127.0.0.1:%s","public_address":"127.0.0.1:%s","admin_address":"127.0.0.1:%s","data_centre":"%s","region":"cantabrian","state":"live"}' \
-    "$1" "$(port_of "$1" peer)" "$(port_of "$1" public)" "$(port_of "$1" admin)" "$2")
-  curl -sSf -o /dev/null -X PUT -d "$body" "http://127.0.0.1:$platform/standin/instances/$1"
-}
-
-start_node() { # NAME DATA_CENTRE
-  cat >"$run/$1.toml" <<TOML
-id = "$1"
-data_centre = "$2"
-region = "cantabrian"
-ready_file = "$run/$1.json"
-
-[store]
-address = "127.0.0.1:$platform"
-TOML
-  launch "$1" "$bin/ebonykeeld" --settings="$run/$1.toml"
-  put_instance "$1" "$2"
-}
+source "$(dirname "$0")/cluster.sh"
 
 echo "demo: starting the platform's stand-in, searchers and six instances"
-launch platform "$bin/standin_platform" --listen=127.0.0.1:0 --ready-file="$run/platform.json"
-platform=$(port_of platform port)
+start_platform
 
 # The examples' searchers listen where the service files say.
 mkdir "$run/services"
@@ -82,16 +32,13 @@
 for data_centre in oviedo santander bilbao oviedo santander bilbao; do
   i=$((i + 1))
   start_node "entry-$i" "$data_centre"
+  list_instance "entry-$i" "$data_centre"
 done
 admin=127.0.0.1:$(port_of entry-1 admin)
 node=127.0.0.1:$(port_of entry-1 public)
 tool=("$bin/ebonykeel" --admin="$admin" --node="$node")
 
-for _ in $(seq 100); do
-  active=$("${tool[@]}" status | grep -c ' active ' || true)
-  [ "$active" -ge 6 ] && break
-  sleep 0.2
-done
+wait_active "$admin" 6
 "$bin/ebonykeel" check "$run"/services/*.toml
 "${tool[@]}" publish "$run/services" --wait=20
 
@@ -120,7 +67,7 @@
 load=$!
 pids+=("$load")
 sleep 5
-kill -KILL "${node_pid[entry-5]}"
+kill -KILL "${pid_of[entry-5]}"
 sleep 4
 "${tool[@]}" data-centre out bilbao
 sleep 4
@@ -132,11 +79,11 @@
 
 echo "demo: graceful stop"
 for name in entry-1 entry-2 entry-3 entry-4 entry-6; do
-  kill -TERM "${node_pid[$name]}"
+  kill -TERM "${pid_of[$name]}"
 done
 for name in entry-1 entry-2 entry-3 entry-4 entry-6; do
   code=0
-  wait "${node_pid[$name]}" || code=$?
+  wait "${pid_of[$name]}" || code=$?
   if [ "$code" -ne 0 ]; then
     echo "demo: $name stopped with exit code $code"
     status=1
--- a/tools/measure_control.sh
+++ b/tools/measure_control.sh
@@ -7,6 +7,7 @@
 bin=$1/bin
 seconds=$2
 shift 2
+source "$(dirname "$0")/cluster.sh"
 
 ticks=$(getconf CLK_TCK)
 
@@ -29,42 +30,23 @@
     sed -E "s/.*\"$1\": *([0-9]+).*/\1/"
 }
 
-port_of() { # NAME KEY
-  for _ in $(seq 300); do
-    [ -s "$run/$1.json" ] && break
-    sleep 0.1
-  done
-  sed -E "s/.*\"$2\": *([0-9]+).*/\1/" "$run/$1.json"
-}
-
 measure() { # SIZE
-  local size=$1 pids=() all=() data_centres=(a1 a2 a3 a4)
-  run=$(mktemp -d)
-  "$bin/standin_platform" --listen=127.0.0.1:0 --ready-file="$run/platform.json" >/dev/null 2>&1 &
-  all+=($!)
-  platform=$(port_of platform port)
+  local size=$1 node_pids=() data_centres=(a1 a2 a3 a4) i
+  start_platform
   for ((i = 0; i < size; i++)); do
-    local dc=${data_centres[$((i % 4))]}
-    printf 'id = "n%d"\ndata_centre = "%s"\nregion = "a"\nready_file = "%s"\n[store]\naddress = "127.0.0.1:%s"\n[log]\nmin_level = "warning"\n' \
-      "$i" "$dc" "$run/n$i.json" "$platform" >"$run/n$i.toml"
-    "$bin/ebonykeeld" --settings="$run/n$i.toml" >/dev/null 2>&1 &
-    pids+=($!)
-    all+=($!)
+    start_node "n$i" "${data_centres[$((i % 4))]}" '[log]' 'min_level = "warning"'
+    node_pids+=("${pid_of[n$i]}")
   done
   for ((i = 0; i < size; i++)); do
-    curl -sSf -o /dev/null -X PUT "http://127.0.0.1:$platform/standin/instances/n$i" -d \
-      "{\"id\":\"n$i\",\"peer_address\":\"127.0.0.1:$(port_of "n$i" peer)\",\"public_address\":\"127.0.0.1:$(port_of "n$i" public)\",\"admin_address\":\"127.0.0.1:$(port_of "n$i" admin)\",\"data_centre\":\"${data_centres[$((i % 4))]}\",\"region\":\"a\",\"state\":\"live\"}"
+    list_instance "n$i" "${data_centres[$((i % 4))]}"
   done
   local admin
   admin=127.0.0.1:$(port_of n0 admin)
-  for _ in $(seq 300); do
-    [ "$("$bin/ebonykeel" --admin="$admin" status | grep -c ' active ' || true)" -ge "$size" ] && break
-    sleep 0.2
-  done
+  wait_active "$admin" "$size"
   sleep 15
   local bytes0 cpu0 reads0 writes0 lists0 watches
   bytes0=$(lo_bytes)
-  cpu0=$(cpu_ticks "${pids[@]}")
+  cpu0=$(cpu_ticks "${node_pids[@]}")
   reads0=$(store_counter reads)
   writes0=$(store_counter writes)
   lists0=$(store_counter instance_list_reads)
@@ -72,12 +54,12 @@
   watches=$(store_counter watches_waiting)
   local bytes cpu reads writes lists
   bytes=$(($(lo_bytes) - bytes0))
-  cpu=$(($(cpu_ticks "${pids[@]}") - cpu0))
+  cpu=$(($(cpu_ticks "${node_pids[@]}") - cpu0))
   reads=$(($(store_counter reads) - reads0))
   writes=$(($(store_counter writes) - writes0))
   lists=$(($(store_counter instance_list_reads) - lists0))
   local rss started in_force
-  rss=$(resident_kb "${pids[@]}")
+  rss=$(resident_kb "${node_pids[@]}")
   mkdir "$run/services"
   cp examples/tasadores/valuation-desk-01.toml "$run/services"
   started=$(date +%s%N)
@@ -89,9 +71,7 @@
     -v reads="$reads" -v writes="$writes" -v lists="$lists" -v w="$watches" -v f="$in_force" 'BEGIN {
       printf "%5d nodes: %7.2f KB/s a node, %5.2f%% of a core a node, %6.1f MB a node, store %.2f reads/s %.2f writes/s %.2f lists/s %d watches waiting, publish in force in %s ms\n",
         n, b / s / n / 1000, 100 * c / t / s / n, r / 1000, reads / s, writes / s, lists / s, w, f }'
-  kill -KILL "${all[@]}" 2>/dev/null || true
-  wait "${all[@]}" 2>/dev/null || true
-  rm -rf "$run"
+  reset_cluster
 }
 
 for size in "$@"; do
