--- a/packages/node/upstream/upstream_service.cc
+++ b/packages/node/upstream/upstream_service.cc
@@ -4,6 +4,8 @@
 #include <numeric>
 #include <utility>
 
+#include <absl/container/flat_hash_set.h>
+
 #include <kj/debug.h>
 #include <nlohmann/json.hpp>
 
@@ -76,31 +78,28 @@
 }
 
 void
-UpstreamService::OnConfiguration(const ConfigurationPtr& aConfiguration,
-                                 std::span<const UpstreamConfig> aUsable)
+UpstreamService::OnConfiguration(const ConfigurationPtr& aConfiguration)
 {
   m_configuration = aConfiguration;
+  absl::flat_hash_set<UpstreamId> configured;
   for (const ServiceConfig& service : aConfiguration->m_services) {
     for (const ShardConfig& shard : service.m_shards) {
       for (const UpstreamConfig& replica : shard.m_replicas) {
+        configured.insert(replica.m_id);
         if (Owned* owned = FindOwned(replica.m_id)) {
           owned->m_config = replica;
-        } else if (m_ownership.Owns(replica.m_id)) {
-          MakeOwned(replica, service);
         }
       }
     }
   }
   for (auto& [id, owned] : m_owned) {
-    bool usable =
-      std::ranges::find(aUsable, id, &UpstreamConfig::m_id) != aUsable.end();
-    if (!usable) {
-      Perform(*owned,
-              owned->m_gate->SetClosed(
-                Closure::kDrained, true, m_loop.Clock().Now()));
+    if (configured.contains(id)) {
+      ApplyClosures(*owned);
       continue;
     }
-    ApplyClosures(*owned);
+    Perform(
+      *owned,
+      owned->m_gate->SetClosed(Closure::kDrained, true, m_loop.Clock().Now()));
   }
   OnOwnershipChanged();
 }
@@ -125,7 +124,7 @@
   for (auto& [id, owned] : m_owned) {
     bool held = m_ownership.AllowedSlots(id, now) > 0;
     if (held && !owned->m_held) {
-      owned->m_gate->OnOwnershipGained({}, now);
+      owned->m_gate->OnOwnershipGained(StartOf(id), now);
     }
     owned->m_held = held;
     Perform(*owned, owned->m_gate->OnPermitChanged(now));
@@ -284,17 +283,48 @@
                  [&](const GateProbe& /* aProbe */) { Probe(aOwned); } },
                action);
   }
+  NoteWarmth(aOwned);
+  Arm(aOwned);
+}
+
+void
+UpstreamService::NoteWarmth(Owned& aOwned)
+{
+  if (!aOwned.m_held) {
+    return;
+  }
+  WarmthHint hint = aOwned.m_gate->Hint(m_loop.Clock().Now());
   bool warm = aOwned.m_gate->Warm();
-  if (warm != aOwned.m_warm) {
-    aOwned.m_warm = warm;
-    m_ownership.SetWarm(aOwned.m_config.m_id, warm);
-    if (!warm) {
-      LogEvent(Event::kUpstreamCold,
-               { { "upstream", aOwned.m_config.m_id.Text() },
-                 { "boot", absl::StrCat(aOwned.m_gate->Boot()) } });
-    }
+  bool changed = warm != aOwned.m_warm || hint.m_limit != aOwned.m_limit ||
+                 hint.m_bootId != aOwned.m_bootId;
+  if (!changed) {
+    return;
   }
-  Arm(aOwned);
+  if (aOwned.m_warm && !warm) {
+    LogEvent(Event::kUpstreamCold,
+             { { "upstream", aOwned.m_config.m_id.Text() },
+               { "boot", absl::StrCat(hint.m_bootId) } });
+  }
+  aOwned.m_warm = warm;
+  aOwned.m_limit = hint.m_limit;
+  aOwned.m_bootId = hint.m_bootId;
+  m_ownership.SetWarmth(aOwned.m_config.m_id,
+                        { .m_bootId = hint.m_bootId,
+                          .m_limit = hint.m_limit,
+                          .m_expectedLatency = hint.m_expectedLatency });
+}
+
+OwnershipStart
+UpstreamService::StartOf(const UpstreamId& aUpstream) const
+{
+  Warmth warmth = m_ownership.WarmthOf(aUpstream);
+  if (warmth.m_bootId == 0) {
+    return {};
+  }
+  return { .m_hint =
+             WarmthHint{ .m_bootId = warmth.m_bootId,
+                         .m_limit = warmth.m_limit,
+                         .m_expectedLatency = warmth.m_expectedLatency } };
 }
 
 void
@@ -393,6 +423,10 @@
         }
         bool acknowledged =
           aReply.m_status.ok() && aReply.m_response.m_status == 200;
+        if (!acknowledged) {
+          // Kept connections may have gone silent as well.
+          m_client.CloseIdle(EndpointOf(*owned));
+        }
         UpstreamResult result{ .m_kind = acknowledged
                                            ? UpstreamResultKind::kCancelled
                                            : UpstreamResultKind::kTimeout,
--- a/packages/node/upstream/upstream_service.h
+++ b/packages/node/upstream/upstream_service.h
@@ -78,10 +78,9 @@
                   OwnershipService& aOwnership,
                   const UpstreamServiceOptions& aOptions);
 
-  // Takes the configuration in force and the upstreams that queries may still
-  // pin from the one before.
-  void OnConfiguration(const ConfigurationPtr& aConfiguration,
-                       std::span<const UpstreamConfig> aUsable);
+  // Takes the configuration in force, with the shards of earlier snapshots that
+  // queries may still pin.
+  void OnConfiguration(const ConfigurationPtr& aConfiguration);
   // Brings the gates in line with what is owned now.
   void OnOwnershipChanged();
 
@@ -120,7 +119,10 @@
     std::unique_ptr<Alarm> m_alarm;
     std::map<WorkId, ActiveTask> m_tasks;
     bool m_held = false;
+    // What was noted last for the next owner.
     bool m_warm = false;
+    uint32_t m_limit = 0;
+    BootId m_bootId = 0;
   };
 
   void taskFailed(kj::Exception&& aException) override;
@@ -129,6 +131,10 @@
                    const ServiceConfig& aService);
   void ApplyClosures(Owned& aOwned);
   void Perform(Owned& aOwned, GateActions aActions);
+  // Tells the next owner what is known of the upstream's cold start.
+  void NoteWarmth(Owned& aOwned);
+  // What a predecessor told of it.
+  [[nodiscard]] OwnershipStart StartOf(const UpstreamId& aUpstream) const;
   void Dispatch(Owned& aOwned, WorkId aWork);
   void OnReply(const UpstreamId& aUpstream,
                WorkId aWork,
--- a/packages/runtime/peer/peer.capnp
+++ b/packages/runtime/peer/peer.capnp
@@ -148,8 +148,10 @@
     epoch @3 :UInt64;
     inFlight @4 :UInt32;
     remaining @5 :UInt64;
-    warm @6 :Bool;
-    others @7 :List(OtherAsker);
+    others @6 :List(OtherAsker);
+    bootId @7 :UInt64;
+    limit @8 :UInt32;
+    expectedLatency @9 :UInt64;
   }
   responder @0 :InstanceRef;
   requesterIncarnation @1 :UInt64;
@@ -180,4 +182,6 @@
   handOver @7 (notice :HandOverNotice) -> ();
   # The service-level burn counted there, as JSON.
   burnReport @8 () -> (report :Text);
+  # A sign of life of the connection.
+  probe @9 () -> ();
 }
--- a/packages/runtime/peer/peer.capnp.h
+++ b/packages/runtime/peer/peer.capnp.h
@@ -58,6 +58,8 @@
 CAPNP_DECLARE_SCHEMA(a94f03530454b5b7);
 CAPNP_DECLARE_SCHEMA(a77021d72c624364);
 CAPNP_DECLARE_SCHEMA(c29fbda374cc7b4c);
+CAPNP_DECLARE_SCHEMA(c3b874fd159e0b85);
+CAPNP_DECLARE_SCHEMA(ca7f20dd7d2cfb75);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -350,7 +352,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e7b1f4e0cbd2bf02, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e7b1f4e0cbd2bf02, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -398,6 +400,8 @@
   struct HandOverResults;
   struct BurnReportParams;
   struct BurnReportResults;
+  struct ProbeParams;
+  struct ProbeResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -677,6 +681,36 @@
   };
 };
 
+struct Peer::ProbeParams {
+  ProbeParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3b874fd159e0b85, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ProbeResults {
+  ProbeResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca7f20dd7d2cfb75, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class InstanceRef::Reader {
@@ -2688,11 +2722,15 @@
 
   inline  ::uint64_t getRemaining() const;
 
-  inline bool getWarm() const;
-
   inline bool hasOthers() const;
   inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader getOthers() const;
 
+  inline  ::uint64_t getBootId() const;
+
+  inline  ::uint32_t getLimit() const;
+
+  inline  ::uint64_t getExpectedLatency() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2743,9 +2781,6 @@
   inline  ::uint64_t getRemaining();
   inline void setRemaining( ::uint64_t value);
 
-  inline bool getWarm();
-  inline void setWarm(bool value);
-
   inline bool hasOthers();
   inline  ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Builder getOthers();
   inline void setOthers( ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>::Reader value);
@@ -2753,6 +2788,15 @@
   inline void adoptOthers(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::AcquireReply::OtherAsker,  ::capnp::Kind::STRUCT>> disownOthers();
 
+  inline  ::uint64_t getBootId();
+  inline void setBootId( ::uint64_t value);
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+  inline  ::uint64_t getExpectedLatency();
+  inline void setExpectedLatency( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2919,6 +2963,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::ebonykeel::wire::Peer::BurnReportParams,  ::ebonykeel::wire::Peer::BurnReportResults> burnReportRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::ebonykeel::wire::Peer::ProbeParams,  ::ebonykeel::wire::Peer::ProbeResults> probeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2971,6 +3017,10 @@
   typedef  ::ebonykeel::wire::Peer::BurnReportResults BurnReportResults;
   typedef ::capnp::CallContext<BurnReportParams, BurnReportResults> BurnReportContext;
   virtual ::kj::Promise<void> burnReport(BurnReportContext context);
+  typedef  ::ebonykeel::wire::Peer::ProbeParams ProbeParams;
+  typedef  ::ebonykeel::wire::Peer::ProbeResults ProbeResults;
+  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
+  virtual ::kj::Promise<void> probe(ProbeContext context);
 
   inline  ::ebonykeel::wire::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4420,6 +4470,148 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::ProbeParams::Reader {
+public:
+  typedef ProbeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ProbeParams::Builder {
+public:
+  typedef ProbeParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ProbeParams::Pipeline {
+public:
+  typedef ProbeParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ProbeResults::Reader {
+public:
+  typedef ProbeResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ProbeResults::Builder {
+public:
+  typedef ProbeResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ProbeResults::Pipeline {
+public:
+  typedef ProbeResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool InstanceRef::Reader::hasId() const {
@@ -6869,20 +7061,6 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AcquireReply::Item::Reader::getWarm() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
-}
-
-inline bool AcquireReply::Item::Builder::getWarm() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
-}
-inline void AcquireReply::Item::Builder::setWarm(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool AcquireReply::Item::Reader::hasOthers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
@@ -6917,6 +7095,48 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AcquireReply::Item::Reader::getBootId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Item::Builder::getBootId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setBootId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AcquireReply::Item::Reader::getLimit() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AcquireReply::Item::Builder::getLimit() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setLimit( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AcquireReply::Item::Reader::getExpectedLatency() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AcquireReply::Item::Builder::getExpectedLatency() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void AcquireReply::Item::Builder::setExpectedLatency( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HandOverNotice::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
