--- a/packages/node/api/admin_api.cc
+++ b/packages/node/api/admin_api.cc
@@ -287,18 +287,19 @@
   }
   ChangeNote note = MakeNote(body, "");
   return m_configuration.ReadHistory(generation->get<Generation>())
-    .then([this, note](ConfigurationPtr aOld) -> kj::Promise<HttpResponse> {
-      if (aOld == nullptr) {
-        return ErrorResponse(
-          { .m_status = 404,
-            .m_code = "not_found",
-            .m_message = "that generation is not in the history" });
-      }
-      return Apply({ .m_changeId = note.m_changeId,
-                     .m_make = [aOld, note](const Configuration& aCurrent) {
-                       return Rollback(aCurrent, *aOld, note);
-                     } });
-    });
+    .then(
+      [this, note](const ConfigurationPtr& aOld) -> kj::Promise<HttpResponse> {
+        if (aOld == nullptr) {
+          return ErrorResponse(
+            { .m_status = 404,
+              .m_code = "not_found",
+              .m_message = "that generation is not in the history" });
+        }
+        return Apply({ .m_changeId = note.m_changeId,
+                       .m_make = [aOld, note](const Configuration& aCurrent) {
+                         return Rollback(aCurrent, *aOld, note);
+                       } });
+      });
 }
 
 kj::Promise<HttpResponse>
@@ -329,7 +330,7 @@
       ? kj::Promise<ConfigurationPtr>(inForce)
       : m_configuration.ReadHistory(aGeneration);
   return read.then([this, aGeneration, aCount, entries = std::move(aEntries)](
-                     ConfigurationPtr aOld) mutable {
+                     const ConfigurationPtr& aOld) mutable {
     Json entry{ { "generation", aGeneration }, { "kept", aOld != nullptr } };
     if (aOld != nullptr) {
       entry["author"] = aOld->m_author;
--- a/packages/testing/caller_load.cc
+++ b/packages/testing/caller_load.cc
@@ -159,14 +159,14 @@
     .Send(endpoint, std::move(request), m_options.m_timeout)
     .then([this, endpoint, attempt = std::move(aAttempt)](
             HttpReply&& aReply) mutable {
-      return OnReply(std::move(attempt), endpoint, std::move(aReply));
+      return OnReply(std::move(attempt), endpoint, aReply);
     });
 }
 
 kj::Promise<void>
 CallerLoad::OnReply(Attempt aAttempt,
                     const Endpoint& aEndpoint,
-                    HttpReply aReply)
+                    const HttpReply& aReply)
 {
   if (!aReply.m_status.ok()) {
     Forget(aEndpoint);
--- a/packages/testing/caller_load.h
+++ b/packages/testing/caller_load.h
@@ -99,7 +99,7 @@
   kj::Promise<void> RunOne(Attempt aAttempt);
   kj::Promise<void> OnReply(Attempt aAttempt,
                             const Endpoint& aEndpoint,
-                            HttpReply aReply);
+                            const HttpReply& aReply);
   kj::Promise<void> TryAgain(Attempt aAttempt);
   kj::Promise<void> Route();
   [[nodiscard]] HttpRequest MakeRequest(const Attempt& aAttempt);
--- a/packages/testing/cluster.cc
+++ b/packages/testing/cluster.cc
@@ -6,7 +6,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -182,7 +181,9 @@
 Cluster::NodeIds() const
 {
   std::vector<std::string> ids;
-  std::ranges::copy(std::views::keys(m_nodes), std::back_inserter(ids));
+  std::ranges::transform(m_nodes,
+                         std::back_inserter(ids),
+                         [](const auto& aEntry) { return aEntry.first; });
   return ids;
 }
 
@@ -246,7 +247,8 @@
 }
 
 std::string
-Cluster::ServiceFile(uint64_t aVersion, std::vector<std::string> aShards) const
+Cluster::ServiceFile(uint64_t aVersion,
+                     const std::vector<std::string>& aShards) const
 {
   std::string text = absl::StrCat("name = \"",
                                   std::string(kTestService),
@@ -336,8 +338,7 @@
              { "query", "knots" },
              { "caller", "probe" },
              { "request_id", absl::StrCat("probe-", ++m_calls) } };
-  CallResult result =
-    Call(Node(aNode).m_public, "POST", "/v1/query", std::move(body));
+  CallResult result = Call(Node(aNode).m_public, "POST", "/v1/query", body);
   return result.m_status == 200 && result.m_body["whole"] == true;
 }
 
--- a/packages/testing/cluster.h
+++ b/packages/testing/cluster.h
@@ -136,8 +136,9 @@
   [[nodiscard]] nlohmann::json Counters(const std::string& aSearcherId);
 
   // Returns the service's file as text, for one index version.
-  [[nodiscard]] std::string ServiceFile(uint64_t aVersion,
-                                        std::vector<std::string> aShards) const;
+  [[nodiscard]] std::string ServiceFile(
+    uint64_t aVersion,
+    const std::vector<std::string>& aShards) const;
   // Publishes the service through a node; `aBase` 0 means any base.
   CallResult Publish(const std::string& aNode,
                      const std::string& aServiceFile,
--- a/packages/testing/process_upstream_test.cc
+++ b/packages/testing/process_upstream_test.cc
@@ -203,9 +203,10 @@
                     cluster.SearcherId(0, 1));
   CallerLoad load(cluster, { .m_filingWorkers = 1 });
   load.Start();
-  auto publish = [&](uint64_t aVersion, std::vector<std::string> aShards) {
+  auto publish = [&](uint64_t aVersion,
+                     const std::vector<std::string>& aShards) {
     WaitForWhole(cluster, load);
-    std::string file = cluster.ServiceFile(aVersion, std::move(aShards));
+    std::string file = cluster.ServiceFile(aVersion, aShards);
     CallResult result = cluster.Publish("n2", file);
     DOCTEST_REQUIRE(result.m_status == 200);
     auto generation = result.m_body["generation"].get<uint64_t>();
