--- a/packages/node/filing/filing_service.cc
+++ b/packages/node/filing/filing_service.cc
@@ -371,7 +371,7 @@
 }
 
 void
-FilingService::OnStoreReply(StoreReply aReply)
+FilingService::OnStoreReply(const StoreReply& aReply)
 {
   PerformBatcher(m_batcher.OnStoreReply(aReply, At()));
 }
--- a/packages/node/filing/filing_service.h
+++ b/packages/node/filing/filing_service.h
@@ -93,7 +93,7 @@
     TimePoint aNotAfter);
   [[nodiscard]] std::optional<Target> ChooseTarget(const FilingInput& aInput);
   void Answer(ActiveFiling& aFiling, FilingAnswer aAnswer);
-  void OnStoreReply(StoreReply aReply);
+  void OnStoreReply(const StoreReply& aReply);
   void EndIfOver(ClaimTicket aTicket);
   ActiveFiling* Find(ClaimTicket aTicket);
 
--- a/packages/node/node.cc
+++ b/packages/node/node.cc
@@ -101,7 +101,7 @@
   Parts(Loop& aLoop,
         const NodeSettings& aSettings,
         const std::string& aAdminToken,
-        InstanceRecord aSelf,
+        const InstanceRecord& aSelf,
         absl::BitGen& aRandom)
     : m_client(aLoop,
                { .m_maxBodyBytes = aSettings.m_limits.m_upstreamAnswerBytes,
--- a/packages/runtime/peer/links.cc
+++ b/packages/runtime/peer/links.cc
@@ -30,7 +30,7 @@
     found = m_links.emplace(std::string(aAddress), kj::mv(link)).first;
   }
   Link& link = *found->second;
-  return KJ_ASSERT_NONNULL(link.m_peer).addBranch().attach(kj::addRef(link));
+  return link.m_peer.addBranch().attach(kj::addRef(link));
 }
 
 kj::Promise<wire::Peer::Client>
--- a/packages/runtime/peer/links.h
+++ b/packages/runtime/peer/links.h
@@ -47,7 +47,7 @@
     kj::Own<kj::AsyncIoStream> m_stream;
     kj::Own<capnp::TwoPartyClient> m_client;
     // Resolves with the peer when the connection is open.
-    kj::Maybe<kj::ForkedPromise<wire::Peer::Client>> m_peer;
+    kj::ForkedPromise<wire::Peer::Client> m_peer = nullptr;
     kj::Maybe<kj::Promise<void>> m_disconnected;
     // The check that is under way, if any.
     bool m_verifying = false;
--- a/packages/runtime/store/http_store.cc
+++ b/packages/runtime/store/http_store.cc
@@ -161,7 +161,7 @@
   }
   return m_client
     .Send(m_options.m_store, std::move(request), m_options.m_timeout)
-    .then([this](HttpReply aReply) {
+    .then([this](HttpReply&& aReply) {
       DropSilent(aReply);
       StoreWrite write = ToWrite(aReply);
       m_counters.m_failed += write.m_outcome == StoreWriteOutcome::kUnknown ||
@@ -186,7 +186,7 @@
     .Send(m_options.m_instanceList,
           { .m_path = "/v1/instances" },
           m_options.m_timeout)
-    .then([](HttpReply aReply) { return ToInstanceList(aReply); });
+    .then([](HttpReply&& aReply) { return ToInstanceList(aReply); });
 }
 
 } // namespace ebonykeel
