Compute an answer's remaining time only while something is in flight

Cause: the sanitized build found a signed overflow, since without a request the latest deadline is the earliest instant there is.

--- a/packages/core/ownership/acquire.cc
+++ b/packages/core/ownership/acquire.cc
@@ -124,9 +124,9 @@
                      ? std::max(epochBefore, aItem.m_epoch)
                      : entry.m_epoch;
   answer.m_inFlight = entry.m_inFlight;
-  answer.m_remaining = std::max(Duration{}, entry.m_latestDeadline - aNow);
-  if (entry.m_inFlight == 0) {
-    answer.m_remaining = Duration{};
+  // Without a request there may be no deadline to subtract from.
+  if (entry.m_inFlight > 0) {
+    answer.m_remaining = std::max(Duration{}, entry.m_latestDeadline - aNow);
   }
   answer.m_warmth = entry.m_warmth;
   ForgetOldContacts(entry, aNow);
