--- a/tools/measure_control.sh
+++ b/tools/measure_control.sh
@@ -64,7 +64,7 @@
   cp examples/tasadores/valuation-desk-01.toml "$run/services"
   started=$(date +%s%N)
   in_force=-
-  if "$bin/ebonykeel" --admin="$admin" publish "$run/services" --wait=20 >/dev/null 2>&1; then
+  if "$bin/ebonykeel" --admin="$admin" publish "$run/services" --wait=20 >"$run/publish.log" 2>&1; then
     in_force=$((($(date +%s%N) - started) / 1000000))
   fi
   awk -v n="$size" -v s="$seconds" -v b="$bytes" -v c="$cpu" -v t="$ticks" -v r="$rss" \
