--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 # Needs Debian's package capnproto; its output is committed.
 generate:
 	capnp compile -oc++ -I/usr/include packages/runtime/peer/peer.capnp
+	cd packages && capnp compile -oc++:. -I/usr/include runtime/fleet/fleet.capnp
 
 # Draws the plots of every result folder under RESULTS.
 RESULTS ?= results
--- a/cmake/EbonykeelTargets.cmake
+++ b/cmake/EbonykeelTargets.cmake
@@ -2,7 +2,8 @@
 # doctest test, each with the warnings and sanitizers of this build.
 
 add_library(ebonykeel_options INTERFACE)
-target_include_directories(ebonykeel_options INTERFACE ${CMAKE_SOURCE_DIR}/packages)
+target_include_directories(ebonykeel_options INTERFACE
+  ${CMAKE_SOURCE_DIR}/packages ${CMAKE_SOURCE_DIR})
 # GCC 12 reports kj::Maybe's storage as maybe uninitialized when it is inlined.
 target_compile_options(ebonykeel_options INTERFACE
   -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers
--- /dev/null
+++ b/packages/core/config/forward_settings.cc
@@ -0,0 +1,164 @@
+#include "core/config/forward_settings.h"
+
+#include <utility>
+
+#include "absl/strings/str_split.h"
+
+#include "core/config/internal/toml_reader.h"
+
+namespace ebonykeel {
+namespace {
+
+using internal::IntegerRange;
+using internal::TextRule;
+using internal::TomlReader;
+
+constexpr IntegerRange kPortRange{ 0, 65535 };
+constexpr IntegerRange kBurstRange{ 0, 1'000'000 };
+constexpr IntegerRange kInstanceRange{ 1, 64 };
+constexpr IntegerRange kMillisecondRange{ 1, 3'600'000 };
+constexpr double kMostShare = 10;
+
+TextRule
+AddressRule()
+{
+  return { [](std::string_view aText) {
+            return ParseAddress(aText).has_value();
+          },
+           "an IP number and a port, such as \"10.0.0.7:8080\"" };
+}
+
+TextRule
+IpRule()
+{
+  return { IsIpNumber, "an IP number, such as \"10.0.0.7\"" };
+}
+
+TextRule
+NonEmptyRule()
+{
+  return { [](std::string_view aText) { return !aText.empty(); },
+           "a text that is not empty" };
+}
+
+// Returns the hosts of a list such as "10.0.0.1:80,10.0.0.2:80".
+std::vector<std::string>
+ParseSeeds(const std::string& aText)
+{
+  std::vector<std::string> hosts;
+  for (absl::string_view seed : absl::StrSplit(aText, ',', absl::SkipEmpty())) {
+    std::string text(seed);
+    std::optional<Address> address = ParseAddress(text);
+    if (address) {
+      hosts.push_back(address->m_host);
+    } else if (IsIpNumber(text)) {
+      hosts.push_back(text);
+    }
+  }
+  return hosts;
+}
+
+Address
+ReadAddress(TomlReader& aReader, std::string_view aKey)
+{
+  return ParseAddress(aReader.Text(aKey, AddressRule())).value_or(Address{});
+}
+
+void
+ReadListen(TomlReader& aRoot, ForwardListenSettings& aListen)
+{
+  std::optional<TomlReader> table = aRoot.Table("listen");
+  if (!table) {
+    aRoot.Report("listen", "is missing");
+    return;
+  }
+  aListen.m_callers = ReadAddress(*table, "callers");
+  aListen.m_directory = ReadAddress(*table, "directory");
+  aListen.m_readiness = ReadAddress(*table, "readiness");
+  aListen.m_peerPort =
+    static_cast<uint16_t>(table->Integer("peer_port", kPortRange));
+  aListen.m_metricsPort =
+    static_cast<uint16_t>(table->Integer("metrics_port", kPortRange, 0));
+  table->ReportUnknownKeys();
+}
+
+void
+ReadForward(TomlReader& aRoot, ForwardSettings& aSettings)
+{
+  std::optional<TomlReader> table = aRoot.Table("forward");
+  if (!table) {
+    return;
+  }
+  aSettings.m_extraShare = table->Number(
+    "extra_share", { .m_min = 0, .m_max = kMostShare }, aSettings.m_extraShare);
+  aSettings.m_extraBurst =
+    table->Integer("extra_burst", kBurstRange, aSettings.m_extraBurst);
+  aSettings.m_instancesPerCaller = table->Integer(
+    "instances_per_caller", kInstanceRange, aSettings.m_instancesPerCaller);
+  aSettings.m_hedging = table->Boolean("hedging", aSettings.m_hedging);
+  aSettings.m_earlyAnswers =
+    table->Boolean("early_answers", aSettings.m_earlyAnswers);
+  aSettings.m_grace =
+    Milliseconds(table->Integer("grace_ms",
+                                kMillisecondRange,
+                                ToMilliseconds(aSettings.m_grace)));
+  aSettings.m_answerLifetime =
+    Milliseconds(table->Integer("answer_lifetime_ms",
+                                kMillisecondRange,
+                                ToMilliseconds(aSettings.m_answerLifetime)));
+  table->ReportUnknownKeys();
+}
+
+ForwardSettings
+ReadSettings(TomlReader& aRoot)
+{
+  ForwardSettings settings;
+  TextRule mode{ [](std::string_view aText) { return aText == "forward"; },
+                 "\"forward\"" };
+  (void)aRoot.Text("mode", mode);
+  settings.m_id = InstanceId(aRoot.Text("id", NonEmptyRule()));
+  settings.m_dataCentre = DataCentre(aRoot.Text("data_centre", NonEmptyRule()));
+  settings.m_host = aRoot.Text("host", IpRule());
+  TextRule any{ [](std::string_view) { return true; }, "" };
+  settings.m_seeds = ParseSeeds(aRoot.Text("seeds", any, ""));
+  if (std::optional<TomlReader> store = aRoot.Table("store")) {
+    settings.m_store = ReadAddress(*store, "address");
+    store->ReportUnknownKeys();
+  } else {
+    aRoot.Report("store", "is missing");
+  }
+  ReadListen(aRoot, settings.m_listen);
+  ReadForward(aRoot, settings);
+  aRoot.ReportUnknownKeys();
+  return settings;
+}
+
+} // namespace
+
+bool
+IsForwardMode(std::string_view aText)
+{
+  Findings ignored;
+  internal::TomlDocument document = internal::ParseToml(aText, "", ignored);
+  return document.Valid() && document.Root(ignored).Has("mode");
+}
+
+ForwardSettingsResult
+ParseForwardSettings(std::string_view aText, std::string_view aFileName)
+{
+  ForwardSettingsResult result;
+  internal::TomlDocument document =
+    internal::ParseToml(aText, aFileName, result.m_findings);
+  if (!document.Valid()) {
+    return result;
+  }
+  TomlReader root = document.Root(result.m_findings);
+  ForwardSettings settings = ReadSettings(root);
+  internal::SortFindings(result.m_findings);
+  if (result.m_findings.empty()) {
+    result.m_settings = std::move(settings);
+  }
+  return result;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/feed/object_feed.cc
@@ -0,0 +1,168 @@
+#include "core/feed/object_feed.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+// Removals that are remembered before the oldest are forgotten.
+constexpr size_t kMostRemoved = 2000;
+
+} // namespace
+
+bool
+ObjectFeed::Apply(FeedObject aObject)
+{
+  auto found = m_objects.find(aObject.m_name);
+  if (found != m_objects.end()) {
+    FeedObject& known = found->second;
+    bool same = known.m_deleted == aObject.m_deleted &&
+                known.m_payload == aObject.m_payload;
+    if (same || known.m_revision > aObject.m_revision) {
+      return false;
+    }
+    m_removed -= known.m_deleted ? 1 : 0;
+  } else if (aObject.m_deleted) {
+    return false;
+  }
+  m_content = std::max(m_content, aObject.m_revision);
+  m_removed += aObject.m_deleted ? 1 : 0;
+  std::string name = aObject.m_name;
+  m_objects[name] = std::move(aObject);
+  Prune();
+  return true;
+}
+
+std::vector<std::string>
+ObjectFeed::RemoveOthers(const std::vector<std::string>& aNames,
+                         uint64_t aRevision)
+{
+  std::set<std::string_view> kept(aNames.begin(), aNames.end());
+  std::vector<std::string> removed;
+  for (const auto& [name, object] : m_objects) {
+    if (!object.m_deleted && !kept.contains(name)) {
+      removed.push_back(name);
+    }
+  }
+  for (const std::string& name : removed) {
+    Apply({ .m_name = name, .m_revision = aRevision, .m_deleted = true });
+  }
+  return removed;
+}
+
+void
+ObjectFeed::CompleteTo(uint64_t aRevision, TimePoint aNow)
+{
+  // An empty copy that is complete is something to tell others of, too.
+  m_content = std::max(m_content, m_completeTo == 0 ? aRevision : 0);
+  m_completeTo = std::max(m_completeTo, aRevision);
+  m_freshAt = std::max(m_freshAt.value_or(aNow), aNow);
+}
+
+FeedDelta
+ObjectFeed::Since(uint64_t aRevision, TimePoint aNow) const
+{
+  FeedDelta delta{ .m_whole = aRevision < m_prunedTo || aRevision == 0,
+                   .m_completeTo = m_completeTo,
+                   .m_age = Age(aNow).value_or(Seconds(3600)) };
+  for (const auto& [name, object] : m_objects) {
+    bool wanted =
+      delta.m_whole ? !object.m_deleted : object.m_revision > aRevision;
+    if (wanted) {
+      delta.m_objects.push_back(object);
+    }
+  }
+  return delta;
+}
+
+void
+ObjectFeed::Merge(const FeedDelta& aDelta,
+                  TimePoint aNow,
+                  const std::function<void(const FeedObject&)>& aChanged)
+{
+  // An instance that was never complete has nothing to tell.
+  if (aDelta.m_completeTo == 0) {
+    return;
+  }
+  for (const FeedObject& object : aDelta.m_objects) {
+    const FeedObject* known = Find(object.m_name);
+    bool newer = known == nullptr || known->m_revision < object.m_revision;
+    if (newer && Apply(object)) {
+      aChanged(object);
+    }
+  }
+  if (aDelta.m_whole && aDelta.m_completeTo > m_completeTo) {
+    std::vector<std::string> names;
+    for (const FeedObject& object : aDelta.m_objects) {
+      names.push_back(object.m_name);
+    }
+    for (const std::string& name : RemoveOthers(names, aDelta.m_completeTo)) {
+      aChanged(*Find(name));
+    }
+  }
+  if (aDelta.m_completeTo >= m_completeTo) {
+    CompleteTo(aDelta.m_completeTo, aNow - aDelta.m_age);
+  }
+}
+
+void
+ObjectFeed::Confirm(const FeedMark& aMark, TimePoint aNow)
+{
+  if (m_freshAt && aMark.m_content <= m_completeTo) {
+    m_freshAt = std::max(*m_freshAt, aNow - aMark.m_age);
+  }
+}
+
+void
+ObjectFeed::Grow(Duration aBy)
+{
+  if (m_freshAt) {
+    *m_freshAt -= aBy;
+  }
+}
+
+const FeedObject*
+ObjectFeed::Find(std::string_view aName) const
+{
+  auto found = m_objects.find(aName);
+  return found == m_objects.end() ? nullptr : &found->second;
+}
+
+FeedMark
+ObjectFeed::Mark(TimePoint aNow) const
+{
+  return { m_content, Age(aNow).value_or(Seconds(3600)) };
+}
+
+std::optional<Duration>
+ObjectFeed::Age(TimePoint aNow) const
+{
+  if (!m_freshAt) {
+    return std::nullopt;
+  }
+  return aNow - *m_freshAt;
+}
+
+void
+ObjectFeed::Prune()
+{
+  if (m_removed <= kMostRemoved) {
+    return;
+  }
+  std::vector<uint64_t> revisions;
+  for (const auto& [name, object] : m_objects) {
+    if (object.m_deleted) {
+      revisions.push_back(object.m_revision);
+    }
+  }
+  auto middle = revisions.begin() + revisions.size() / 2;
+  std::ranges::nth_element(revisions, middle);
+  m_prunedTo = std::max(m_prunedTo, *middle);
+  m_removed -= std::erase_if(m_objects, [&](const auto& aEntry) {
+    return aEntry.second.m_deleted && aEntry.second.m_revision <= m_prunedTo;
+  });
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/fleet/fleet_message.h
@@ -0,0 +1,76 @@
+// What instances tell each other in datagrams.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+// In the order in which a later state overrides an earlier one of the same
+// incarnation.
+enum class FleetState : uint8_t
+{
+  kAlive,
+  // Somebody got no answer from it.
+  kSuspect,
+  // It stops and takes no new callers.
+  kLeaving,
+  kDead,
+};
+
+[[nodiscard]] std::string_view
+FleetStateName(FleetState aState);
+
+// What is known of one instance.
+struct FleetRecord
+{
+  // The IP number; all instances use the same ports.
+  std::string m_host;
+  // Raised by the instance itself, to override what is said of it.
+  uint64_t m_incarnation = 0;
+  FleetState m_state = FleetState::kAlive;
+  DataCentre m_dataCentre;
+  // It has a configuration and takes callers.
+  bool m_ready = false;
+  // The store answers it.
+  bool m_storeReachable = true;
+
+  friend bool operator==(const FleetRecord&, const FleetRecord&) = default;
+};
+
+// How far an instance's copy of one kind of the store's objects has come.
+struct FeedMark
+{
+  // The revision of the newest change of content.
+  uint64_t m_content = 0;
+  // How old the knowledge is that nothing newer exists.
+  Duration m_age = Seconds(3600);
+};
+
+enum class FleetMessageKind : uint8_t
+{
+  kPing,
+  kAck,
+  // Asks the receiver to ping `m_subject` for the sender.
+  kPingRequest,
+  // Tells news; is not answered.
+  kNotice,
+};
+
+struct FleetMessage
+{
+  FleetMessageKind m_kind = FleetMessageKind::kPing;
+  uint64_t m_sequence = 0;
+  // For `kPingRequest`.
+  std::string m_subject;
+  FleetRecord m_sender;
+  std::vector<FleetRecord> m_news;
+  // In the fixed order of the kinds.
+  std::vector<FeedMark> m_marks;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/fleet/fleet_view.cc
@@ -0,0 +1,489 @@
+#include "core/fleet/fleet_view.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "absl/random/distributions.h"
+
+namespace ebonykeel {
+namespace {
+
+// How often a record is passed on, for each doubling of the fleet.
+constexpr size_t kSendsPerDoubling = 3;
+
+// Returns whether `aNew` overrides `aOld`.
+bool
+Overrides(const FleetRecord& aNew, const FleetRecord& aOld)
+{
+  if (aNew.m_incarnation != aOld.m_incarnation) {
+    return aNew.m_incarnation > aOld.m_incarnation;
+  }
+  return aNew.m_state > aOld.m_state;
+}
+
+} // namespace
+
+std::string_view
+FleetStateName(FleetState aState)
+{
+  switch (aState) {
+    case FleetState::kAlive:
+      return "alive";
+    case FleetState::kSuspect:
+      return "suspect";
+    case FleetState::kLeaving:
+      return "leaving";
+    case FleetState::kDead:
+      return "dead";
+  }
+  return "dead";
+}
+
+FleetView::FleetView(FleetOptions aOptions,
+                     FleetRecord aSelf,
+                     std::vector<std::string> aSeeds,
+                     absl::BitGenRef aBitGen,
+                     FleetPort& aPort)
+  : m_options(aOptions)
+  , m_self(std::move(aSelf))
+  , m_bitGen(aBitGen)
+  , m_port(&aPort)
+{
+  AddSeeds(aSeeds);
+}
+
+void
+FleetView::Start(TimePoint aNow)
+{
+  m_nextPing = aNow + m_options.m_pingInterval;
+  m_nextRejoin = aNow + m_options.m_pingInterval / 2;
+  for (const std::string& seed : m_seeds) {
+    Ping(seed, aNow);
+  }
+}
+
+void
+FleetView::OnMessage(const FleetMessage& aMessage, TimePoint aNow)
+{
+  const std::string& sender = aMessage.m_sender.m_host;
+  if (sender == m_self.m_host) {
+    return;
+  }
+  if (!InContact(aNow)) {
+    ForgetConclusions();
+  }
+  m_heardAt = aNow;
+  bool newcomer = !m_members.contains(sender);
+  std::erase_if(m_probes,
+                [&](const Probe& aProbe) { return aProbe.m_host == sender; });
+  bool news = Learn(aMessage.m_sender, true, aNow);
+  for (const FleetRecord& record : aMessage.m_news) {
+    news = Learn(record, false, aNow) || news;
+  }
+  switch (aMessage.m_kind) {
+    case FleetMessageKind::kPing:
+      Send(sender, FleetMessageKind::kAck, aMessage.m_sequence);
+      if (newcomer) {
+        Introduce(sender);
+      }
+      break;
+    case FleetMessageKind::kAck: {
+      auto relay = m_relays.extract(aMessage.m_sequence);
+      if (!relay.empty()) {
+        // The requester takes the subject's record on this notice as its sign
+        // of life.
+        FleetMessage notice{ .m_kind = FleetMessageKind::kNotice,
+                             .m_sequence = relay.mapped().m_requesterSequence,
+                             .m_subject = sender,
+                             .m_sender = m_self,
+                             .m_news = { aMessage.m_sender },
+                             .m_marks = m_port->Marks() };
+        m_port->SendTo(relay.mapped().m_requester, notice);
+      }
+      break;
+    }
+    case FleetMessageKind::kPingRequest:
+      m_relays[m_sequence + 1] = { sender,
+                                   aMessage.m_sequence,
+                                   aNow + m_options.m_ackTimeout * 4 };
+      Send(aMessage.m_subject, FleetMessageKind::kPing, ++m_sequence);
+      break;
+    case FleetMessageKind::kNotice:
+      std::erase_if(m_probes, [&](const Probe& aProbe) {
+        return aProbe.m_host == aMessage.m_subject;
+      });
+      break;
+  }
+  m_port->OnMarks(aMessage.m_sender, aMessage.m_marks);
+  if (news && aMessage.m_kind == FleetMessageKind::kNotice) {
+    Spread();
+  }
+}
+
+void
+FleetView::OnTimer(TimePoint aNow)
+{
+  CheckProbes(aNow);
+  CheckSuspects(aNow);
+  if (aNow >= m_nextPing) {
+    PingNext(aNow);
+    m_nextPing = aNow + m_options.m_pingInterval;
+  }
+  if (aNow >= m_nextRejoin) {
+    Rejoin(aNow);
+    m_nextRejoin = aNow + (InContact(aNow) ? m_options.m_rejoinInterval
+                                           : m_options.m_pingInterval / 2);
+  }
+  std::erase_if(m_relays, [&](const auto& aEntry) {
+    return aEntry.second.m_until <= aNow;
+  });
+}
+
+TimePoint
+FleetView::NextTimer() const
+{
+  TimePoint next = std::min(m_nextPing, m_nextRejoin);
+  for (const Probe& probe : m_probes) {
+    next = std::min(next, probe.m_dueAt);
+  }
+  for (const auto& [host, member] : m_members) {
+    if (member.m_record.m_state == FleetState::kSuspect) {
+      next = std::min(next, member.m_since + m_options.m_suspectFor);
+    }
+  }
+  return next;
+}
+
+void
+FleetView::AddSeeds(std::span<const std::string> aHosts)
+{
+  for (const std::string& host : aHosts) {
+    bool known = std::ranges::find(m_seeds, host) != m_seeds.end();
+    if (host != m_self.m_host && !known) {
+      m_seeds.push_back(host);
+    }
+  }
+}
+
+void
+FleetView::SetSelf(FleetState aState,
+                   bool aReady,
+                   bool aStoreReachable)
+{
+  FleetRecord changed = m_self;
+  changed.m_state = aState;
+  changed.m_ready = aReady;
+  changed.m_storeReachable = aStoreReachable;
+  if (changed == m_self) {
+    return;
+  }
+  changed.m_incarnation = m_self.m_incarnation + 1;
+  m_self = changed;
+  Notify();
+}
+
+void
+FleetView::Notify()
+{
+  m_selfSendsLeft = SendsForNews();
+  Spread();
+}
+
+std::vector<FleetRecord>
+FleetView::Living() const
+{
+  std::vector<FleetRecord> living;
+  bool selfAdded = false;
+  for (const auto& [host, member] : m_members) {
+    if (!selfAdded && m_self.m_host < host) {
+      living.push_back(m_self);
+      selfAdded = true;
+    }
+    if (member.m_record.m_state != FleetState::kDead) {
+      living.push_back(member.m_record);
+    }
+  }
+  if (!selfAdded) {
+    living.push_back(m_self);
+  }
+  return living;
+}
+
+std::vector<std::string>
+FleetView::DeadFor(Duration aFor, TimePoint aNow) const
+{
+  std::vector<std::string> dead;
+  for (const auto& [host, member] : m_members) {
+    if (member.m_record.m_state == FleetState::kDead &&
+        aNow - member.m_since >= aFor) {
+      dead.push_back(host);
+    }
+  }
+  return dead;
+}
+
+bool
+FleetView::InContact(TimePoint aNow) const
+{
+  return m_heardAt && aNow - *m_heardAt <= m_options.m_isolatedAfter;
+}
+
+void
+FleetView::Ping(const std::string& aHost, TimePoint aNow)
+{
+  ++m_sequence;
+  m_probes.push_back({ .m_host = aHost,
+                       .m_sequence = m_sequence,
+                       .m_dueAt = aNow + m_options.m_ackTimeout });
+  Send(aHost, FleetMessageKind::kPing, m_sequence);
+}
+
+void
+FleetView::PingNext(TimePoint aNow)
+{
+  if (m_round.empty()) {
+    m_round = Hosts(FleetState::kLeaving);
+    m_round = Draw(std::move(m_round), m_round.size());
+  }
+  while (!m_round.empty()) {
+    std::string host = std::move(m_round.back());
+    m_round.pop_back();
+    auto member = m_members.find(host);
+    if (member != m_members.end() &&
+        member->second.m_record.m_state != FleetState::kDead) {
+      Ping(host, aNow);
+      return;
+    }
+  }
+}
+
+void
+FleetView::Rejoin(TimePoint aNow)
+{
+  std::erase_if(m_members, [&](const auto& aEntry) {
+    return aEntry.second.m_record.m_state == FleetState::kDead &&
+           aNow - aEntry.second.m_since > m_options.m_forgetAfter;
+  });
+  std::vector<std::string> absent;
+  for (const auto& [host, member] : m_members) {
+    if (member.m_record.m_state == FleetState::kDead) {
+      absent.push_back(host);
+    }
+  }
+  std::ranges::copy_if(m_seeds,
+                       std::back_inserter(absent),
+                       [&](const std::string& aHost) {
+                         return !m_members.contains(aHost);
+                       });
+  size_t count = InContact(aNow) ? 1 : 3;
+  for (const std::string& host : Draw(std::move(absent), count)) {
+    Send(host, FleetMessageKind::kPing, ++m_sequence);
+  }
+}
+
+void
+FleetView::CheckProbes(TimePoint aNow)
+{
+  std::vector<Probe> due;
+  std::erase_if(m_probes, [&](const Probe& aProbe) {
+    if (aProbe.m_dueAt > aNow) {
+      return false;
+    }
+    due.push_back(aProbe);
+    return true;
+  });
+  for (Probe& probe : due) {
+    auto member = m_members.find(probe.m_host);
+    if (member == m_members.end()) {
+      continue;
+    }
+    if (probe.m_indirect) {
+      SetState(member->second, FleetState::kSuspect, aNow);
+      continue;
+    }
+    std::vector<std::string> helpers = Hosts(FleetState::kAlive);
+    std::erase(helpers, probe.m_host);
+    for (const std::string& helper :
+         Draw(std::move(helpers), m_options.m_helpers)) {
+      Send(helper,
+           FleetMessageKind::kPingRequest,
+           probe.m_sequence,
+           probe.m_host);
+    }
+    // The direct way gets a second chance, since datagrams are lost at times.
+    Send(probe.m_host, FleetMessageKind::kPing, ++m_sequence);
+    probe.m_indirect = true;
+    probe.m_dueAt = aNow + m_options.m_ackTimeout;
+    m_probes.push_back(probe);
+  }
+}
+
+void
+FleetView::CheckSuspects(TimePoint aNow)
+{
+  for (auto& [host, member] : m_members) {
+    if (member.m_record.m_state == FleetState::kSuspect &&
+        aNow - member.m_since >= m_options.m_suspectFor) {
+      SetState(member, FleetState::kDead, aNow);
+    }
+  }
+}
+
+void
+FleetView::Send(const std::string& aHost,
+                FleetMessageKind aKind,
+                uint64_t aSequence,
+                const std::string& aSubject)
+{
+  FleetMessage message{ .m_kind = aKind,
+                        .m_sequence = aSequence,
+                        .m_subject = aSubject,
+                        .m_sender = m_self,
+                        .m_marks = m_port->Marks() };
+  if (m_selfSendsLeft > 0) {
+    --m_selfSendsLeft;
+  }
+  // What is thought of the receiver goes first, so that it can contradict.
+  auto receiver = m_members.find(aHost);
+  if (receiver != m_members.end() &&
+      receiver->second.m_record.m_state != FleetState::kAlive) {
+    message.m_news.push_back(receiver->second.m_record);
+  }
+  std::vector<Member*> fresh;
+  for (auto& [host, member] : m_members) {
+    if (member.m_sendsLeft > 0 && host != aHost) {
+      fresh.push_back(&member);
+    }
+  }
+  std::ranges::sort(fresh, std::greater{}, &Member::m_sendsLeft);
+  for (Member* member : fresh) {
+    if (message.m_news.size() >= m_options.m_newsPerMessage) {
+      break;
+    }
+    --member->m_sendsLeft;
+    message.m_news.push_back(member->m_record);
+  }
+  m_port->SendTo(aHost, message);
+}
+
+void
+FleetView::Introduce(const std::string& aHost)
+{
+  FleetMessage message{ .m_kind = FleetMessageKind::kNotice,
+                        .m_sender = m_self,
+                        .m_marks = m_port->Marks() };
+  std::vector<std::string> hosts = Hosts(FleetState::kLeaving);
+  std::erase(hosts, aHost);
+  for (const std::string& host :
+       Draw(std::move(hosts), m_options.m_introduced)) {
+    message.m_news.push_back(m_members.at(host).m_record);
+  }
+  m_port->SendTo(aHost, message);
+}
+
+void
+FleetView::Spread()
+{
+  std::vector<std::string> hosts = Hosts(FleetState::kSuspect);
+  for (const std::string& host :
+       Draw(std::move(hosts), m_options.m_noticeFanout)) {
+    Send(host, FleetMessageKind::kNotice, 0);
+  }
+}
+
+bool
+FleetView::Learn(const FleetRecord& aRecord, bool aDirect, TimePoint aNow)
+{
+  if (aRecord.m_host == m_self.m_host) {
+    Contradict(aRecord);
+    return false;
+  }
+  auto found = m_members.find(aRecord.m_host);
+  if (found == m_members.end()) {
+    if (aRecord.m_state == FleetState::kDead) {
+      return false;
+    }
+    m_members[aRecord.m_host] = { aRecord, aNow, SendsForNews() };
+    m_port->OnMember(aRecord);
+    return true;
+  }
+  Member& member = found->second;
+  bool sameLife = aRecord.m_incarnation == member.m_record.m_incarnation;
+  // A datagram of the instance itself proves that it lives, unless it is a late
+  // one of an earlier life.
+  bool proof = aDirect && sameLife &&
+               member.m_record.m_state == FleetState::kSuspect &&
+               aRecord.m_state == FleetState::kAlive;
+  if (!proof && !Overrides(aRecord, member.m_record)) {
+    return false;
+  }
+  member = { aRecord, aNow, SendsForNews() };
+  m_port->OnMember(aRecord);
+  return true;
+}
+
+void
+FleetView::Contradict(const FleetRecord& aRecord)
+{
+  bool wrong = aRecord.m_incarnation > m_self.m_incarnation ||
+               (aRecord.m_incarnation == m_self.m_incarnation &&
+                aRecord.m_state > m_self.m_state);
+  if (wrong) {
+    m_self.m_incarnation = aRecord.m_incarnation + 1;
+    m_selfSendsLeft = SendsForNews();
+  }
+}
+
+void
+FleetView::ForgetConclusions()
+{
+  std::erase_if(m_members, [](const auto& aEntry) {
+    return aEntry.second.m_record.m_state == FleetState::kSuspect ||
+           aEntry.second.m_record.m_state == FleetState::kDead;
+  });
+}
+
+void
+FleetView::SetState(Member& aMember, FleetState aState, TimePoint aNow)
+{
+  if (aMember.m_record.m_state >= aState) {
+    return;
+  }
+  aMember.m_record.m_state = aState;
+  aMember.m_since = aNow;
+  aMember.m_sendsLeft = SendsForNews();
+  m_port->OnMember(aMember.m_record);
+}
+
+size_t
+FleetView::SendsForNews() const
+{
+  return kSendsPerDoubling * (1 + std::bit_width(m_members.size()));
+}
+
+std::vector<std::string>
+FleetView::Hosts(FleetState aAtMost) const
+{
+  std::vector<std::string> hosts;
+  for (const auto& [host, member] : m_members) {
+    if (member.m_record.m_state <= aAtMost) {
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+std::vector<std::string>
+FleetView::Draw(std::vector<std::string> aHosts, size_t aCount)
+{
+  size_t count = std::min(aCount, aHosts.size());
+  for (size_t i = 0; i < count; ++i) {
+    size_t other = absl::Uniform<size_t>(m_bitGen, i, aHosts.size());
+    std::swap(aHosts[i], aHosts[other]);
+  }
+  aHosts.resize(count);
+  return aHosts;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/fleet/fleet_view.h
@@ -0,0 +1,163 @@
+// Which instances live, without a call to the store.
+//
+// Every interval an instance pings one other, in a random order that reaches
+// all. One that does not answer is pinged through helpers, then suspected, and
+// declared dead when it does not contradict. News rides on these datagrams and
+// on notices. An instance that was cut off from all others forgets what it
+// concluded about them when it hears from one again.
+//
+//   FleetView fleet(options, self, seeds, bitGen, port);
+//   fleet.Start(now);
+//   fleet.OnMessage(host, message, now);
+//   if (fleet.NextTimer() <= now) fleet.OnTimer(now);
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "absl/random/bit_gen_ref.h"
+
+#include "core/fleet/fleet_message.h"
+
+namespace ebonykeel {
+
+struct FleetOptions
+{
+  // Between two pings of an instance.
+  Duration m_pingInterval = Milliseconds(300);
+  // How long an answer may take, over each of the two ways.
+  Duration m_ackTimeout = Milliseconds(120);
+  // How long a suspected instance has to contradict.
+  Duration m_suspectFor = Milliseconds(600);
+  // Helpers that ping an instance which did not answer.
+  size_t m_helpers = 2;
+  // Records on one datagram.
+  size_t m_newsPerMessage = 8;
+  // Records that a newcomer is told of.
+  size_t m_introduced = 40;
+  // Receivers of a notice; each passes news on once to as many.
+  size_t m_noticeFanout = 6;
+  // An instance that hears nothing for so long counts itself as cut off.
+  Duration m_isolatedAfter = Milliseconds(1000);
+  // Between two pings of an instance that is dead or a seed that is unknown.
+  Duration m_rejoinInterval = Milliseconds(700);
+  // How long a dead instance is remembered.
+  Duration m_forgetAfter = Seconds(300);
+};
+
+// What the view asks of its surroundings. Calls may not come back into the
+// view.
+class FleetPort
+{
+public:
+  virtual ~FleetPort() = default;
+  virtual void SendTo(const std::string& aHost,
+                      const FleetMessage& aMessage) = 0;
+  // The state or the flags of an instance changed.
+  virtual void OnMember(const FleetRecord& aRecord) = 0;
+  // Another instance told how far its copies of the store have come.
+  virtual void OnMarks(const FleetRecord& aSender,
+                       std::span<const FeedMark> aMarks) = 0;
+  // Returns how far this instance's copies have come.
+  [[nodiscard]] virtual std::vector<FeedMark> Marks() = 0;
+};
+
+class FleetView
+{
+public:
+  // `aSelf` has the incarnation that this life starts with. The generator and
+  // the port outlive the view.
+  FleetView(FleetOptions aOptions,
+            FleetRecord aSelf,
+            std::vector<std::string> aSeeds,
+            absl::BitGenRef aBitGen,
+            FleetPort& aPort);
+
+  void Start(TimePoint aNow);
+  void OnMessage(const FleetMessage& aMessage, TimePoint aNow);
+  void OnTimer(TimePoint aNow);
+  [[nodiscard]] TimePoint NextTimer() const;
+
+  // Adds instances to ask for the others, such as those that the store lists.
+  void AddSeeds(std::span<const std::string> aHosts);
+  // Changes what others are told of this instance, at once.
+  void SetSelf(FleetState aState, bool aReady, bool aStoreReachable);
+  // Tells others at once that this instance's copies have changed.
+  void Notify();
+
+  [[nodiscard]] const FleetRecord& Self() const { return m_self; }
+  // Returns this instance and the others that are alive or suspected or
+  // leaving, ordered by host.
+  [[nodiscard]] std::vector<FleetRecord> Living() const;
+  // Returns the instances that have been dead for at least `aFor`.
+  [[nodiscard]] std::vector<std::string> DeadFor(Duration aFor,
+                                                 TimePoint aNow) const;
+  // Returns whether another instance was heard of lately.
+  [[nodiscard]] bool InContact(TimePoint aNow) const;
+
+private:
+  struct Member
+  {
+    FleetRecord m_record;
+    TimePoint m_since;
+    // How often the record is still to be passed on.
+    size_t m_sendsLeft = 0;
+  };
+  struct Probe
+  {
+    std::string m_host;
+    uint64_t m_sequence = 0;
+    TimePoint m_dueAt;
+    bool m_indirect = false;
+  };
+  // A ping made for another instance.
+  struct Relay
+  {
+    std::string m_requester;
+    uint64_t m_requesterSequence = 0;
+    TimePoint m_until;
+  };
+
+  void Ping(const std::string& aHost, TimePoint aNow);
+  void PingNext(TimePoint aNow);
+  void Rejoin(TimePoint aNow);
+  void CheckProbes(TimePoint aNow);
+  void CheckSuspects(TimePoint aNow);
+  void Send(const std::string& aHost,
+            FleetMessageKind aKind,
+            uint64_t aSequence,
+            const std::string& aSubject = {});
+  // Tells a newcomer of the others.
+  void Introduce(const std::string& aHost);
+  void Spread();
+  // Takes in a record; returns whether it changed anything.
+  bool Learn(const FleetRecord& aRecord, bool aDirect, TimePoint aNow);
+  void Contradict(const FleetRecord& aRecord);
+  void ForgetConclusions();
+  void SetState(Member& aMember, FleetState aState, TimePoint aNow);
+  [[nodiscard]] size_t SendsForNews() const;
+  [[nodiscard]] std::vector<std::string> Hosts(FleetState aAtMost) const;
+  [[nodiscard]] std::vector<std::string> Draw(std::vector<std::string> aHosts,
+                                              size_t aCount);
+
+  FleetOptions m_options;
+  FleetRecord m_self;
+  std::vector<std::string> m_seeds;
+  absl::BitGenRef m_bitGen;
+  FleetPort* m_port;
+  std::map<std::string, Member> m_members;
+  std::vector<std::string> m_round;
+  std::vector<Probe> m_probes;
+  std::map<uint64_t, Relay> m_relays;
+  uint64_t m_sequence = 0;
+  TimePoint m_nextPing;
+  TimePoint m_nextRejoin;
+  std::optional<TimePoint> m_heardAt;
+  size_t m_selfSendsLeft = 0;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/fleet/read_duty.h
@@ -0,0 +1,24 @@
+// Which instances read the store for the others.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "core/fleet/fleet_message.h"
+
+namespace ebonykeel {
+
+// Instances that read at the same time: one may be cut off, frozen or turned
+// away while its successor has not noticed yet.
+inline constexpr size_t kReaders = 2;
+
+// Returns the hosts that read the store, as every instance works out for
+// itself: the first ones by host among those that live and reach the store, in
+// different data centres where there are. When nobody reaches the store, the
+// first ones keep trying.
+[[nodiscard]] std::vector<std::string>
+ChooseReaders(std::span<const FleetRecord> aLiving, size_t aCount = kReaders);
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/forward/forward_run.cc
@@ -0,0 +1,467 @@
+#include "core/forward/forward_run.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+// Sendings of one leg beyond the searchers that may run it: statements that a
+// request was not run do not count there, but must not go on for ever.
+constexpr uint32_t kMostNotRun = 2;
+// A request is not sent on with less time than this: no searcher could use it.
+constexpr Duration kShortestDeadline = Milliseconds(2);
+
+bool
+MeansNotRun(SendOutcome aOutcome)
+{
+  return aOutcome == SendOutcome::kNotExecuted ||
+         aOutcome == SendOutcome::kWrongInstance || aOutcome == SendOutcome::kNotSent;
+}
+
+} // namespace
+
+std::string_view
+SendOutcomeName(SendOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case SendOutcome::kSuccess:
+      return "success";
+    case SendOutcome::kFailure:
+      return "failure";
+    case SendOutcome::kNotExecuted:
+      return "not-executed";
+    case SendOutcome::kWrongInstance:
+      return "wrong-instance";
+    case SendOutcome::kNotSent:
+      return "not-sent";
+    case SendOutcome::kBroken:
+      return "broken";
+  }
+  return "broken";
+}
+
+std::string_view
+SendReasonName(SendReason aReason)
+{
+  switch (aReason) {
+    case SendReason::kFirst:
+      return "first";
+    case SendReason::kHedge:
+      return "hedge";
+    case SendReason::kRepeat:
+      return "repeat";
+  }
+  return "first";
+}
+
+std::string_view
+ForwardStatusName(ForwardStatus aStatus)
+{
+  switch (aStatus) {
+    case ForwardStatus::kWhole:
+      return "whole";
+    case ForwardStatus::kPartial:
+      return "partial";
+    case ForwardStatus::kUpstreamFailure:
+      return "upstream-failure";
+    case ForwardStatus::kRefused:
+      return "refused";
+    case ForwardStatus::kFailed:
+      return "failed";
+    case ForwardStatus::kTimedOut:
+      return "timed-out";
+  }
+  return "failed";
+}
+
+ForwardRun::ForwardRun(ForwardRequest aRequest,
+                       ForwardEnvironment& aEnvironment,
+                       ForwardPort& aPort)
+  : m_request(std::move(aRequest))
+  , m_environment(&aEnvironment)
+  , m_port(&aPort)
+{
+  const Route& route = *m_request.m_route;
+  m_legs.resize(m_request.m_services.size());
+  for (size_t i = 0; i < m_legs.size(); ++i) {
+    m_legs[i].m_service = m_request.m_services[i];
+  }
+  Duration wait = std::min(route.m_timeout, m_request.m_remaining);
+  m_timeoutAt = m_request.m_receivedAt + wait;
+  m_answerAt = m_timeoutAt;
+  const ForwardOptions& options = m_environment->m_options;
+  if (IsGathered() && options.m_earlyAnswers) {
+    Duration target = route.m_targetLatency - options.m_answerMargin;
+    m_answerAt =
+      std::min(m_timeoutAt, m_request.m_receivedAt + std::max(target, {}));
+  }
+}
+
+void
+ForwardRun::Start(TimePoint aNow)
+{
+  if (RefuseIfBlocked(aNow)) {
+    return;
+  }
+  for (uint32_t leg = 0; leg < m_legs.size(); ++leg) {
+    m_environment->m_budget.OnFirst(m_legs[leg].m_service);
+    const ReplicaPtr* replica = ChooseFor(m_legs[leg], false, aNow);
+    if (replica == nullptr) {
+      m_legs[leg].m_failed = true;
+      continue;
+    }
+    SendTo(leg, *replica, SendReason::kFirst, aNow);
+  }
+  FinishIfDue(aNow);
+}
+
+void
+ForwardRun::OnOutcome(uint32_t aLeg,
+                      uint32_t aAttempt,
+                      SendOutcome aOutcome,
+                      TimePoint aNow)
+{
+  if (m_ended) {
+    return;
+  }
+  Leg& leg = m_legs[aLeg];
+  Attempt& attempt = leg.m_attempts[aAttempt];
+  attempt.m_open = false;
+  attempt.m_mayHaveRun = !MeansNotRun(aOutcome);
+  if (leg.m_answer) {
+    return;
+  }
+  if (aOutcome == SendOutcome::kSuccess) {
+    leg.m_answer = aAttempt;
+    leg.m_failed = false;
+    for (uint32_t other = 0; other < leg.m_attempts.size(); ++other) {
+      if (leg.m_attempts[other].m_open) {
+        leg.m_attempts[other].m_open = false;
+        m_port->Cancel(aLeg, other);
+      }
+    }
+  } else {
+    if (aOutcome == SendOutcome::kFailure) {
+      leg.m_failure = aAttempt;
+    }
+    leg.m_unknown = leg.m_unknown || aOutcome == SendOutcome::kBroken;
+    OnFailedAttempt(aLeg, aOutcome, aNow);
+  }
+  FinishIfDue(aNow);
+}
+
+void
+ForwardRun::OnTimer(TimePoint aNow)
+{
+  if (m_ended) {
+    return;
+  }
+  HedgeLate(aNow);
+  FinishIfDue(aNow);
+}
+
+void
+ForwardRun::Abandon()
+{
+  if (m_ended) {
+    return;
+  }
+  CancelOpen();
+  m_ended = true;
+}
+
+std::optional<TimePoint>
+ForwardRun::NextTimer() const
+{
+  if (m_ended) {
+    return std::nullopt;
+  }
+  TimePoint next = m_timeoutAt;
+  auto answered =
+    std::ranges::count_if(m_legs, [](const Leg& aLeg) {
+      return aLeg.m_answer.has_value();
+    });
+  if (IsGathered() && answered >= Needed()) {
+    next = std::min(next, m_answerAt);
+  }
+  for (const Leg& leg : m_legs) {
+    if (!leg.m_answer && !leg.m_failed && leg.m_hedgeAt != TimePoint{}) {
+      next = std::min(next, leg.m_hedgeAt);
+    }
+  }
+  return next;
+}
+
+bool
+ForwardRun::IsGathered() const
+{
+  return m_request.m_route->m_target == RouteTarget::kShards;
+}
+
+uint32_t
+ForwardRun::Needed() const
+{
+  // Rounding must not ask for one shard more than the share does.
+  constexpr double kRounding = 1e-9;
+  auto legs = static_cast<double>(m_legs.size());
+  double needed = std::ceil(m_request.m_route->m_minShare * legs - kRounding);
+  return std::max(1U, static_cast<uint32_t>(needed));
+}
+
+std::optional<TimePoint>
+ForwardRun::BlockedUntil(const std::string& aService, TimePoint aNow) const
+{
+  std::optional<TimePoint> until;
+  for (const ReplicaPtr& replica : m_environment->m_catalogue.Usable(aService)) {
+    std::optional<TimePoint> down =
+      m_environment->m_load.DownUntil(*replica, aNow);
+    if (!down) {
+      return std::nullopt;
+    }
+    until = std::min(until.value_or(*down), *down);
+  }
+  return until.value_or(aNow + m_environment->m_options.m_absentRetryAfter);
+}
+
+bool
+ForwardRun::RefuseIfBlocked(TimePoint aNow)
+{
+  uint32_t needed = IsGathered() ? Needed() : 1;
+  std::vector<TimePoint> blocked;
+  for (const Leg& leg : m_legs) {
+    if (std::optional<TimePoint> until = BlockedUntil(leg.m_service, aNow)) {
+      blocked.push_back(*until);
+    }
+  }
+  if (m_legs.size() - blocked.size() >= needed) {
+    return false;
+  }
+  // The request can be served once enough of the blocked legs are back.
+  std::ranges::sort(blocked);
+  size_t lacking = needed - (m_legs.size() - blocked.size());
+  Finish({ .m_status = ForwardStatus::kRefused,
+           .m_missing = static_cast<uint32_t>(blocked.size()),
+           .m_retryAfter = blocked[lacking - 1] - aNow,
+           .m_reason = "no-replica" });
+  return true;
+}
+
+void
+ForwardRun::SendTo(uint32_t aLeg,
+                   const ReplicaPtr& aReplica,
+                   SendReason aReason,
+                   TimePoint aNow)
+{
+  Leg& leg = m_legs[aLeg];
+  auto attempt = static_cast<uint32_t>(leg.m_attempts.size());
+  leg.m_attempts.push_back({ .m_replica = aReplica, .m_sentAt = aNow });
+  const Route& route = *m_request.m_route;
+  bool mayHedge = m_environment->m_options.m_hedging && route.m_idempotent &&
+                  aReason == SendReason::kFirst && route.m_maxAttempts > 1;
+  leg.m_hedgeAt =
+    mayHedge ? aNow + m_environment->m_latencies.Late(route) : TimePoint{};
+  m_port->Send(aLeg, attempt, aReplica, aReason, m_timeoutAt - aNow);
+}
+
+const ReplicaPtr*
+ForwardRun::ChooseFor(const Leg& aLeg, bool aRepeatSame, TimePoint aNow) const
+{
+  std::vector<ReplicaPtr> tried;
+  for (const Attempt& attempt : aLeg.m_attempts) {
+    tried.push_back(attempt.m_replica);
+  }
+  std::span<const ReplicaPtr> usable =
+    m_environment->m_catalogue.Usable(aLeg.m_service);
+  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  const ReplicaPtr* replica =
+    m_environment->m_load.Choose(usable, tried, typical, aNow);
+  if (replica == nullptr && aRepeatSame) {
+    replica = m_environment->m_load.Choose(usable, {}, typical, aNow);
+  }
+  if (replica != nullptr && m_environment->m_load.DownUntil(**replica, aNow)) {
+    return nullptr;
+  }
+  return replica;
+}
+
+bool
+ForwardRun::MayRepeat(const Leg& aLeg, SendOutcome aOutcome) const
+{
+  const Route& route = *m_request.m_route;
+  if (!route.m_idempotent && !MeansNotRun(aOutcome)) {
+    return false;
+  }
+  auto ran =
+    std::ranges::count_if(aLeg.m_attempts, [](const Attempt& aAttempt) {
+      return aAttempt.m_mayHaveRun;
+    });
+  return ran < route.m_maxAttempts &&
+         aLeg.m_attempts.size() < route.m_maxAttempts + kMostNotRun;
+}
+
+bool
+ForwardRun::HasOpen(const Leg& aLeg)
+{
+  return std::ranges::any_of(aLeg.m_attempts, &Attempt::m_open);
+}
+
+void
+ForwardRun::OnFailedAttempt(uint32_t aLeg, SendOutcome aOutcome, TimePoint aNow)
+{
+  Leg& leg = m_legs[aLeg];
+  bool enoughTime = aNow + kShortestDeadline < m_timeoutAt;
+  if (!HasOpen(leg) && enoughTime && MayRepeat(leg, aOutcome)) {
+    const ReplicaPtr* replica = ChooseFor(leg, true, aNow);
+    // A sending that did not reach its searcher is no arrival there.
+    bool free = aOutcome == SendOutcome::kNotSent;
+    if (replica != nullptr &&
+        (free || m_environment->m_budget.TryTake(leg.m_service))) {
+      SendTo(aLeg, *replica, SendReason::kRepeat, aNow);
+      return;
+    }
+  }
+  leg.m_failed = !HasOpen(leg);
+}
+
+void
+ForwardRun::HedgeLate(TimePoint aNow)
+{
+  for (uint32_t index = 0; index < m_legs.size(); ++index) {
+    Leg& leg = m_legs[index];
+    bool due = !leg.m_answer && !leg.m_failed &&
+               leg.m_hedgeAt != TimePoint{} && leg.m_hedgeAt <= aNow;
+    if (due) {
+      TryHedge(index, aNow);
+    }
+  }
+}
+
+void
+ForwardRun::TryHedge(uint32_t aLeg, TimePoint aNow)
+{
+  Leg& leg = m_legs[aLeg];
+  leg.m_hedgeAt = aNow + m_environment->m_options.m_hedgeRecheck;
+  const ReplicaPtr* replica = ChooseFor(leg, false, aNow);
+  if (replica == nullptr) {
+    leg.m_hedgeAt = TimePoint{};
+    return;
+  }
+  const ReplicaLoad& load = m_environment->m_load;
+  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  bool useful = load.HasRoom(**replica) &&
+                aNow + load.Predict(**replica, typical, aNow) < m_timeoutAt;
+  if (useful && m_environment->m_budget.TryTake(leg.m_service)) {
+    SendTo(aLeg, *replica, SendReason::kHedge, aNow);
+  }
+}
+
+void
+ForwardRun::FinishIfDue(TimePoint aNow)
+{
+  if (m_ended) {
+    return;
+  }
+  if (IsGathered()) {
+    FinishGathered(aNow);
+  } else {
+    FinishSingle(aNow);
+  }
+}
+
+void
+ForwardRun::FinishGathered(TimePoint aNow)
+{
+  ForwardResult result;
+  uint32_t inPlay = 0;
+  for (uint32_t index = 0; index < m_legs.size(); ++index) {
+    const Leg& leg = m_legs[index];
+    if (leg.m_answer) {
+      result.m_answers.push_back({ index, *leg.m_answer });
+    } else if (!leg.m_failed) {
+      ++inPlay;
+    }
+  }
+  auto answered = static_cast<uint32_t>(result.m_answers.size());
+  result.m_missing = static_cast<uint32_t>(m_legs.size()) - answered;
+  bool enough = answered >= Needed();
+  if (enough && (inPlay == 0 || aNow >= m_answerAt)) {
+    result.m_status =
+      result.m_missing == 0 ? ForwardStatus::kWhole : ForwardStatus::kPartial;
+    result.m_reason = inPlay == 0 ? "complete" : "early";
+    Finish(std::move(result));
+    return;
+  }
+  if (aNow >= m_timeoutAt) {
+    FinishFailed(true);
+  } else if (answered + inPlay < Needed()) {
+    FinishFailed(false);
+  }
+}
+
+void
+ForwardRun::FinishSingle(TimePoint aNow)
+{
+  const Leg& leg = m_legs.front();
+  if (leg.m_answer) {
+    Finish({ .m_status = ForwardStatus::kWhole,
+             .m_answers = { { 0, *leg.m_answer } },
+             .m_reason = "complete" });
+  } else if (leg.m_failed && leg.m_failure && !leg.m_unknown) {
+    Finish({ .m_status = ForwardStatus::kUpstreamFailure,
+             .m_answers = { { 0, *leg.m_failure } },
+             .m_missing = 1,
+             .m_reason = "upstream-failure" });
+  } else if (leg.m_failed) {
+    FinishFailed(false);
+  } else if (aNow >= m_timeoutAt) {
+    FinishFailed(true);
+  }
+}
+
+void
+ForwardRun::FinishFailed(bool aTimedOut)
+{
+  bool mayHaveRun = std::ranges::any_of(m_legs, [](const Leg& aLeg) {
+    return std::ranges::any_of(aLeg.m_attempts, &Attempt::m_mayHaveRun);
+  });
+  CancelOpen();
+  ForwardResult result;
+  result.m_missing = static_cast<uint32_t>(m_legs.size());
+  if (!mayHaveRun) {
+    Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+    result.m_status = ForwardStatus::kRefused;
+    result.m_retryAfter =
+      std::max(typical, m_environment->m_options.m_hedgeRecheck);
+    result.m_reason = "not-run";
+  } else {
+    result.m_status =
+      aTimedOut ? ForwardStatus::kTimedOut : ForwardStatus::kFailed;
+    result.m_reason = aTimedOut ? "timeout" : "upstream-broken";
+  }
+  Finish(std::move(result));
+}
+
+void
+ForwardRun::Finish(ForwardResult aResult)
+{
+  m_ended = true;
+  m_port->Finish(aResult);
+}
+
+void
+ForwardRun::CancelOpen()
+{
+  for (uint32_t index = 0; index < m_legs.size(); ++index) {
+    for (uint32_t attempt = 0; attempt < m_legs[index].m_attempts.size();
+         ++attempt) {
+      if (m_legs[index].m_attempts[attempt].m_open) {
+        m_legs[index].m_attempts[attempt].m_open = false;
+        m_port->Cancel(index, attempt);
+      }
+    }
+  }
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/forward/latency_model.cc
@@ -0,0 +1,53 @@
+#include "core/forward/latency_model.h"
+
+namespace ebonykeel {
+namespace {
+
+// The answers after which an earlier one counts half.
+constexpr double kHalfLife = 2000;
+// Fewer answers say little of a route.
+constexpr size_t kMinimumSamples = 40;
+// The quantile above which a request counts as late. Most of the rest wait for
+// a searcher that pauses.
+constexpr double kLateQuantile = 0.9;
+// Assumed before there are samples, as a share of the route's target.
+constexpr double kAssumedTypical = 0.2;
+constexpr double kAssumedLate = 0.35;
+
+} // namespace
+
+void
+LatencyModel::Add(const Route& aRoute, Duration aLatency)
+{
+  auto [histogram, added] =
+    m_histograms.try_emplace(aRoute.m_name, DecayingHistogram(kHalfLife));
+  histogram->second.Add(aLatency);
+}
+
+Duration
+LatencyModel::Typical(const Route& aRoute) const
+{
+  return Quantile(aRoute, 0.5, kAssumedTypical);
+}
+
+Duration
+LatencyModel::Late(const Route& aRoute) const
+{
+  return Quantile(aRoute, kLateQuantile, kAssumedLate);
+}
+
+Duration
+LatencyModel::Quantile(const Route& aRoute,
+                       double aQuantile,
+                       double aShareOfTarget) const
+{
+  auto found = m_histograms.find(aRoute.m_name);
+  if (found == m_histograms.end() ||
+      found->second.Count() < kMinimumSamples) {
+    return Duration(static_cast<int64_t>(
+      aShareOfTarget * static_cast<double>(aRoute.m_targetLatency.count())));
+  }
+  return found->second.Quantile(aQuantile);
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/forward/record_merge.h
@@ -0,0 +1,39 @@
+// Merges the parts of an answer that were gathered from the shards.
+//
+//   TopRecordsMerger merger(16, 50);
+//   std::string body = merger.Merge(bodies);
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ebonykeel {
+
+// Makes one body of the shards' bodies.
+class AnswerMerger
+{
+public:
+  virtual ~AnswerMerger() = default;
+  [[nodiscard]] virtual std::string Merge(
+    std::span<const std::string_view> aParts) const = 0;
+};
+
+// Takes bodies as records of a fixed length in any order and returns the
+// greatest, compared byte by byte, greatest first. Equal records all count; a
+// remainder shorter than a record is ignored.
+class TopRecordsMerger final : public AnswerMerger
+{
+public:
+  // `aRecordBytes` > 0.
+  TopRecordsMerger(size_t aRecordBytes, size_t aCount);
+  [[nodiscard]] std::string Merge(
+    std::span<const std::string_view> aParts) const override;
+
+private:
+  size_t m_recordBytes;
+  size_t m_count;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/replica/replica_catalogue.cc
@@ -0,0 +1,121 @@
+#include "core/replica/replica_catalogue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ebonykeel {
+
+void
+ReplicaCatalogue::Put(Replica aReplica, TimePoint aNow)
+{
+  std::string id = aReplica.m_id;
+  std::string service = aReplica.m_service;
+  auto found = m_replicas.find(id);
+  if (found != m_replicas.end()) {
+    if (*found->second.m_replica == aReplica) {
+      return;
+    }
+    if (found->second.m_replica->m_service != service) {
+      Remove(id);
+    }
+  }
+  TimePoint coldUntil = aNow + aReplica.m_coldFor;
+  m_replicas[id] = { std::make_shared<const Replica>(std::move(aReplica)),
+                     coldUntil };
+  m_idsByService[service].insert(id);
+  Rebuild(service);
+}
+
+void
+ReplicaCatalogue::Remove(std::string_view aId)
+{
+  auto found = m_replicas.find(aId);
+  if (found == m_replicas.end()) {
+    return;
+  }
+  std::string service = found->second.m_replica->m_service;
+  m_idsByService[service].erase(std::string(aId));
+  m_replicas.erase(found);
+  Rebuild(service);
+}
+
+void
+ReplicaCatalogue::SetExcluded(std::set<DataCentre> aDataCentres)
+{
+  if (m_excluded == aDataCentres) {
+    return;
+  }
+  m_excluded = std::move(aDataCentres);
+  for (const auto& [service, ids] : m_idsByService) {
+    Rebuild(service);
+  }
+}
+
+std::span<const ReplicaPtr>
+ReplicaCatalogue::Usable(std::string_view aService) const
+{
+  auto found = m_usable.find(aService);
+  if (found == m_usable.end()) {
+    return {};
+  }
+  return found->second;
+}
+
+bool
+ReplicaCatalogue::IsUsable(const Replica& aReplica) const
+{
+  auto found = m_replicas.find(aReplica.m_id);
+  return found != m_replicas.end() &&
+         found->second.m_replica->m_bornMs == aReplica.m_bornMs &&
+         found->second.m_replica->m_service == aReplica.m_service &&
+         Accepts(*found->second.m_replica);
+}
+
+bool
+ReplicaCatalogue::IsKnown(std::string_view aService) const
+{
+  auto found = m_idsByService.find(aService);
+  return found != m_idsByService.end() && !found->second.empty();
+}
+
+TimePoint
+ReplicaCatalogue::ColdUntil(std::string_view aId) const
+{
+  auto found = m_replicas.find(aId);
+  return found == m_replicas.end() ? TimePoint{} : found->second.m_coldUntil;
+}
+
+std::map<DataCentre, size_t>
+ReplicaCatalogue::CountByDataCentre(
+  std::span<const std::string> aServices) const
+{
+  std::map<DataCentre, size_t> counts;
+  for (const std::string& service : aServices) {
+    for (const ReplicaPtr& replica : Usable(service)) {
+      ++counts[replica->m_dataCentre];
+    }
+  }
+  return counts;
+}
+
+bool
+ReplicaCatalogue::Accepts(const Replica& aReplica) const
+{
+  return aReplica.m_state == ReplicaState::kReady &&
+         !m_excluded.contains(aReplica.m_dataCentre);
+}
+
+void
+ReplicaCatalogue::Rebuild(const std::string& aService)
+{
+  std::vector<ReplicaPtr>& usable = m_usable[aService];
+  usable.clear();
+  for (const std::string& id : m_idsByService[aService]) {
+    const ReplicaPtr& replica = m_replicas.at(id).m_replica;
+    if (Accepts(*replica)) {
+      usable.push_back(replica);
+    }
+  }
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/replica/replica_load.cc
@@ -0,0 +1,244 @@
+#include "core/replica/replica_load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+// The weight of a new sample in a searcher's factor.
+constexpr double kSampleWeight = 0.3;
+// Factors stay in this range, so that one odd sample cannot exclude a searcher
+// for long.
+constexpr double kLeastFactor = 0.25;
+constexpr double kGreatestFactor = 40;
+// How late an unanswered request has to be, as a multiple of the usual latency,
+// before it speaks against its searcher.
+constexpr double kOverdueFactor = 2;
+// The shortest latency that is told apart from none.
+constexpr Duration kLeastTypical = Milliseconds(1);
+// Added to a searcher that is down: above any latency of a live one.
+constexpr Duration kDownPenalty = Seconds(10);
+// Bounds the shift that doubles the backoff.
+constexpr uint32_t kMostDoublings = 10;
+
+} // namespace
+
+ReplicaLoad::ReplicaLoad(ReplicaLoadOptions aOptions)
+  : m_options(std::move(aOptions))
+{
+}
+
+const ReplicaPtr*
+ReplicaLoad::Choose(std::span<const ReplicaPtr> aCandidates,
+                    std::span<const ReplicaPtr> aTried,
+                    Duration aTypical,
+                    TimePoint aNow)
+{
+  const ReplicaPtr* best = nullptr;
+  Duration bestCost{};
+  size_t offset = aCandidates.empty() ? 0 : m_turn++ % aCandidates.size();
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    const ReplicaPtr& candidate =
+      aCandidates[(i + offset) % aCandidates.size()];
+    bool tried = std::ranges::any_of(aTried, [&](const ReplicaPtr& aOther) {
+      return aOther->m_id == candidate->m_id;
+    });
+    if (tried) {
+      continue;
+    }
+    Duration cost = Cost(*candidate, aTypical, aNow);
+    if (best == nullptr || cost < bestCost) {
+      best = &candidate;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+Duration
+ReplicaLoad::Predict(const Replica& aReplica,
+                     Duration aTypical,
+                     TimePoint aNow) const
+{
+  Duration typical = std::max(aTypical, kLeastTypical);
+  const State* state = Find(aReplica);
+  if (state == nullptr) {
+    return typical;
+  }
+  double inFlight = static_cast<double>(state->m_outstanding.size());
+  double slots = aReplica.m_slots;
+  double queue = std::max(0.0, inFlight + 1 - slots) / slots;
+  double factor = Factor(*state, aNow);
+  double predicted =
+    static_cast<double>(typical.count()) * factor * (1 + queue);
+  if (!state->m_outstanding.empty()) {
+    Duration age = aNow - *state->m_outstanding.begin();
+    if (age > typical * kOverdueFactor * std::max(1.0, factor)) {
+      predicted = std::max(
+        predicted, static_cast<double>((age + typical * (1 + queue)).count()));
+    }
+  }
+  return Duration(static_cast<int64_t>(predicted));
+}
+
+bool
+ReplicaLoad::HasRoom(const Replica& aReplica) const
+{
+  const State* state = Find(aReplica);
+  return state == nullptr || state->m_outstanding.size() < aReplica.m_slots;
+}
+
+std::optional<TimePoint>
+ReplicaLoad::DownUntil(const Replica& aReplica, TimePoint aNow) const
+{
+  const State* state = Find(aReplica);
+  if (state == nullptr || aNow >= state->m_downUntil) {
+    return std::nullopt;
+  }
+  return state->m_downUntil;
+}
+
+void
+ReplicaLoad::OnSent(const Replica& aReplica, TimePoint aNow)
+{
+  Touch(aReplica).m_outstanding.insert(aNow);
+}
+
+void
+ReplicaLoad::OnAnswered(const Replica& aReplica,
+                        TimePoint aSentAt,
+                        Duration aTypical,
+                        TimePoint aNow)
+{
+  State& state = Touch(aReplica);
+  auto sent = state.m_outstanding.find(aSentAt);
+  if (sent != state.m_outstanding.end()) {
+    state.m_outstanding.erase(sent);
+  }
+  state.m_unreachable = 0;
+  state.m_downUntil = TimePoint{};
+  state.m_errorRate = state.m_errorRate * Decay(state.m_errorAt, aNow) *
+                      (1 - kSampleWeight);
+  state.m_errorAt = aNow;
+  double typical =
+    static_cast<double>(std::max(aTypical, kLeastTypical).count());
+  double observed = static_cast<double>((aNow - aSentAt).count()) / typical;
+  observed = std::clamp(observed, kLeastFactor, kGreatestFactor);
+  double factor = Factor(state, aNow);
+  state.m_factor = factor + kSampleWeight * (observed - factor);
+  state.m_factorAt = aNow;
+}
+
+void
+ReplicaLoad::OnDropped(const Replica& aReplica, TimePoint aSentAt)
+{
+  State& state = Touch(aReplica);
+  auto sent = state.m_outstanding.find(aSentAt);
+  if (sent != state.m_outstanding.end()) {
+    state.m_outstanding.erase(sent);
+  }
+}
+
+void
+ReplicaLoad::OnFailed(const Replica& aReplica,
+                      TimePoint aSentAt,
+                      TimePoint aNow)
+{
+  OnDropped(aReplica, aSentAt);
+  State& state = Touch(aReplica);
+  double rate = state.m_errorRate * Decay(state.m_errorAt, aNow);
+  state.m_errorRate = rate + kSampleWeight * (1 - rate);
+  state.m_errorAt = aNow;
+}
+
+void
+ReplicaLoad::OnUnreachable(const Replica& aReplica,
+                           TimePoint aSentAt,
+                           TimePoint aNow)
+{
+  OnDropped(aReplica, aSentAt);
+  State& state = Touch(aReplica);
+  Duration backoff =
+    m_options.m_shortestBackoff *
+    (1U << std::min(state.m_unreachable, kMostDoublings));
+  state.m_downUntil = aNow + std::min(backoff, m_options.m_longestBackoff);
+  ++state.m_unreachable;
+}
+
+void
+ReplicaLoad::SetColdUntil(const Replica& aReplica, TimePoint aUntil)
+{
+  Touch(aReplica).m_coldUntil = aUntil;
+}
+
+void
+ReplicaLoad::Forget(std::string_view aId)
+{
+  m_states.erase(std::string(aId));
+}
+
+const ReplicaLoad::State*
+ReplicaLoad::Find(const Replica& aReplica) const
+{
+  auto found = m_states.find(aReplica.m_id);
+  if (found == m_states.end() ||
+      found->second.m_bornMs != aReplica.m_bornMs) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+ReplicaLoad::State&
+ReplicaLoad::Touch(const Replica& aReplica)
+{
+  State& state = m_states[aReplica.m_id];
+  if (state.m_bornMs != aReplica.m_bornMs) {
+    state = State{ .m_bornMs = aReplica.m_bornMs };
+  }
+  return state;
+}
+
+double
+ReplicaLoad::Decay(TimePoint aSince, TimePoint aNow) const
+{
+  return std::exp2(-static_cast<double>((aNow - aSince).count()) /
+                   static_cast<double>(m_options.m_halfLife.count()));
+}
+
+double
+ReplicaLoad::Factor(const State& aState, TimePoint aNow) const
+{
+  if (aState.m_factorAt == TimePoint{}) {
+    return 1;
+  }
+  return 1 + (aState.m_factor - 1) * Decay(aState.m_factorAt, aNow);
+}
+
+Duration
+ReplicaLoad::Cost(const Replica& aReplica,
+                  Duration aTypical,
+                  TimePoint aNow) const
+{
+  Duration cost = Predict(aReplica, aTypical, aNow);
+  if (aReplica.m_dataCentre != m_options.m_dataCentre) {
+    cost += m_options.m_remotePenalty;
+  }
+  const State* state = Find(aReplica);
+  if (state == nullptr) {
+    return cost;
+  }
+  if (aNow < state->m_coldUntil) {
+    cost += m_options.m_coldPenalty;
+  }
+  if (aNow < state->m_downUntil) {
+    cost += kDownPenalty;
+  }
+  double errors = state->m_errorRate * Decay(state->m_errorAt, aNow);
+  cost += Duration(static_cast<int64_t>(
+    errors * static_cast<double>(m_options.m_errorPenalty.count())));
+  return cost;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/replica/replica_load.h
@@ -0,0 +1,122 @@
+// What this instance has seen of each searcher's speed, and which of a
+// service's searchers to use next.
+//
+// A searcher's latency is kept as a factor on what its route usually takes, so
+// that samples of fast and slow routes count alike. A request that is overdue
+// raises the factor while it is still unanswered: a searcher that pauses is
+// avoided before its first late answer.
+//
+//   ReplicaLoad load(options);
+//   const ReplicaPtr* best = load.Choose(candidates, typical, nullptr, now);
+//   load.OnSent(**best, now);
+//   load.OnAnswered(**best, sentAt, typical, now);
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "core/replica/replica.h"
+
+namespace ebonykeel {
+
+struct ReplicaLoadOptions
+{
+  // The data centre of this instance.
+  DataCentre m_dataCentre;
+  // What a searcher in another data centre has to be faster by.
+  Duration m_remotePenalty = Milliseconds(8);
+  // What a searcher in cold start has to be faster by.
+  Duration m_coldPenalty = Milliseconds(200);
+  // How long a searcher that could not be reached counts as down; it doubles
+  // with each further failure up to the longest.
+  Duration m_shortestBackoff = Milliseconds(250);
+  Duration m_longestBackoff = Milliseconds(2000);
+  // What a searcher has to be faster by that fails every request; in
+  // proportion for one that fails some.
+  Duration m_errorPenalty = Milliseconds(500);
+  // The time after which half of a searcher's slowness is forgotten.
+  Duration m_halfLife = Milliseconds(1500);
+};
+
+class ReplicaLoad
+{
+public:
+  explicit ReplicaLoad(ReplicaLoadOptions aOptions);
+
+  // Returns the searcher that is expected to answer first; null if there is
+  // none but those in `aTried`. `aTypical` is the usual latency of the request.
+  [[nodiscard]] const ReplicaPtr* Choose(
+    std::span<const ReplicaPtr> aCandidates,
+    std::span<const ReplicaPtr> aTried,
+    Duration aTypical,
+    TimePoint aNow);
+
+  // Returns how long a request sent now is expected to take.
+  [[nodiscard]] Duration Predict(const Replica& aReplica,
+                                 Duration aTypical,
+                                 TimePoint aNow) const;
+  // Returns whether the searcher has a free slot as far as this instance knows.
+  [[nodiscard]] bool HasRoom(const Replica& aReplica) const;
+  // Returns until when the searcher counts as unreachable; nothing if it does
+  // not.
+  [[nodiscard]] std::optional<TimePoint> DownUntil(const Replica& aReplica,
+                                                   TimePoint aNow) const;
+
+  void OnSent(const Replica& aReplica, TimePoint aNow);
+  // Tells that a request came back whole. `aTypical` as in `Choose`.
+  void OnAnswered(const Replica& aReplica,
+                  TimePoint aSentAt,
+                  Duration aTypical,
+                  TimePoint aNow);
+  // Tells that a request ended without an answer that says anything of the
+  // searcher: it was cancelled or not sent.
+  void OnDropped(const Replica& aReplica, TimePoint aSentAt);
+  // Tells that the searcher failed the request, lost its answer or shed it.
+  void OnFailed(const Replica& aReplica, TimePoint aSentAt, TimePoint aNow);
+  // Tells that the searcher could not be reached, or that another one answers
+  // at its address.
+  void OnUnreachable(const Replica& aReplica,
+                     TimePoint aSentAt,
+                     TimePoint aNow);
+  // Sets until when a searcher counts as cold.
+  void SetColdUntil(const Replica& aReplica, TimePoint aUntil);
+  // Forgets searchers that are not used any more.
+  void Forget(std::string_view aId);
+
+private:
+  struct State
+  {
+    uint64_t m_bornMs = 0;
+    // The times at which the unanswered requests were sent.
+    std::multiset<TimePoint> m_outstanding;
+    // Observed latency over the usual one; 1 is usual.
+    double m_factor = 1;
+    TimePoint m_factorAt;
+    // The share of failed requests, decaying like the factor.
+    double m_errorRate = 0;
+    TimePoint m_errorAt;
+    uint32_t m_unreachable = 0;
+    TimePoint m_downUntil;
+    TimePoint m_coldUntil;
+  };
+
+  [[nodiscard]] const State* Find(const Replica& aReplica) const;
+  State& Touch(const Replica& aReplica);
+  [[nodiscard]] double Decay(TimePoint aSince, TimePoint aNow) const;
+  [[nodiscard]] double Factor(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] Duration Cost(const Replica& aReplica,
+                              Duration aTypical,
+                              TimePoint aNow) const;
+
+  ReplicaLoadOptions m_options;
+  std::unordered_map<std::string, State> m_states;
+  // Turns the choice among equals.
+  uint64_t m_turn = 0;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/replica/replica_load_test.cc
@@ -0,0 +1,110 @@
+#include "core/replica/replica_load.h"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart{ Seconds(100) };
+constexpr Duration kTypical = Milliseconds(20);
+
+ReplicaPtr
+ReplicaIn(const char* aId, const char* aDataCentre)
+{
+  return std::make_shared<const Replica>(
+    Replica{ .m_id = aId,
+             .m_bornMs = 1,
+             .m_service = "s",
+             .m_address = { "10.0.0.1", 80 },
+             .m_dataCentre = DataCentre(aDataCentre),
+             .m_slots = 2 });
+}
+
+struct Fixture
+{
+  ReplicaLoad m_load{ { .m_dataCentre = DataCentre("here") } };
+  std::vector<ReplicaPtr> m_replicas{ ReplicaIn("near", "here"),
+                                      ReplicaIn("far", "there") };
+
+  std::string ChosenAt(TimePoint aNow)
+  {
+    return (*m_load.Choose(m_replicas, {}, kTypical, aNow))->m_id;
+  }
+};
+
+DOCTEST_TEST_CASE("the own data centre is preferred among equals")
+{
+  Fixture fixture;
+  DOCTEST_CHECK(fixture.ChosenAt(kStart) == "near");
+}
+
+DOCTEST_TEST_CASE("a searcher with an overdue request is avoided")
+{
+  Fixture fixture;
+  fixture.m_load.OnSent(*fixture.m_replicas[0], kStart);
+  DOCTEST_CHECK(fixture.ChosenAt(kStart + Milliseconds(10)) == "near");
+  DOCTEST_CHECK(fixture.ChosenAt(kStart + Milliseconds(60)) == "far");
+}
+
+DOCTEST_TEST_CASE("a full searcher is left for one with a free slot")
+{
+  Fixture fixture;
+  for (int i = 0; i < 3; ++i) {
+    fixture.m_load.OnSent(*fixture.m_replicas[0], kStart);
+  }
+  DOCTEST_CHECK_FALSE(fixture.m_load.HasRoom(*fixture.m_replicas[0]));
+  DOCTEST_CHECK(fixture.ChosenAt(kStart + Milliseconds(1)) == "far");
+}
+
+DOCTEST_TEST_CASE("slowness is learnt from answers and forgotten with time")
+{
+  Fixture fixture;
+  for (int i = 0; i < 5; ++i) {
+    fixture.m_load.OnSent(*fixture.m_replicas[0], kStart);
+    fixture.m_load.OnAnswered(*fixture.m_replicas[0],
+                              kStart,
+                              kTypical,
+                              kStart + Milliseconds(240));
+  }
+  TimePoint after = kStart + Milliseconds(240);
+  DOCTEST_CHECK(fixture.ChosenAt(after) == "far");
+  DOCTEST_CHECK(fixture.ChosenAt(after + Seconds(30)) == "near");
+}
+
+DOCTEST_TEST_CASE("a searcher that loses some answers is avoided, not dropped")
+{
+  Fixture fixture;
+  fixture.m_load.OnSent(*fixture.m_replicas[0], kStart);
+  fixture.m_load.OnFailed(*fixture.m_replicas[0], kStart, kStart);
+  DOCTEST_CHECK(fixture.ChosenAt(kStart) == "far");
+  DOCTEST_CHECK_FALSE(
+    fixture.m_load.DownUntil(*fixture.m_replicas[0], kStart).has_value());
+}
+
+DOCTEST_TEST_CASE("an unreachable searcher is the last resort for a while")
+{
+  Fixture fixture;
+  fixture.m_load.OnSent(*fixture.m_replicas[0], kStart);
+  fixture.m_load.OnUnreachable(*fixture.m_replicas[0], kStart, kStart);
+  DOCTEST_CHECK(fixture.ChosenAt(kStart) == "far");
+  std::vector<ReplicaPtr> tried{ fixture.m_replicas[1] };
+  const ReplicaPtr* left =
+    fixture.m_load.Choose(fixture.m_replicas, tried, kTypical, kStart);
+  DOCTEST_REQUIRE(left != nullptr);
+  DOCTEST_CHECK((*left)->m_id == "near");
+  DOCTEST_CHECK(fixture.ChosenAt(kStart + Seconds(3)) == "near");
+}
+
+DOCTEST_TEST_CASE("a new life of an id starts without a history")
+{
+  Fixture fixture;
+  fixture.m_load.OnUnreachable(*fixture.m_replicas[0], kStart, kStart);
+  Replica reborn = *fixture.m_replicas[0];
+  reborn.m_bornMs = 2;
+  DOCTEST_CHECK_FALSE(fixture.m_load.DownUntil(reborn, kStart).has_value());
+}
+
+} // namespace
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/traffic/traffic_config.cc
@@ -0,0 +1,53 @@
+#include "core/traffic/traffic_config.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+std::string
+NormalHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::ranges::transform(host, host.begin(), [](unsigned char aByte) {
+    return static_cast<char>(std::tolower(aByte));
+  });
+  return host;
+}
+
+} // namespace
+
+RouteTable::RouteTable(TrafficConfigPtr aConfig)
+  : m_config(std::move(aConfig))
+{
+  for (const Route& route : m_config->m_routes) {
+    m_hosts[NormalHost(route.m_host)].emplace(route.m_pathPrefix, &route);
+  }
+}
+
+const Route*
+RouteTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  auto host = m_hosts.find(NormalHost(aHost));
+  if (host == m_hosts.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only those of the path can match.
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  size_t slash = path.rfind('/');
+  while (slash != std::string_view::npos) {
+    auto route = host->second.find(path.substr(0, slash + 1));
+    if (route != host->second.end()) {
+      return route->second;
+    }
+    if (slash == 0) {
+      break;
+    }
+    slash = path.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/core/traffic/traffic_config.h
@@ -0,0 +1,117 @@
+// What operators put into force for requests that are forwarded unchanged:
+// routes by host and path prefix, services and limits on callers.
+//
+//   RouteTable table(config);
+//   const Route* route = table.Find("search.example", "/desk/query");
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+// One service of a weighted split.
+struct SplitPart
+{
+  std::string m_service;
+  // Relative to the other parts; >= 0.
+  double m_weight = 0;
+};
+
+// How a route answers: from one service, one of a weighted split, or from all
+// shards of an index.
+enum class RouteTarget
+{
+  kService,
+  kSplit,
+  kShards,
+};
+
+// One route.
+struct Route
+{
+  std::string m_name;
+  std::string m_host;
+  // Begins and ends with a slash.
+  std::string m_pathPrefix;
+  RouteTarget m_target = RouteTarget::kService;
+  // For `kService`: one name. For `kShards`: the shards, in order.
+  std::vector<std::string> m_services;
+  std::vector<SplitPart> m_split;
+  // Whether a request may run more than once.
+  bool m_idempotent = false;
+  // The most searchers that may run one caller's attempt, for each shard.
+  uint32_t m_maxAttempts = 1;
+  // The longest time that a caller is kept waiting.
+  Duration m_timeout{};
+  // The time within which an answer has its full value.
+  Duration m_targetLatency{};
+  // 0 is the most urgent.
+  uint32_t m_priority = 0;
+  // For `kShards`: the records of an answer, and the share of the shards, in
+  // (0, 1], below which an answer is no success.
+  size_t m_topRecords = 0;
+  double m_minShare = 1;
+};
+
+// What is known of a service beside its replicas.
+struct ServiceSpec
+{
+  std::string m_name;
+  // Connections that one searcher accepts from all callers together.
+  uint32_t m_maxConnections = 0;
+  // Requests a second that a searcher in cold start bears; 0 if not stated.
+  double m_coldRequestsPerSecond = 0;
+};
+
+// Limits on what callers send.
+struct CallerLimits
+{
+  size_t m_headerBytes = 16384;
+  size_t m_bodyBytes = 262144;
+  Duration m_headerTimeout = Seconds(5);
+  Duration m_idleTimeout = Seconds(15);
+};
+
+// One version of the configuration. Immutable once built.
+struct TrafficConfig
+{
+  uint64_t m_version = 0;
+  std::vector<Route> m_routes;
+  std::unordered_map<std::string, ServiceSpec> m_services;
+  CallerLimits m_limits;
+};
+
+using TrafficConfigPtr = std::shared_ptr<const TrafficConfig>;
+
+// Finds the route of a request. Keeps the configuration alive.
+class RouteTable
+{
+public:
+  explicit RouteTable(TrafficConfigPtr aConfig);
+
+  // Returns the route of `aHost` (a port is ignored, letters in either case)
+  // with the longest prefix that begins `aPath`; null if there is none. Valid
+  // as long as the configuration.
+  [[nodiscard]] const Route* Find(std::string_view aHost,
+                                  std::string_view aPath) const;
+
+  [[nodiscard]] const TrafficConfigPtr& Config() const { return m_config; }
+
+private:
+  using PrefixMap = std::unordered_map<std::string_view, const Route*>;
+
+  TrafficConfigPtr m_config;
+  std::unordered_map<std::string, PrefixMap> m_hosts;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/entry_node.h
@@ -0,0 +1,98 @@
+// An instance that forwards requests on the users' platform: everything that
+// `ebonykeeld` runs in the mode "forward", put together.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/config/forward_settings.h"
+#include "core/feed/object_feed.h"
+#include "core/fleet/caller_directory.h"
+#include "core/forward/extra_budget.h"
+#include "node/entry/fleet_service.h"
+#include "node/entry/forward_service.h"
+#include "node/entry/protocol.h"
+#include "node/entry/store_reader.h"
+#include "node/entry/traffic_state.h"
+#include "runtime/http1/client.h"
+#include "runtime/http1/server.h"
+#include "runtime/log/line_log.h"
+#include "runtime/uv/uv_loop.h"
+
+namespace ebonykeel {
+
+// Everything that is passed in outlives the node.
+class EntryNode final
+  : private StoreReaderObserver
+  , private FleetObserver
+  , private ViewAge
+{
+public:
+  EntryNode(UvLoop& aLoop,
+            ForwardSettings aSettings,
+            const TrafficProtocol& aTraffic,
+            const StoreProtocol& aStore,
+            LineLog& aLog);
+  ~EntryNode() override;
+
+  // Binds the addresses and starts. Returns an empty text, or what failed.
+  [[nodiscard]] std::string Start();
+  // Applies changed settings as far as they can change while running.
+  void Reload(const ForwardSettings& aSettings);
+  // Stops without cutting a request and calls back at the end.
+  void Stop(std::function<void()> aDone);
+
+private:
+  class QuestionHandler;
+
+  void OnObject(FeedKind aKind, const FeedObject& aObject) override;
+  void OnRead(FeedKind aKind, bool aChanged) override;
+  void OnStoreReachable(bool aReachable) override;
+  void OnFleetChanged() override;
+  void OnMerged(FeedKind aKind, const FeedObject& aObject) override;
+  void OnMergeDone() override;
+  Duration ReplicasAge() const override;
+
+  void Tick();
+  void UpdateSelf();
+  void UpdateDuty();
+  void ApplyLimits();
+  void CheckSuspension();
+  void RegisterOnce();
+  void ContinueStop();
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] Http1Response AnswerDirectory(const DirectoryQuestion& aQuestion);
+  [[nodiscard]] Http1Response AnswerReadiness() const;
+  [[nodiscard]] std::string RenderMetrics() const;
+
+  UvLoop& m_loop;
+  ForwardSettings m_settings;
+  const TrafficProtocol& m_traffic;
+  LineLog& m_log;
+  TimePoint m_startedAt;
+  Duration m_suspended{};
+  std::array<ObjectFeed, kFeedKinds> m_feeds;
+  Http1Client m_searcherClient;
+  Http1Client m_controlClient;
+  ReplicaLoad m_load;
+  ExtraBudget m_budget;
+  TrafficState m_state;
+  StoreReader m_reader;
+  FleetService m_fleet;
+  ForwardService m_forward;
+  Http1Server m_callers;
+  std::unique_ptr<QuestionHandler> m_questions;
+  Http1Server m_directory;
+  Http1Server m_readiness;
+  Http1Server m_metrics;
+  UvTimer m_tick;
+  std::map<DataCentre, size_t> m_searchers;
+  bool m_storeReachable = true;
+  bool m_registered = false;
+  std::optional<TimePoint> m_stoppingSince;
+  std::function<void()> m_stopped;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/fleet_service.cc
@@ -0,0 +1,245 @@
+#include "node/entry/fleet_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "runtime/fleet/fleet_codec.h"
+
+namespace ebonykeel {
+namespace {
+
+constexpr std::string_view kFeedPath = "/feeds";
+constexpr int kOkStatus = 200;
+constexpr int kNotFoundStatus = 404;
+
+// Reads the revisions that a peer's copies are complete to, "since=1,2,3".
+std::array<uint64_t, kFeedKinds>
+ParseSince(std::string_view aQuery)
+{
+  std::array<uint64_t, kFeedKinds> since{};
+  std::string text(aQuery.substr(std::min(aQuery.size(), aQuery.find('=') + 1)));
+  std::vector<std::string> parts = absl::StrSplit(text, ',');
+  for (size_t i = 0; i < std::min(parts.size(), since.size()); ++i) {
+    // What cannot be read asks for everything.
+    (void)absl::SimpleAtoi(parts[i], &since[i]);
+  }
+  return since;
+}
+
+} // namespace
+
+FleetService::FleetService(UvLoop& aLoop,
+                           Http1Client& aClient,
+                           std::array<ObjectFeed, kFeedKinds>& aFeeds,
+                           LineLog& aLog,
+                           FleetServiceOptions aOptions,
+                           FleetObserver& aObserver)
+  : m_loop(aLoop)
+  , m_client(aClient)
+  , m_feeds(aFeeds)
+  , m_log(aLog)
+  , m_options(std::move(aOptions))
+  , m_observer(aObserver)
+  , m_view({}, m_options.m_self, m_options.m_seeds, m_bitGen, *this)
+  , m_socket(aLoop,
+             [this](const std::string& aHost, std::string_view aBytes) {
+               OnDatagram(aHost, aBytes);
+             })
+  , m_server(aLoop, *this, {})
+  , m_timer(aLoop, [this]() {
+    m_view.OnTimer(m_loop.Now());
+    Arm();
+  })
+{
+}
+
+std::string
+FleetService::Start()
+{
+  Address address{ m_options.m_self.m_host, m_options.m_port };
+  std::string problem = m_socket.Bind(address);
+  if (problem.empty()) {
+    problem = m_server.Listen(address);
+  }
+  if (problem.empty()) {
+    m_view.Start(m_loop.Now());
+    Arm();
+  }
+  return problem;
+}
+
+bool
+FleetService::InContact() const
+{
+  return m_view.InContact(m_loop.Now());
+}
+
+void
+FleetService::AddSeeds(std::span<const std::string> aHosts)
+{
+  m_view.AddSeeds(aHosts);
+}
+
+void
+FleetService::SetSelf(FleetState aState, bool aReady, bool aStoreReachable)
+{
+  m_view.SetSelf(aState, aReady, aStoreReachable);
+}
+
+void
+FleetService::Announce()
+{
+  m_view.Notify();
+}
+
+void
+FleetService::SendTo(const std::string& aHost, const FleetMessage& aMessage)
+{
+  m_socket.Send({ aHost, m_options.m_port }, EncodeFleetMessage(aMessage));
+}
+
+void
+FleetService::OnMember(const FleetRecord& aRecord)
+{
+  m_changed = true;
+  m_log.Write(Event::kMemberChanged,
+              { { "instance", aRecord.m_host },
+                { "state", std::string(FleetStateName(aRecord.m_state)) },
+                { "incarnation", absl::StrCat(aRecord.m_incarnation) } });
+}
+
+void
+FleetService::OnMarks(const FleetRecord& aSender,
+                      std::span<const FeedMark> aMarks)
+{
+  TimePoint now = m_loop.Now();
+  bool newer = false;
+  for (size_t i = 0; i < std::min(aMarks.size(), m_feeds.size()); ++i) {
+    m_feeds[i].Confirm(aMarks[i], now);
+    newer = newer || aMarks[i].m_content > m_feeds[i].Complete();
+  }
+  if (newer) {
+    Fetch(aSender.m_host);
+  }
+}
+
+std::vector<FeedMark>
+FleetService::Marks()
+{
+  std::vector<FeedMark> marks;
+  std::ranges::transform(
+    m_feeds, std::back_inserter(marks), [&](const ObjectFeed& aFeed) {
+      return aFeed.Mark(m_loop.Now());
+    });
+  return marks;
+}
+
+void
+FleetService::OnRequest(std::shared_ptr<Http1Exchange> aExchange)
+{
+  const std::string& target = aExchange->Request().m_target;
+  if (PathOf(target) != kFeedPath) {
+    aExchange->Answer({ .m_status = kNotFoundStatus });
+    return;
+  }
+  std::array<uint64_t, kFeedKinds> since = ParseSince(QueryOf(target));
+  std::vector<FeedDelta> deltas;
+  for (size_t i = 0; i < m_feeds.size(); ++i) {
+    deltas.push_back(m_feeds[i].Since(since[i], m_loop.Now()));
+  }
+  aExchange->Answer({ .m_status = kOkStatus, .m_body = EncodeDeltas(deltas) });
+}
+
+void
+FleetService::OnDatagram(const std::string& aHost, std::string_view aBytes)
+{
+  std::optional<FleetMessage> message = DecodeFleetMessage(aBytes);
+  // Only the machine that a record describes may send it as its own.
+  if (!message || message->m_sender.m_host != aHost) {
+    return;
+  }
+  m_view.OnMessage(*message, m_loop.Now());
+  Arm();
+}
+
+void
+FleetService::Fetch(const std::string& aHost)
+{
+  if (m_fetching) {
+    return;
+  }
+  m_fetching = true;
+  std::vector<std::string> since;
+  for (const ObjectFeed& feed : m_feeds) {
+    since.push_back(absl::StrCat(feed.Complete()));
+  }
+  Http1Request request{ .m_target = absl::StrCat(std::string(kFeedPath),
+                                                 "?since=",
+                                                 absl::StrJoin(since, ",")),
+                        .m_headers = { { "Host", aHost } } };
+  m_client.Send({ .m_address = { aHost, m_options.m_port },
+                  .m_bytes = SerializeRequest(request),
+                  .m_timeout = m_options.m_exchangeTimeout },
+                [this, aHost](const Http1Result& aResult) {
+                  OnFetched(aHost, aResult);
+                });
+}
+
+void
+FleetService::OnFetched(const std::string& aHost, const Http1Result& aResult)
+{
+  m_fetching = false;
+  if (aResult.m_end != Http1End::kAnswered) {
+    m_log.Write(Event::kPeerFailed,
+                { { "address", aHost },
+                  { "call", "feeds" },
+                  { "reason", std::string(aResult.m_problem) } });
+    return;
+  }
+  auto deltas = DecodeDeltas(aResult.m_response.m_body);
+  if (!deltas || deltas->size() != m_feeds.size()) {
+    m_log.Write(Event::kPeerFailed,
+                { { "address", aHost },
+                  { "call", "feeds" },
+                  { "reason", "unreadable" } });
+    return;
+  }
+  TimePoint now = m_loop.Now();
+  bool changed = false;
+  for (size_t i = 0; i < m_feeds.size(); ++i) {
+    size_t count = 0;
+    m_feeds[i].Merge((*deltas)[i], now, [&](const FeedObject& aObject) {
+      ++count;
+      m_observer.OnMerged(static_cast<FeedKind>(i), aObject);
+    });
+    if (count > 0) {
+      changed = true;
+      m_log.Write(
+        Event::kFeedMerged,
+        { { "peer", aHost },
+          { "kind", std::string(FeedKindName(static_cast<FeedKind>(i))) },
+          { "objects", absl::StrCat(count) },
+          { "revision", absl::StrCat((*deltas)[i].m_completeTo) },
+          { "age_ms", absl::StrCat(ToMilliseconds((*deltas)[i].m_age)) } });
+    }
+  }
+  m_observer.OnMergeDone();
+  if (changed) {
+    Announce();
+  }
+}
+
+void
+FleetService::Arm()
+{
+  if (std::exchange(m_changed, false)) {
+    m_observer.OnFleetChanged();
+  }
+  m_timer.Set(m_view.NextTimer());
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/fleet_service.h
@@ -0,0 +1,94 @@
+// Drives the view of the fleet with datagrams, and exchanges copies of the
+// store's objects with other instances over HTTP.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/random/random.h"
+
+#include "core/feed/object_feed.h"
+#include "core/fleet/fleet_view.h"
+#include "node/entry/protocol.h"
+#include "runtime/http1/client.h"
+#include "runtime/http1/server.h"
+#include "runtime/log/line_log.h"
+#include "runtime/uv/datagram_socket.h"
+#include "runtime/uv/uv_loop.h"
+
+namespace ebonykeel {
+
+class FleetObserver
+{
+public:
+  virtual ~FleetObserver() = default;
+  virtual void OnFleetChanged() = 0;
+  // Another instance's copy brought a change.
+  virtual void OnMerged(FeedKind aKind, const FeedObject& aObject) = 0;
+  // All changes of one exchange were reported.
+  virtual void OnMergeDone() = 0;
+};
+
+struct FleetServiceOptions
+{
+  FleetRecord m_self;
+  std::vector<std::string> m_seeds;
+  uint16_t m_port = 0;
+  // The bound of one exchange of copies.
+  Duration m_exchangeTimeout = Milliseconds(600);
+};
+
+// Everything that is passed in outlives the service.
+class FleetService final
+  : private FleetPort
+  , private Http1Handler
+{
+public:
+  FleetService(UvLoop& aLoop,
+               Http1Client& aClient,
+               std::array<ObjectFeed, kFeedKinds>& aFeeds,
+               LineLog& aLog,
+               FleetServiceOptions aOptions,
+               FleetObserver& aObserver);
+
+  // Returns an empty text, or why the port cannot be used.
+  [[nodiscard]] std::string Start();
+
+  [[nodiscard]] const FleetView& View() const { return m_view; }
+  [[nodiscard]] bool InContact() const;
+  void AddSeeds(std::span<const std::string> aHosts);
+  void SetSelf(FleetState aState, bool aReady, bool aStoreReachable);
+  // Tells others that this instance's copies have changed.
+  void Announce();
+
+private:
+  void SendTo(const std::string& aHost, const FleetMessage& aMessage) override;
+  void OnMember(const FleetRecord& aRecord) override;
+  void OnMarks(const FleetRecord& aSender,
+               std::span<const FeedMark> aMarks) override;
+  std::vector<FeedMark> Marks() override;
+  void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
+
+  void OnDatagram(const std::string& aHost, std::string_view aBytes);
+  void Fetch(const std::string& aHost);
+  void OnFetched(const std::string& aHost, const Http1Result& aResult);
+  void Arm();
+
+  UvLoop& m_loop;
+  Http1Client& m_client;
+  std::array<ObjectFeed, kFeedKinds>& m_feeds;
+  LineLog& m_log;
+  FleetServiceOptions m_options;
+  FleetObserver& m_observer;
+  absl::BitGen m_bitGen;
+  FleetView m_view;
+  DatagramSocket m_socket;
+  Http1Server m_server;
+  UvTimer m_timer;
+  bool m_fetching = false;
+  bool m_changed = false;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/forward_service.h
@@ -0,0 +1,114 @@
+// Serves callers: runs a `ForwardRun` for each request and carries its sendings
+// over HTTP.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/forward/forward_run.h"
+#include "core/traffic/weighted_choice.h"
+#include "node/entry/forward_stats.h"
+#include "node/entry/protocol.h"
+#include "node/entry/traffic_state.h"
+#include "runtime/http1/client.h"
+#include "runtime/http1/server.h"
+#include "runtime/log/line_log.h"
+#include "runtime/uv/uv_loop.h"
+
+namespace ebonykeel {
+
+struct ForwardServiceOptions
+{
+  ForwardOptions m_run;
+  // How long an answer that is not wanted any more is waited for: closing a
+  // connection costs the searcher more than a short answer, and the answer
+  // tells how fast the searcher is.
+  Duration m_lateAnswerWait = Milliseconds(400);
+  // A connection that was idle for longer carries no request that may run only
+  // once: the searcher may have closed it.
+  Duration m_mostIdleForOnce = Seconds(1);
+  // Told to callers while no configuration is known.
+  Duration m_startRetryAfter = Milliseconds(500);
+  // A copy of the store's objects that is older than this may lack a route.
+  Duration m_oldView = Seconds(4);
+};
+
+// Tells how old the copies of the store's objects are.
+class ViewAge
+{
+public:
+  virtual ~ViewAge() = default;
+  [[nodiscard]] virtual Duration ReplicasAge() const = 0;
+};
+
+// Everything that is passed in outlives the service.
+class ForwardService final : public Http1Handler
+{
+public:
+  ForwardService(UvLoop& aLoop,
+                 Http1Client& aClient,
+                 const TrafficProtocol& aProtocol,
+                 const TrafficState& aState,
+                 const ViewAge& aViewAge,
+                 ReplicaLoad& aLoad,
+                 ExtraBudget& aBudget,
+                 LineLog& aLog,
+                 ForwardServiceOptions aOptions);
+  ~ForwardService() override;
+
+  void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
+
+  [[nodiscard]] const ForwardStats& Stats() const { return m_stats; }
+
+private:
+  class Job;
+  // One request at a searcher, which may outlive its job.
+  struct Sending
+  {
+    std::weak_ptr<Job> m_job;
+    uint32_t m_leg = 0;
+    uint32_t m_attempt = 0;
+    ReplicaPtr m_replica;
+    Duration m_typical{};
+    TimePoint m_sentAt;
+    uint64_t m_call = 0;
+    std::shared_ptr<const RouteTable> m_routes;
+    const Route* m_route = nullptr;
+  };
+  using SendingPtr = std::shared_ptr<Sending>;
+  struct Late
+  {
+    TimePoint m_until;
+    SendingPtr m_sending;
+  };
+
+  void RejectWithoutRoute(Http1Exchange& aExchange, const CallerRequest& aCaller);
+  [[nodiscard]] std::vector<std::string> ServicesOf(const Route& aRoute);
+  void OnResult(const SendingPtr& aSending, Http1Result aResult);
+  void Account(const Sending& aSending, SendOutcome aOutcome, std::string_view aWhy);
+  // Ends a sending whose answer nobody waits for.
+  void Drop(const SendingPtr& aSending);
+  void DropLater(const SendingPtr& aSending);
+  void SweepLate();
+
+  UvLoop& m_loop;
+  Http1Client& m_client;
+  const TrafficProtocol& m_protocol;
+  const TrafficState& m_state;
+  const ViewAge& m_viewAge;
+  ReplicaLoad& m_load;
+  LineLog& m_log;
+  ForwardServiceOptions m_options;
+  LatencyModel m_latencies;
+  ForwardEnvironment m_environment;
+  std::map<std::string, WeightedChoice> m_splits;
+  ForwardStats m_stats;
+  std::deque<Late> m_late;
+  UvTimer m_lateTimer;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/forward_stats.cc
@@ -0,0 +1,69 @@
+#include "node/entry/forward_stats.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace ebonykeel {
+
+void
+ForwardStats::OnEnded(const std::string& aRoute,
+                      std::string_view aStatus,
+                      Duration aTook)
+{
+  ++m_requests[{ aRoute, std::string(aStatus) }];
+  m_latencies[aRoute].Add(aTook);
+}
+
+void
+ForwardStats::OnSending(std::string_view aReason, std::string_view aOutcome)
+{
+  ++m_sendings[{ std::string(aReason), std::string(aOutcome) }];
+}
+
+std::string
+ForwardStats::Render() const
+{
+  std::string text;
+  text += "# TYPE ebonykeel_requests_total counter\n";
+  for (const auto& [key, count] : m_requests) {
+    absl::StrAppend(&text,
+                    "ebonykeel_requests_total{route=\"",
+                    key.first,
+                    "\",status=\"",
+                    key.second,
+                    "\"} ",
+                    count,
+                    "\n");
+  }
+  text += "# TYPE ebonykeel_sendings_total counter\n";
+  for (const auto& [key, count] : m_sendings) {
+    absl::StrAppend(&text,
+                    "ebonykeel_sendings_total{reason=\"",
+                    key.first,
+                    "\",outcome=\"",
+                    key.second,
+                    "\"} ",
+                    count,
+                    "\n");
+  }
+  text += "# TYPE ebonykeel_request_seconds summary\n";
+  for (const auto& [route, latency] : m_latencies) {
+    std::string label = absl::StrCat("{route=\"", route, "\",quantile=\"");
+    absl::StrAppend(&text,
+                    "ebonykeel_request_seconds",
+                    label,
+                    "0.5\"} ",
+                    latency.Quantile(LatencySummary::kP50) / 1000,
+                    "\nebonykeel_request_seconds",
+                    label,
+                    "0.99\"} ",
+                    latency.Quantile(LatencySummary::kP99) / 1000,
+                    "\nebonykeel_request_seconds_count{route=\"",
+                    route,
+                    "\"} ",
+                    latency.Count(),
+                    "\n");
+  }
+  return text;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/forward_stats.h
@@ -0,0 +1,33 @@
+// Counters and latencies of forwarded requests.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "core/base/time.h"
+#include "runtime/metrics/latency_summary.h"
+
+namespace ebonykeel {
+
+class ForwardStats
+{
+public:
+  // A request on a route ended with `aStatus`, such as "whole".
+  void OnEnded(const std::string& aRoute,
+               std::string_view aStatus,
+               Duration aTook);
+  // A sending for `aReason` ended with `aOutcome`.
+  void OnSending(std::string_view aReason, std::string_view aOutcome);
+
+  // Returns the counters in Prometheus' text format.
+  [[nodiscard]] std::string Render() const;
+
+private:
+  std::map<std::pair<std::string, std::string>, uint64_t> m_requests;
+  std::map<std::pair<std::string, std::string>, uint64_t> m_sendings;
+  std::map<std::string, LatencySummary> m_latencies;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/store_reader.h
@@ -0,0 +1,130 @@
+// Reads the platform's store for the fleet while this instance is on duty.
+//
+// Each kind of objects is listed once and then watched. Searchers' heartbeats
+// change their objects all the time, so that kind is polled at an interval: one
+// watch call takes all that happened since. Removals of registrations that are
+// seen right after an outage are held back: registrations lapse while the store
+// is away and return soon after it.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/feed/object_feed.h"
+#include "node/entry/protocol.h"
+#include "runtime/http1/client.h"
+#include "runtime/log/line_log.h"
+#include "runtime/uv/uv_loop.h"
+
+namespace ebonykeel {
+
+class StoreReaderObserver
+{
+public:
+  virtual ~StoreReaderObserver() = default;
+  // An object of the kind changed in the feed.
+  virtual void OnObject(FeedKind aKind, const FeedObject& aObject) = 0;
+  // A call brought the feed up to date; `aChanged` if it changed content.
+  virtual void OnRead(FeedKind aKind, bool aChanged) = 0;
+  // Whether the store answers this instance changed.
+  virtual void OnStoreReachable(bool aReachable) = 0;
+};
+
+struct StoreReaderOptions
+{
+  Address m_store;
+  // Between two polls of the registrations.
+  Duration m_pollInterval = Milliseconds(900);
+  // How long a watch of the other kinds stays open.
+  Duration m_watch = Seconds(10);
+  // How long a call may take beyond its wait.
+  Duration m_timeout = Milliseconds(1500);
+  // Between two calls of a kind after a failure.
+  Duration m_retry = Milliseconds(700);
+  // How long removals are held back after an outage.
+  Duration m_removalHold = Milliseconds(2300);
+  // A copy of the registrations that is older than this went through an outage.
+  Duration m_outageAfter = Milliseconds(2800);
+  // An instance that the store turned away counts as reaching it again after
+  // this time without a call.
+  Duration m_forgive = Seconds(5);
+};
+
+// Everything that is passed in outlives the reader.
+class StoreReader
+{
+public:
+  StoreReader(UvLoop& aLoop,
+              Http1Client& aClient,
+              const StoreProtocol& aProtocol,
+              std::array<ObjectFeed, kFeedKinds>& aFeeds,
+              LineLog& aLog,
+              StoreReaderOptions aOptions,
+              StoreReaderObserver& aObserver);
+
+  // Starts or stops reading.
+  void SetOnDuty(bool aOnDuty);
+  [[nodiscard]] bool OnDuty() const { return m_onDuty; }
+  // Calls made since the start.
+  [[nodiscard]] uint64_t Calls() const { return m_calls; }
+
+  // Reads the list of instances and adds `aHost` if it is not there; calls back
+  // with the hosts, or with none if the store does not answer.
+  void Register(const std::string& aHost,
+                const DataCentre& aDataCentre,
+                std::function<void(std::vector<std::string>)> aCallback);
+  // Removes an instance from the list.
+  void Unregister(const std::string& aHost);
+
+private:
+  struct Kind
+  {
+    FeedKind m_kind = FeedKind::kConfiguration;
+    bool m_listed = false;
+    uint64_t m_call = 0;
+    std::string m_listAfter;
+    std::vector<std::string> m_listNames;
+    uint64_t m_listAsOf = 0;
+    std::unique_ptr<UvTimer> m_timer;
+  };
+
+  void Next(Kind& aKind);
+  void List(Kind& aKind);
+  void Watch(Kind& aKind);
+  void Later(Kind& aKind, Duration aDelay);
+  uint64_t Call(const Http1Request& aRequest,
+                Duration aTimeout,
+                Http1Client::Callback aCallback);
+  void OnList(Kind& aKind, const Http1Result& aResult);
+  void OnEvents(Kind& aKind, const Http1Result& aResult);
+  // Nobody may have read the store for a while: what is missing now may have
+  // lapsed meanwhile.
+  void HoldAfterGap(const Kind& aKind);
+  bool Apply(Kind& aKind, FeedObject aObject);
+  bool ReleaseHeld(Kind& aKind, uint64_t aRevision);
+  void OnSuccess(Kind& aKind, uint64_t aAsOf, bool aChanged);
+  void OnFailure(Kind& aKind, std::string_view aProblem);
+  [[nodiscard]] bool Holding() const;
+  ObjectFeed& Feed(const Kind& aKind);
+
+  UvLoop& m_loop;
+  Http1Client& m_client;
+  const StoreProtocol& m_protocol;
+  std::array<ObjectFeed, kFeedKinds>& m_feeds;
+  LineLog& m_log;
+  StoreReaderOptions m_options;
+  StoreReaderObserver& m_observer;
+  std::array<Kind, kFeedKinds> m_kinds;
+  UvTimer m_forgive;
+  bool m_onDuty = false;
+  bool m_reachable = true;
+  TimePoint m_holdUntil;
+  // Registrations whose removal is held back.
+  std::map<std::string, FeedObject> m_held;
+  uint64_t m_calls = 0;
+};
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/traffic_state.cc
@@ -0,0 +1,130 @@
+#include "node/entry/traffic_state.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace ebonykeel {
+
+TrafficState::TrafficState(const StoreProtocol& aProtocol,
+                           ReplicaLoad& aLoad,
+                           LineLog& aLog)
+  : m_protocol(aProtocol)
+  , m_load(aLoad)
+  , m_log(aLog)
+{
+}
+
+void
+TrafficState::OnObject(FeedKind aKind,
+                       const FeedObject& aObject,
+                       TimePoint aNow)
+{
+  switch (aKind) {
+    case FeedKind::kConfiguration:
+      OnConfiguration(aObject);
+      break;
+    case FeedKind::kReplicas:
+      OnReplica(aObject, aNow);
+      break;
+    case FeedKind::kExclusions:
+      OnExclusion(aObject);
+      break;
+  }
+}
+
+std::map<DataCentre, size_t>
+TrafficState::GatheredSearchers() const
+{
+  std::set<std::string> services;
+  if (m_routes != nullptr) {
+    for (const Route& route : m_routes->Config()->m_routes) {
+      if (route.m_target == RouteTarget::kShards) {
+        services.insert(route.m_services.begin(), route.m_services.end());
+      }
+    }
+  }
+  std::vector<std::string> names(services.begin(), services.end());
+  return m_catalogue.CountByDataCentre(names);
+}
+
+void
+TrafficState::OnConfiguration(const FeedObject& aObject)
+{
+  // The configuration in force stays when the stored one is gone.
+  if (aObject.m_deleted) {
+    return;
+  }
+  auto config = m_protocol.ReadConfiguration(aObject.m_payload);
+  if (!config.ok()) {
+    m_log.Write(Event::kConfigurationRefused,
+                { { "problem", std::string(config.status().message()) },
+                  { "source", "store" },
+                  { "detail", absl::StrCat(aObject.m_revision) } });
+    return;
+  }
+  uint64_t version = (*config)->m_version;
+  if (m_routes != nullptr && version <= m_routes->Config()->m_version) {
+    return;
+  }
+  m_log.Write(Event::kConfigurationInForce,
+              { { "generation", absl::StrCat(version) },
+                { "services", absl::StrCat((*config)->m_services.size()) },
+                { "author", "" },
+                { "summary",
+                  absl::StrCat((*config)->m_routes.size(),
+                               " routes, revision ",
+                               aObject.m_revision) } });
+  m_routes = std::make_shared<const RouteTable>(*std::move(config));
+}
+
+void
+TrafficState::OnReplica(const FeedObject& aObject, TimePoint aNow)
+{
+  auto replica = aObject.m_deleted
+                   ? absl::StatusOr<Replica>(absl::NotFoundError("removed"))
+                   : m_protocol.ReadReplica(aObject.m_name, aObject.m_payload);
+  if (!replica.ok()) {
+    m_catalogue.Remove(aObject.m_name);
+    m_load.Forget(aObject.m_name);
+    m_log.Write(Event::kReplicaGone,
+                { { "replica", aObject.m_name },
+                  { "revision", absl::StrCat(aObject.m_revision) } });
+    return;
+  }
+  m_log.Write(
+    Event::kReplicaChanged,
+    { { "replica", replica->m_id },
+      { "service", replica->m_service },
+      { "address", FormatAddress(replica->m_address) },
+      { "data_centre", replica->m_dataCentre.Text() },
+      { "state",
+        replica->m_state == ReplicaState::kReady ? "ready" : "draining" },
+      { "revision", absl::StrCat(aObject.m_revision) } });
+  if (replica->m_coldFor > Duration{}) {
+    m_load.SetColdUntil(*replica, aNow + replica->m_coldFor);
+  }
+  m_catalogue.Put(*std::move(replica), aNow);
+}
+
+void
+TrafficState::OnExclusion(const FeedObject& aObject)
+{
+  DataCentre dataCentre(aObject.m_name);
+  if (aObject.m_deleted) {
+    m_excluded.erase(dataCentre);
+  } else {
+    m_excluded.insert(dataCentre);
+  }
+  std::vector<std::string> names;
+  for (const DataCentre& excluded : m_excluded) {
+    names.push_back(excluded.Text());
+  }
+  m_log.Write(Event::kDataCentresExcluded,
+              { { "data_centres", absl::StrJoin(names, ",") },
+                { "revision", absl::StrCat(aObject.m_revision) } });
+  m_catalogue.SetExcluded(m_excluded);
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/node/entry/traffic_state.h
@@ -0,0 +1,52 @@
+// What an instance knows of routes and searchers, built from its copies of the
+// store's objects.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/replica/replica_catalogue.h"
+#include "core/replica/replica_load.h"
+#include "core/traffic/traffic_config.h"
+#include "node/entry/protocol.h"
+#include "runtime/log/line_log.h"
+
+namespace ebonykeel {
+
+// Everything that is passed in outlives the state.
+class TrafficState
+{
+public:
+  TrafficState(const StoreProtocol& aProtocol,
+               ReplicaLoad& aLoad,
+               LineLog& aLog);
+
+  // Takes in a changed object.
+  void OnObject(FeedKind aKind, const FeedObject& aObject, TimePoint aNow);
+
+  // Returns the routes in force; null before a configuration is known.
+  [[nodiscard]] const std::shared_ptr<const RouteTable>& Routes() const
+  {
+    return m_routes;
+  }
+  [[nodiscard]] const ReplicaCatalogue& Catalogue() const { return m_catalogue; }
+  // Counts the usable searchers of all gathered routes a data centre.
+  [[nodiscard]] std::map<DataCentre, size_t> GatheredSearchers() const;
+
+private:
+  void OnConfiguration(const FeedObject& aObject);
+  void OnReplica(const FeedObject& aObject, TimePoint aNow);
+  void OnExclusion(const FeedObject& aObject);
+
+  const StoreProtocol& m_protocol;
+  ReplicaLoad& m_load;
+  LineLog& m_log;
+  std::shared_ptr<const RouteTable> m_routes;
+  ReplicaCatalogue m_catalogue;
+  std::set<DataCentre> m_excluded;
+};
+
+} // namespace ebonykeel
--- a/packages/node/main.cc
+++ b/packages/node/main.cc
@@ -11,8 +11,12 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
+#include "core/config/forward_settings.h"
 #include "core/config/node_settings.h"
+#include "node/entry/entry_main.h"
 #include "node/node.h"
+#include "platform/store_protocol.h"
+#include "platform/traffic_protocol.h"
 #include "runtime/file/ready_file.h"
 #include "runtime/log/events.h"
 #include "runtime/loop/loop.h"
@@ -129,6 +133,34 @@
   return kExitOk;
 }
 
+// Runs the mode in which an instance forwards requests on the platform.
+int
+RunForwardMode(const std::string& aPath, bool aCheckOnly)
+{
+  std::optional<std::string> text = ReadFile(aPath);
+  ForwardSettingsResult result =
+    ParseForwardSettings(text.value_or(""), aPath);
+  if (!result.m_settings) {
+    std::cerr << FormatFindings(result.m_findings);
+    return kExitRefused;
+  }
+  if (aCheckOnly) {
+    std::cout << "settings are valid\n";
+    return kExitOk;
+  }
+  auto traffic = platform::MakeTrafficProtocol();
+  auto store =
+    platform::MakeStoreProtocol(FormatAddress(result.m_settings->m_store));
+  return RunEntry(*std::move(result.m_settings), aPath, *traffic, *store);
+}
+
+bool
+WantsForwardMode(const std::string& aPath)
+{
+  std::optional<std::string> text = ReadFile(aPath);
+  return text && IsForwardMode(*text);
+}
+
 } // namespace
 
 int
@@ -140,6 +172,10 @@
     std::cout << RenderEventCatalogue();
     return kExitOk;
   }
+  std::string path = arguments["--settings"].asString();
+  if (WantsForwardMode(path)) {
+    std::_Exit(RunForwardMode(path, arguments["--check"].asBool()));
+  }
   std::optional<NodeSettings> settings =
     LoadSettings(arguments["--settings"].asString());
   if (!settings) {
--- /dev/null
+++ b/packages/runtime/fleet/fleet.capnp
@@ -0,0 +1,47 @@
+@0xd1f0c2a94be37a55;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("ebonykeel::wire");
+
+# What instances send each other in datagrams and over HTTP.
+
+struct FleetRecord {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  state @2 :UInt8;
+  dataCentre @3 :Text;
+  ready @4 :Bool;
+  storeReachable @5 :Bool;
+}
+
+struct FeedMark {
+  content @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+struct FleetDatagram {
+  kind @0 :UInt8;
+  sequence @1 :UInt64;
+  subject @2 :Text;
+  sender @3 :FleetRecord;
+  news @4 :List(FleetRecord);
+  marks @5 :List(FeedMark);
+}
+
+struct FeedObject {
+  name @0 :Text;
+  revision @1 :UInt64;
+  deleted @2 :Bool;
+  payload @3 :Data;
+}
+
+struct FeedDelta {
+  whole @0 :Bool;
+  completeTo @1 :UInt64;
+  ageMs @2 :UInt32;
+  objects @3 :List(FeedObject);
+}
+
+struct FeedAnswer {
+  deltas @0 :List(FeedDelta);
+}
--- /dev/null
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -0,0 +1,193 @@
+#include "runtime/fleet/fleet_codec.h"
+
+#include <algorithm>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include "runtime/fleet/fleet.capnp.h"
+
+namespace ebonykeel {
+namespace {
+
+// Knowledge older than this is as good as none.
+constexpr Duration kMostAge = Seconds(3600);
+constexpr uint64_t kMostWords = uint64_t{ 8 } << 20;
+
+uint32_t
+EncodeAge(Duration aAge)
+{
+  Duration age = std::clamp(aAge, Duration{}, kMostAge);
+  return static_cast<uint32_t>(ToMilliseconds(age));
+}
+
+void
+WriteRecord(const FleetRecord& aRecord, wire::FleetRecord::Builder aBuilder)
+{
+  aBuilder.setHost(aRecord.m_host);
+  aBuilder.setIncarnation(aRecord.m_incarnation);
+  aBuilder.setState(static_cast<uint8_t>(aRecord.m_state));
+  aBuilder.setDataCentre(aRecord.m_dataCentre.Text());
+  aBuilder.setReady(aRecord.m_ready);
+  aBuilder.setStoreReachable(aRecord.m_storeReachable);
+}
+
+FleetRecord
+ReadRecord(wire::FleetRecord::Reader aReader)
+{
+  uint8_t state = std::min(aReader.getState(),
+                           static_cast<uint8_t>(FleetState::kDead));
+  return { .m_host = aReader.getHost(),
+           .m_incarnation = aReader.getIncarnation(),
+           .m_state = static_cast<FleetState>(state),
+           .m_dataCentre = DataCentre(aReader.getDataCentre().cStr()),
+           .m_ready = aReader.getReady(),
+           .m_storeReachable = aReader.getStoreReachable() };
+}
+
+std::string
+Pack(capnp::MallocMessageBuilder& aMessage)
+{
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, aMessage);
+  auto bytes = stream.getArray();
+  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+// Calls `aRead` with the message in `aBytes`; returns false if they are none.
+template<typename Read>
+bool
+Unpack(std::string_view aBytes, Read aRead)
+{
+  auto problem = kj::runCatchingExceptions([&]() {
+    kj::ArrayInputStream stream(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMostWords;
+    capnp::PackedMessageReader reader(stream, options);
+    aRead(reader);
+  });
+  return problem == nullptr;
+}
+
+FleetMessage
+ReadMessage(wire::FleetDatagram::Reader aReader)
+{
+  uint8_t kind = std::min(aReader.getKind(),
+                          static_cast<uint8_t>(FleetMessageKind::kNotice));
+  FleetMessage message{ .m_kind = static_cast<FleetMessageKind>(kind),
+                        .m_sequence = aReader.getSequence(),
+                        .m_subject = aReader.getSubject(),
+                        .m_sender = ReadRecord(aReader.getSender()) };
+  for (wire::FleetRecord::Reader record : aReader.getNews()) {
+    message.m_news.push_back(ReadRecord(record));
+  }
+  for (wire::FeedMark::Reader mark : aReader.getMarks()) {
+    message.m_marks.push_back(
+      { mark.getContent(), Milliseconds(mark.getAgeMs()) });
+  }
+  return message;
+}
+
+FeedDelta
+ReadDelta(wire::FeedDelta::Reader aReader)
+{
+  FeedDelta delta{ .m_whole = aReader.getWhole(),
+                   .m_completeTo = aReader.getCompleteTo(),
+                   .m_age = Milliseconds(aReader.getAgeMs()) };
+  for (wire::FeedObject::Reader object : aReader.getObjects()) {
+    auto payload = object.getPayload();
+    delta.m_objects.push_back(
+      { .m_name = object.getName(),
+        .m_revision = object.getRevision(),
+        .m_deleted = object.getDeleted(),
+        .m_payload = { reinterpret_cast<const char*>(payload.begin()),
+                       payload.size() } });
+  }
+  return delta;
+}
+
+void
+WriteDelta(const FeedDelta& aDelta, wire::FeedDelta::Builder aBuilder)
+{
+  aBuilder.setWhole(aDelta.m_whole);
+  aBuilder.setCompleteTo(aDelta.m_completeTo);
+  aBuilder.setAgeMs(EncodeAge(aDelta.m_age));
+  auto objects = aBuilder.initObjects(aDelta.m_objects.size());
+  for (size_t i = 0; i < aDelta.m_objects.size(); ++i) {
+    const FeedObject& object = aDelta.m_objects[i];
+    objects[i].setName(object.m_name);
+    objects[i].setRevision(object.m_revision);
+    objects[i].setDeleted(object.m_deleted);
+    objects[i].setPayload(kj::arrayPtr(
+      reinterpret_cast<const kj::byte*>(object.m_payload.data()),
+      object.m_payload.size()));
+  }
+}
+
+} // namespace
+
+std::string
+EncodeFleetMessage(const FleetMessage& aMessage)
+{
+  capnp::MallocMessageBuilder builder;
+  auto datagram = builder.initRoot<wire::FleetDatagram>();
+  datagram.setKind(static_cast<uint8_t>(aMessage.m_kind));
+  datagram.setSequence(aMessage.m_sequence);
+  datagram.setSubject(aMessage.m_subject);
+  WriteRecord(aMessage.m_sender, datagram.initSender());
+  auto news = datagram.initNews(aMessage.m_news.size());
+  for (size_t i = 0; i < aMessage.m_news.size(); ++i) {
+    WriteRecord(aMessage.m_news[i], news[i]);
+  }
+  auto marks = datagram.initMarks(aMessage.m_marks.size());
+  for (size_t i = 0; i < aMessage.m_marks.size(); ++i) {
+    marks[i].setContent(aMessage.m_marks[i].m_content);
+    marks[i].setAgeMs(EncodeAge(aMessage.m_marks[i].m_age));
+  }
+  return Pack(builder);
+}
+
+std::optional<FleetMessage>
+DecodeFleetMessage(std::string_view aBytes)
+{
+  FleetMessage message;
+  bool read = Unpack(aBytes, [&](capnp::MessageReader& aReader) {
+    message = ReadMessage(aReader.getRoot<wire::FleetDatagram>());
+  });
+  if (!read) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+std::string
+EncodeDeltas(std::span<const FeedDelta> aDeltas)
+{
+  capnp::MallocMessageBuilder builder;
+  auto answer = builder.initRoot<wire::FeedAnswer>();
+  auto deltas = answer.initDeltas(aDeltas.size());
+  for (size_t i = 0; i < aDeltas.size(); ++i) {
+    WriteDelta(aDeltas[i], deltas[i]);
+  }
+  return Pack(builder);
+}
+
+std::optional<std::vector<FeedDelta>>
+DecodeDeltas(std::string_view aBytes)
+{
+  std::vector<FeedDelta> result;
+  bool read = Unpack(aBytes, [&](capnp::MessageReader& aReader) {
+    for (auto delta : aReader.getRoot<wire::FeedAnswer>().getDeltas()) {
+      result.push_back(ReadDelta(delta));
+    }
+  });
+  if (!read) {
+    return std::nullopt;
+  }
+  return result;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/runtime/http1/client.cc
@@ -0,0 +1,309 @@
+#include "runtime/http1/client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace ebonykeel {
+namespace {
+
+constexpr Duration kSweepInterval = Milliseconds(500);
+constexpr int kFirstFinalStatus = 200;
+
+// Returns the idle time that a server states in `Keep-Alive: timeout=5`.
+std::optional<Duration>
+StatedIdleTimeout(const Http1Response& aResponse)
+{
+  std::optional<std::string_view> value =
+    FindHeader(aResponse.m_headers, "keep-alive");
+  constexpr std::string_view kKey = "timeout=";
+  size_t at = value ? value->find(kKey) : std::string_view::npos;
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view digits = value->substr(at + kKey.size());
+  int64_t seconds = 0;
+  auto parsed =
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return Seconds(std::min<int64_t>(seconds, 3600));
+}
+
+} // namespace
+
+// One connection to a server, running a call or kept for the next one.
+class Http1ClientConnection final : public TcpObserver
+{
+public:
+  Http1ClientConnection(Http1Client& aClient, Address aAddress)
+    : m_client(aClient)
+    , m_address(std::move(aAddress))
+    , m_parser(Http1Parser::Kind::kResponse, aClient.m_options.m_limits)
+    , m_timer(aClient.m_loop, [this]() { OnTimer(); })
+  {
+  }
+
+  void Run(uint64_t aId, Http1Call aCall)
+  {
+    m_id = aId;
+    m_call = std::move(aCall);
+    TimePoint now = m_client.m_loop.Now();
+    m_deadline = now + m_call.m_timeout;
+    m_parser.Reset();
+    m_parser.ExpectNoBody(m_call.m_headOnly);
+    if (m_stream != nullptr) {
+      m_timer.Set(m_deadline);
+      Write();
+      return;
+    }
+    m_timer.Set(std::min(m_deadline, now + m_call.m_connectTimeout));
+    m_stream = TcpStream::Connect(m_client.m_loop, m_address, *this);
+  }
+
+  void OnConnected(bool aOk) override
+  {
+    if (!aOk) {
+      End(Http1End::kNotSent, "connect");
+      return;
+    }
+    m_connected = true;
+    m_timer.Set(m_deadline);
+    Write();
+  }
+
+  void OnBytes(std::string_view aBytes) override
+  {
+    if (m_id == 0) {
+      // Nothing was asked: these bytes belong to no request.
+      m_client.OnIdleBroken(*this);
+      return;
+    }
+    while (!aBytes.empty()) {
+      size_t used = m_parser.Feed(aBytes);
+      aBytes.remove_prefix(std::min(used, aBytes.size()));
+      if (m_parser.State() == Http1Parser::Progress::kComplete) {
+        if (IsAnswer()) {
+          m_stray = m_stray || !aBytes.empty();
+          EndAnswered();
+          return;
+        }
+        m_parser.Reset();
+        m_parser.ExpectNoBody(m_call.m_headOnly);
+        continue;
+      }
+      if (m_parser.State() > Http1Parser::Progress::kComplete) {
+        End(Http1End::kBroken, "malformed");
+        return;
+      }
+    }
+  }
+
+  void OnEnd(bool aReset) override
+  {
+    if (m_id == 0) {
+      m_client.OnIdleBroken(*this);
+      return;
+    }
+    if (!aReset) {
+      m_parser.FeedEnd();
+      if (m_parser.State() == Http1Parser::Progress::kComplete && IsAnswer()) {
+        m_stray = true;
+        EndAnswered();
+        return;
+      }
+    }
+    End(Http1End::kBroken, aReset ? "reset" : "closed");
+  }
+
+  void KeepIdle(TimePoint aNow)
+  {
+    m_id = 0;
+    m_idleSince = aNow;
+    m_timer.Set(std::nullopt);
+  }
+
+  [[nodiscard]] const Address& To() const { return m_address; }
+  [[nodiscard]] TimePoint IdleSince() const { return m_idleSince; }
+  [[nodiscard]] bool IsStale(TimePoint aNow) const
+  {
+    return aNow - m_idleSince > m_idleTimeout;
+  }
+
+private:
+  void Write()
+  {
+    m_sent = true;
+    m_stream->Write(std::move(m_call.m_bytes));
+  }
+
+  // Returns whether the message that was read answers the request; otherwise
+  // it is skipped.
+  bool IsAnswer()
+  {
+    const Http1Response& response = m_parser.Response();
+    if (response.m_status < kFirstFinalStatus) {
+      return false;
+    }
+    if (m_call.m_accepts && !m_call.m_accepts(response)) {
+      m_stray = true;
+      return false;
+    }
+    return true;
+  }
+
+  void EndAnswered()
+  {
+    Duration margin = m_client.m_options.m_idleMargin;
+    std::optional<Duration> stated = StatedIdleTimeout(m_parser.Response());
+    m_idleTimeout =
+      stated ? *stated - margin : m_client.m_options.m_idleTimeout;
+    bool reusable = m_parser.KeepAlive() && !m_stray && m_idleTimeout > margin;
+    m_client.OnEnd(m_id,
+                   reusable,
+                   { .m_end = Http1End::kAnswered,
+                     .m_response = std::move(m_parser.Response()) });
+  }
+
+  void End(Http1End aEnd, std::string_view aProblem)
+  {
+    m_client.OnEnd(m_id, false, { .m_end = aEnd, .m_problem = aProblem });
+  }
+
+  void OnTimer()
+  {
+    if (m_id == 0) {
+      return;
+    }
+    End(m_sent ? Http1End::kBroken : Http1End::kNotSent,
+        m_connected || m_sent ? "timeout" : "connect-timeout");
+  }
+
+  Http1Client& m_client;
+  Address m_address;
+  std::unique_ptr<TcpStream> m_stream;
+  Http1Parser m_parser;
+  UvTimer m_timer;
+  // 0 while no call runs.
+  uint64_t m_id = 0;
+  Http1Call m_call;
+  TimePoint m_deadline;
+  bool m_connected = false;
+  bool m_sent = false;
+  // Bytes came that belong to no request: the connection is not used again.
+  bool m_stray = false;
+  TimePoint m_idleSince;
+  Duration m_idleTimeout{};
+};
+
+Http1Client::Http1Client(UvLoop& aLoop, Http1ClientOptions aOptions)
+  : m_loop(aLoop)
+  , m_options(aOptions)
+  , m_sweep(aLoop, [this]() { Sweep(); })
+{
+}
+
+Http1Client::~Http1Client() = default;
+
+uint64_t
+Http1Client::Send(Http1Call aCall, Callback aCallback)
+{
+  uint64_t id = m_nextCall++;
+  std::unique_ptr<Connection> connection =
+    TakeIdle(aCall.m_address, aCall.m_maxIdle);
+  if (connection == nullptr) {
+    ++m_opened;
+    connection = std::make_unique<Connection>(*this, aCall.m_address);
+  }
+  Connection* pointer = connection.get();
+  m_running[id] = { std::move(connection), std::move(aCallback) };
+  pointer->Run(id, std::move(aCall));
+  return id;
+}
+
+void
+Http1Client::Cancel(uint64_t aCall)
+{
+  m_running.erase(aCall);
+}
+
+void
+Http1Client::Forget(const Address& aAddress)
+{
+  m_idle.erase(FormatAddress(aAddress));
+}
+
+std::unique_ptr<Http1Client::Connection>
+Http1Client::TakeIdle(const Address& aAddress, Duration aMaxIdle)
+{
+  auto found = m_idle.find(FormatAddress(aAddress));
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  TimePoint now = m_loop.Now();
+  std::vector<std::unique_ptr<Connection>>& kept = found->second;
+  while (!kept.empty()) {
+    std::unique_ptr<Connection> connection = std::move(kept.back());
+    kept.pop_back();
+    if (!connection->IsStale(now) &&
+        now - connection->IdleSince() <= aMaxIdle) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void
+Http1Client::OnEnd(uint64_t aCall, bool aReusable, Http1Result aResult)
+{
+  auto node = m_running.extract(aCall);
+  if (node.empty()) {
+    return;
+  }
+  std::unique_ptr<Connection> connection =
+    std::move(node.mapped().m_connection);
+  if (aReusable) {
+    connection->KeepIdle(m_loop.Now());
+    std::vector<std::unique_ptr<Connection>>& kept =
+      m_idle[FormatAddress(connection->To())];
+    if (kept.size() < m_options.m_idlePerAddress) {
+      kept.push_back(std::move(connection));
+    }
+    if (!m_sweep.IsSet()) {
+      m_sweep.Set(m_loop.Now() + kSweepInterval);
+    }
+  }
+  node.mapped().m_callback(std::move(aResult));
+}
+
+void
+Http1Client::OnIdleBroken(Connection& aConnection)
+{
+  auto found = m_idle.find(FormatAddress(aConnection.To()));
+  if (found == m_idle.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const std::unique_ptr<Connection>& aKept) {
+    return aKept.get() == &aConnection;
+  });
+}
+
+void
+Http1Client::Sweep()
+{
+  TimePoint now = m_loop.Now();
+  for (auto& [address, kept] : m_idle) {
+    std::erase_if(kept, [&](const std::unique_ptr<Connection>& aKept) {
+      return aKept->IsStale(now);
+    });
+  }
+  std::erase_if(m_idle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+  if (!m_idle.empty()) {
+    m_sweep.Set(now + kSweepInterval);
+  }
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/runtime/http1/parser.cc
@@ -0,0 +1,197 @@
+#include "runtime/http1/parser.h"
+
+#include <limits>
+
+namespace ebonykeel {
+namespace {
+
+// What http_parser expects of `on_headers_complete` to skip the body.
+constexpr int kSkipBody = 1;
+constexpr int kStop = -1;
+
+} // namespace
+
+Http1Parser::Http1Parser(Kind aKind, Http1Limits aLimits)
+  : m_kind(aKind)
+  , m_limits(aLimits)
+{
+  // The library's own bound on headers is for the whole process; each parser
+  // keeps its own.
+  http_parser_set_max_header_size(std::numeric_limits<uint32_t>::max() / 2);
+  Reset();
+}
+
+size_t
+Http1Parser::Feed(std::string_view aBytes)
+{
+  if (m_progress >= Progress::kComplete || aBytes.empty()) {
+    return 0;
+  }
+  if (m_progress == Progress::kIdle) {
+    m_progress = Progress::kHeaders;
+  }
+  bool inHead = m_progress == Progress::kHeaders;
+  size_t used =
+    http_parser_execute(&m_parser, &Settings(), aBytes.data(), aBytes.size());
+  http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+  if (m_progress == Progress::kComplete) {
+    // Paused at the end of the message.
+    return used;
+  }
+  if (error != HPE_OK && m_progress < Progress::kComplete) {
+    m_progress = Progress::kMalformed;
+  }
+  if (inHead && m_progress == Progress::kHeaders) {
+    m_headBytes += aBytes.size();
+    if (m_headBytes > m_limits.m_headerBytes) {
+      m_progress = Progress::kHeadersTooLong;
+    }
+  }
+  return used;
+}
+
+void
+Http1Parser::FeedEnd()
+{
+  if (m_progress != Progress::kBody) {
+    return;
+  }
+  http_parser_execute(&m_parser, &Settings(), nullptr, 0);
+}
+
+void
+Http1Parser::Reset()
+{
+  http_parser_init(&m_parser,
+                   m_kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  m_parser.data = this;
+  m_progress = Progress::kIdle;
+  m_keepAlive = false;
+  m_inValue = false;
+  m_headBytes = 0;
+  m_request = Http1Request{ .m_method = "", .m_target = "" };
+  m_response = Http1Response{ .m_status = 0 };
+}
+
+bool
+Http1Parser::ExpectsContinue() const
+{
+  std::optional<std::string_view> expect =
+    FindHeader(m_request.m_headers, "expect");
+  return expect && EqualIgnoringCase(*expect, "100-continue");
+}
+
+const http_parser_settings&
+Http1Parser::Settings()
+{
+  static const http_parser_settings settings = []() {
+    http_parser_settings made{};
+    made.on_url = [](http_parser* aParser, const char* aAt, size_t aLength) {
+      Self(aParser).m_request.m_target.append(aAt, aLength);
+      return 0;
+    };
+    made.on_header_field = [](
+                             http_parser* aParser, const char* aAt, size_t aLength) {
+      return Self(aParser).OnHeaderName({ aAt, aLength });
+    };
+    made.on_header_value = [](
+                             http_parser* aParser, const char* aAt, size_t aLength) {
+      return Self(aParser).OnHeaderValue({ aAt, aLength });
+    };
+    made.on_headers_complete = [](http_parser* aParser) {
+      return Self(aParser).OnHeadersComplete();
+    };
+    made.on_body = [](http_parser* aParser, const char* aAt, size_t aLength) {
+      return Self(aParser).OnBody({ aAt, aLength });
+    };
+    made.on_message_complete = [](http_parser* aParser) {
+      return Self(aParser).OnComplete();
+    };
+    return made;
+  }();
+  return settings;
+}
+
+Http1Parser&
+Http1Parser::Self(http_parser* aParser)
+{
+  return *static_cast<Http1Parser*>(aParser->data);
+}
+
+std::vector<Http1Header>&
+Http1Parser::Headers()
+{
+  return m_kind == Kind::kRequest ? m_request.m_headers : m_response.m_headers;
+}
+
+std::string&
+Http1Parser::Body()
+{
+  return m_kind == Kind::kRequest ? m_request.m_body : m_response.m_body;
+}
+
+int
+Http1Parser::OnHeaderName(std::string_view aBytes)
+{
+  // Trailers after a chunked body are dropped.
+  if (m_progress != Progress::kHeaders) {
+    return 0;
+  }
+  if (m_inValue || Headers().empty()) {
+    Headers().emplace_back();
+    m_inValue = false;
+  }
+  Headers().back().m_name.append(aBytes);
+  return 0;
+}
+
+int
+Http1Parser::OnHeaderValue(std::string_view aBytes)
+{
+  if (m_progress != Progress::kHeaders) {
+    return 0;
+  }
+  m_inValue = true;
+  Headers().back().m_value.append(aBytes);
+  return 0;
+}
+
+int
+Http1Parser::OnHeadersComplete()
+{
+  m_progress = Progress::kBody;
+  m_response.m_status = static_cast<int>(m_parser.status_code);
+  if (m_kind == Kind::kRequest) {
+    m_request.m_method =
+      http_method_str(static_cast<http_method>(m_parser.method));
+  }
+  constexpr uint64_t kUnknownLength = std::numeric_limits<uint64_t>::max();
+  bool known = m_parser.content_length != kUnknownLength;
+  if (!m_noBody && known && m_parser.content_length > m_limits.m_bodyBytes) {
+    m_progress = Progress::kBodyTooLong;
+    return kStop;
+  }
+  return m_noBody ? kSkipBody : 0;
+}
+
+int
+Http1Parser::OnBody(std::string_view aBytes)
+{
+  if (Body().size() + aBytes.size() > m_limits.m_bodyBytes) {
+    m_progress = Progress::kBodyTooLong;
+    return kStop;
+  }
+  Body().append(aBytes);
+  return 0;
+}
+
+int
+Http1Parser::OnComplete()
+{
+  m_keepAlive = http_should_keep_alive(&m_parser) != 0;
+  m_progress = Progress::kComplete;
+  http_parser_pause(&m_parser, 1);
+  return 0;
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/runtime/http1/server.cc
@@ -0,0 +1,326 @@
+#include "runtime/http1/server.h"
+
+#include <utility>
+#include <vector>
+
+namespace ebonykeel {
+namespace {
+
+// Bytes of later requests that are held while one is worked on.
+constexpr size_t kMostPipelined = 262144;
+// Between two looks for connections that waited too long.
+constexpr Duration kSweepInterval = Milliseconds(250);
+// How long a closed connection is read from, so that its caller gets the last
+// answer instead of a reset.
+constexpr Duration kLinger = Seconds(1);
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusTimeout = 408;
+constexpr int kStatusBodyTooLong = 413;
+constexpr int kStatusHeadersTooLong = 431;
+
+} // namespace
+
+// One caller's connection.
+class Http1Connection final : public TcpObserver
+{
+public:
+  explicit Http1Connection(Http1Server& aServer)
+    : m_server(aServer)
+    , m_parser(Http1Parser::Kind::kRequest, aServer.m_options.m_limits)
+    , m_since(aServer.m_loop.Now())
+  {
+  }
+  ~Http1Connection() override { DropExchange(false); }
+
+  bool Open(uv_stream_t* aListener)
+  {
+    m_stream = TcpStream::Accept(m_server.m_loop, aListener, *this);
+    return m_stream != nullptr;
+  }
+
+  void OnConnected(bool /*aOk*/) override {}
+
+  void OnBytes(std::string_view aBytes) override
+  {
+    if (m_lingering) {
+      return;
+    }
+    if (m_exchange != nullptr) {
+      m_pipelined.append(aBytes);
+      if (m_pipelined.size() > kMostPipelined) {
+        m_stream->PauseReading(true);
+      }
+      return;
+    }
+    m_pipelined.append(aBytes);
+    Read();
+  }
+
+  void OnEnd(bool /*aReset*/) override
+  {
+    DropExchange(true);
+    m_server.Remove(*this);
+  }
+
+  void Answer(const Http1Response& aResponse)
+  {
+    bool close = !m_parser.KeepAlive() || m_server.m_closing;
+    bool headOnly = m_exchange->Request().m_method == "HEAD";
+    DropExchange(false);
+    m_stream->Write(SerializeResponse(aResponse, close, headOnly));
+    if (close) {
+      Linger();
+      return;
+    }
+    m_parser.Reset();
+    m_since = m_server.m_loop.Now();
+    if (!m_pipelined.empty() && !m_reading) {
+      Read();
+    }
+    m_stream->PauseReading(false);
+  }
+
+  // Returns whether nothing was read of a request.
+  [[nodiscard]] bool IsIdle() const
+  {
+    return m_exchange == nullptr && !m_lingering &&
+           m_parser.State() == Http1Parser::Progress::kIdle &&
+           m_pipelined.empty();
+  }
+
+  // Ends the connection in order, without a request on it.
+  void CloseIdle() { Linger(); }
+
+  // Acts on a time that is over; returns whether the connection is to go.
+  [[nodiscard]] bool Sweep(TimePoint aNow)
+  {
+    Duration age = aNow - m_since;
+    if (m_lingering) {
+      return age > kLinger;
+    }
+    if (m_exchange != nullptr) {
+      return false;
+    }
+    switch (m_parser.State()) {
+      case Http1Parser::Progress::kIdle:
+        if (age > m_server.m_options.m_idleTimeout) {
+          Linger();
+        }
+        return false;
+      case Http1Parser::Progress::kHeaders:
+        if (age > m_server.m_options.m_headerTimeout) {
+          Reject(kStatusTimeout);
+        }
+        return false;
+      default:
+        if (age > m_server.m_options.m_idleTimeout) {
+          Reject(kStatusTimeout);
+        }
+        return false;
+    }
+  }
+
+private:
+  void Read()
+  {
+    m_reading = true;
+    while (m_exchange == nullptr && !m_lingering && !m_pipelined.empty()) {
+      Http1Parser::Progress before = m_parser.State();
+      if (before == Http1Parser::Progress::kIdle) {
+        m_parser.SetLimits(m_server.m_options.m_limits);
+        m_since = m_server.m_loop.Now();
+      }
+      size_t used = m_parser.Feed(m_pipelined);
+      m_pipelined.erase(0, used);
+      if (!Advance(before)) {
+        break;
+      }
+    }
+    m_reading = false;
+  }
+
+  // Returns whether there may be more to read.
+  bool Advance(Http1Parser::Progress aBefore)
+  {
+    switch (m_parser.State()) {
+      case Http1Parser::Progress::kComplete:
+        Dispatch();
+        return true;
+      case Http1Parser::Progress::kBody:
+        m_since = m_server.m_loop.Now();
+        if (aBefore != Http1Parser::Progress::kBody &&
+            m_parser.ExpectsContinue()) {
+          m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        return false;
+      case Http1Parser::Progress::kMalformed:
+        Reject(kStatusBadRequest);
+        return false;
+      case Http1Parser::Progress::kHeadersTooLong:
+        Reject(kStatusHeadersTooLong);
+        return false;
+      case Http1Parser::Progress::kBodyTooLong:
+        Reject(kStatusBodyTooLong);
+        return false;
+      default:
+        return false;
+    }
+  }
+
+  void Dispatch()
+  {
+    m_exchange = std::make_shared<Http1Exchange>(
+      std::move(m_parser.Request()), m_server.m_loop.Now());
+    m_exchange->m_connection = this;
+    ++m_server.m_inFlight;
+    std::shared_ptr<Http1Exchange> exchange = m_exchange;
+    m_server.m_handler.OnRequest(std::move(exchange));
+  }
+
+  void Reject(int aStatus)
+  {
+    m_stream->Write(SerializeResponse({ .m_status = aStatus }, true, false));
+    Linger();
+  }
+
+  void Linger()
+  {
+    m_lingering = true;
+    m_since = m_server.m_loop.Now();
+    m_pipelined.clear();
+    m_stream->ShutDown();
+  }
+
+  void DropExchange(bool aGone)
+  {
+    if (m_exchange == nullptr) {
+      return;
+    }
+    --m_server.m_inFlight;
+    std::shared_ptr<Http1Exchange> exchange = std::move(m_exchange);
+    m_exchange = nullptr;
+    exchange->Detach(aGone);
+  }
+
+  Http1Server& m_server;
+  Http1Parser m_parser;
+  std::unique_ptr<TcpStream> m_stream;
+  std::shared_ptr<Http1Exchange> m_exchange;
+  // Bytes that were not parsed yet.
+  std::string m_pipelined;
+  bool m_lingering = false;
+  bool m_reading = false;
+  // The start of what the connection waits for.
+  TimePoint m_since;
+};
+
+Http1Exchange::Http1Exchange(Http1Request aRequest, TimePoint aReceivedAt)
+  : m_request(std::move(aRequest))
+  , m_receivedAt(aReceivedAt)
+{
+}
+
+void
+Http1Exchange::OnGone(std::function<void()> aCallback)
+{
+  m_onGone = std::move(aCallback);
+}
+
+void
+Http1Exchange::Answer(const Http1Response& aResponse)
+{
+  if (m_connection != nullptr) {
+    m_connection->Answer(aResponse);
+  }
+}
+
+void
+Http1Exchange::Detach(bool aGone)
+{
+  m_connection = nullptr;
+  std::function<void()> onGone = std::exchange(m_onGone, nullptr);
+  if (aGone && onGone) {
+    onGone();
+  }
+}
+
+Http1Server::Http1Server(UvLoop& aLoop,
+                         Http1Handler& aHandler,
+                         Http1ServerOptions aOptions)
+  : m_loop(aLoop)
+  , m_handler(aHandler)
+  , m_options(aOptions)
+  , m_listener(aLoop,
+               [this](uv_stream_t* aListener) { OnConnection(aListener); })
+  , m_sweep(aLoop, [this]() { Sweep(); })
+{
+}
+
+Http1Server::~Http1Server() = default;
+
+std::string
+Http1Server::Listen(const Address& aAddress)
+{
+  return m_listener.Listen(aAddress);
+}
+
+void
+Http1Server::SetOptions(Http1ServerOptions aOptions)
+{
+  m_options = aOptions;
+}
+
+void
+Http1Server::BeginShutdown(bool aCloseIdle)
+{
+  m_closing = true;
+  if (!aCloseIdle) {
+    return;
+  }
+  for (auto& [pointer, connection] : m_connections) {
+    if (connection->IsIdle()) {
+      connection->CloseIdle();
+    }
+  }
+}
+
+void
+Http1Server::StopListening()
+{
+  m_listener.Stop();
+}
+
+void
+Http1Server::OnConnection(uv_stream_t* aListener)
+{
+  auto connection = std::make_unique<Http1Connection>(*this);
+  Http1Connection* pointer = connection.get();
+  if (!connection->Open(aListener)) {
+    return;
+  }
+  m_connections.emplace(pointer, std::move(connection));
+  if (!m_sweep.IsSet()) {
+    m_sweep.Set(m_loop.Now() + kSweepInterval);
+  }
+}
+
+void
+Http1Server::Remove(Http1Connection& aConnection)
+{
+  m_connections.erase(&aConnection);
+}
+
+void
+Http1Server::Sweep()
+{
+  TimePoint now = m_loop.Now();
+  std::erase_if(m_connections, [&](const auto& aEntry) {
+    return aEntry.second->Sweep(now);
+  });
+  if (!m_connections.empty()) {
+    m_sweep.Set(now + kSweepInterval);
+  }
+}
+
+} // namespace ebonykeel
--- /dev/null
+++ b/packages/runtime/http1/server.h
@@ -0,0 +1,102 @@
+// An HTTP/1.1 server that notices a caller's leaving while it works on the
+// caller's request. (h2o, which serves the product's own interface, reads from
+// a connection only between requests.)
+//
+//   Http1Server server(loop, handler, options);
+//   std::string problem = server.Listen({ "10.0.0.7", 8080 });
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/config/address.h"
+#include "runtime/http1/message.h"
+#include "runtime/http1/parser.h"
+#include "runtime/uv/tcp_stream.h"
+
+namespace ebonykeel {
+
+// One request that waits for its answer. Shared between the connection and who
+// answers it.
+class Http1Exchange
+{
+public:
+  Http1Exchange(Http1Request aRequest, TimePoint aReceivedAt);
+
+  [[nodiscard]] const Http1Request& Request() const { return m_request; }
+  // When the last byte of the request was read.
+  [[nodiscard]] TimePoint ReceivedAt() const { return m_receivedAt; }
+  // Calls back once if the caller leaves before the answer.
+  void OnGone(std::function<void()> aCallback);
+  // Sends the answer; only the first call counts, and none after the caller
+  // left.
+  void Answer(const Http1Response& aResponse);
+
+private:
+  friend class Http1Connection;
+  void Detach(bool aGone);
+
+  Http1Request m_request;
+  TimePoint m_receivedAt;
+  class Http1Connection* m_connection = nullptr;
+  std::function<void()> m_onGone;
+};
+
+class Http1Handler
+{
+public:
+  virtual ~Http1Handler() = default;
+  virtual void OnRequest(std::shared_ptr<Http1Exchange> aExchange) = 0;
+};
+
+struct Http1ServerOptions
+{
+  Http1Limits m_limits;
+  // From the first byte of a request to the end of its headers.
+  Duration m_headerTimeout = Seconds(5);
+  // Without a request, or without progress of a body.
+  Duration m_idleTimeout = Seconds(15);
+};
+
+// The loop and the handler outlive the server.
+class Http1Server
+{
+public:
+  Http1Server(UvLoop& aLoop, Http1Handler& aHandler, Http1ServerOptions aOptions);
+  ~Http1Server();
+
+  [[nodiscard]] std::string Listen(const Address& aAddress);
+  [[nodiscard]] uint16_t Port() const { return m_listener.Port(); }
+  // Applies to requests that begin later.
+  void SetOptions(Http1ServerOptions aOptions);
+  // From now on each answer closes its connection; connections without a
+  // request are closed once `aCloseIdle`. New ones are still taken.
+  void BeginShutdown(bool aCloseIdle);
+  void StopListening();
+
+  [[nodiscard]] size_t InFlight() const { return m_inFlight; }
+  [[nodiscard]] size_t Connections() const { return m_connections.size(); }
+
+private:
+  friend class Http1Connection;
+  void OnConnection(uv_stream_t* aListener);
+  void Remove(class Http1Connection& aConnection);
+  void Sweep();
+
+  UvLoop& m_loop;
+  Http1Handler& m_handler;
+  Http1ServerOptions m_options;
+  TcpListener m_listener;
+  UvTimer m_sweep;
+  bool m_closing = false;
+  size_t m_inFlight = 0;
+  std::unordered_map<class Http1Connection*,
+                     std::unique_ptr<class Http1Connection>>
+    m_connections;
+};
+
+} // namespace ebonykeel
--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build make git clang-format-14 clang-tidy-14 clang-format clang-tidy
   libh2o-dev libuv1-dev libssl-dev libcapnp-dev libabsl-dev
   libtomlplusplus-dev nlohmann-json3-dev libboost-dev
-  libdocopt-dev libgoogle-glog-dev doctest-dev librapidcheck-dev
+  libhttp-parser-dev libdocopt-dev libgoogle-glog-dev doctest-dev librapidcheck-dev
   gnuplot-nox curl
 )
 
