Tell a reset from an end; list again on takeover and after lost history

The end is now confirmed on the socket. A takeover now lists, and a lost history of one kind lists all.

--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -15,6 +15,8 @@
 // How long a starting instance waits for others to answer before it reads the
 // store by itself.
 constexpr Duration kStartAlone = Milliseconds(600);
+// How long it waits at least, to learn of the others first.
+constexpr Duration kStartTogether = Milliseconds(300);
 // The age that is assumed of a copy that does not exist.
 constexpr Duration kNoCopy = Seconds(3600);
 // A jump of the clocks beyond this means that the machine was suspended.
@@ -272,8 +274,9 @@
   if (m_stoppingSince) {
     return;
   }
+  Duration age = m_loop.Now() - m_startedAt;
   bool mayRead =
-    m_fleet.InContact() || m_loop.Now() - m_startedAt >= kStartAlone;
+    age >= kStartAlone || (age >= kStartTogether && m_fleet.InContact());
   std::vector<FleetRecord> living = m_fleet.View().Living();
   std::vector<std::string> readers = ChooseReaders(living);
   bool chosen =
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -18,6 +18,8 @@
 constexpr int kBadGatewayStatus = 502;
 constexpr int kUnavailableStatus = 503;
 constexpr int kTimeoutStatus = 504;
+// What a call to a searcher may last beyond the searcher's deadline.
+constexpr Duration kCallMargin = Milliseconds(100);
 // An unanswered sending speaks against its searcher once it took this many
 // times the usual latency.
 constexpr int kSlowFactor = 3;
@@ -108,7 +110,8 @@
     Http1Call call{ .m_address = aReplica->m_address,
                     .m_bytes = SerializeRequest(request),
                     .m_headOnly = request.m_method == "HEAD",
-                    .m_timeout = aDeadline };
+                    // The run ends the wait; this bound only comes after it.
+                    .m_timeout = aDeadline + kCallMargin };
     if (!m_route.m_idempotent) {
       call.m_maxIdle = m_service.m_options.m_mostIdleForOnce;
     }
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -1,7 +1,6 @@
 #include "node/entry/store_reader.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -10,8 +9,6 @@
 namespace {
 
 constexpr int kOkStatus = 200;
-// A poll returns at the first change; heartbeats make that a short wait.
-constexpr Duration kPollWait = Milliseconds(300);
 
 } // namespace
 
@@ -43,6 +40,7 @@
   , m_log(aLog)
   , m_options(std::move(aOptions))
   , m_observer(aObserver)
+  , m_check(aLoop, [this]() { OnCheck(); })
   , m_forgive(aLoop, [this]() {
     m_reachable = true;
     m_observer.OnStoreReachable(true);
@@ -66,8 +64,9 @@
   m_log.Write(Event::kStoreDuty, { { "on_duty", aOnDuty ? "1" : "0" } });
   for (Kind& kind : m_kinds) {
     if (aOnDuty) {
-      // What peers told may lack what happened since; the watch starts there.
-      kind.m_listed = Feed(kind).Complete() > 0;
+      // A watch from what peers told could begin while watches are deaf.
+      kind.m_listed = false;
+      kind.m_listAfter.clear();
       Next(kind);
     } else {
       m_client.Cancel(std::exchange(kind.m_call, 0));
@@ -143,7 +142,8 @@
 StoreReader::Watch(Kind& aKind)
 {
   Duration wait =
-    aKind.m_kind == FeedKind::kReplicas ? kPollWait : m_options.m_watch;
+    aKind.m_kind == FeedKind::kReplicas ? m_options.m_shortWatch
+                                        : m_options.m_watch;
   aKind.m_call = Call(
     m_protocol.Watch(aKind.m_kind, Feed(aKind).Complete(), wait),
     m_options.m_timeout + wait,
@@ -230,9 +230,10 @@
   if (absl::IsOutOfRange(events.status())) {
     m_log.Write(Event::kHistoryLost,
                 { { "kind", std::string(FeedKindName(aKind.m_kind)) } });
-    aKind.m_listed = false;
-    aKind.m_listAfter.clear();
-    List(aKind);
+    // Watches of the other kinds may be deaf.
+    Relist(FeedKind::kConfiguration);
+    Relist(FeedKind::kReplicas);
+    Relist(FeedKind::kExclusions);
     return;
   }
   if (!events.ok()) {
@@ -241,6 +242,9 @@
   }
   HoldAfterGap(aKind);
   uint64_t since = Feed(aKind).Complete();
+  if (aKind.m_kind == FeedKind::kReplicas) {
+    CheckOthers(since, events->m_asOf, events->m_objects.size());
+  }
   bool changed = false;
   for (FeedObject& object : events->m_objects) {
     // What a watch shows happened after the revision that it began at, also
@@ -318,12 +322,55 @@
     return;
   }
   if (aKind.m_kind == FeedKind::kReplicas) {
-    Later(aKind, m_options.m_pollInterval);
+    Later(aKind, m_options.m_pause);
   } else {
     Next(aKind);
   }
 }
 
+void
+StoreReader::CheckOthers(uint64_t aSince, uint64_t aAsOf, size_t aEvents)
+{
+  bool explained = aAsOf <= aSince + aEvents;
+  if (explained || m_check.IsSet()) {
+    return;
+  }
+  m_othersBefore = Content();
+  m_check.Set(m_loop.Now() + m_options.m_unseenFor);
+}
+
+void
+StoreReader::OnCheck()
+{
+  // A change that the other watches showed meanwhile explains the count.
+  if (!m_onDuty || Content() != m_othersBefore) {
+    return;
+  }
+  m_log.Write(Event::kChangesUnseen, {});
+  Relist(FeedKind::kConfiguration);
+  Relist(FeedKind::kExclusions);
+}
+
+uint64_t
+StoreReader::Content() const
+{
+  auto of = [&](FeedKind aKind) {
+    return m_feeds[static_cast<size_t>(aKind)].Content();
+  };
+  return std::max(of(FeedKind::kConfiguration), of(FeedKind::kExclusions));
+}
+
+void
+StoreReader::Relist(FeedKind aKind)
+{
+  Kind& kind = m_kinds[static_cast<size_t>(aKind)];
+  m_client.Cancel(std::exchange(kind.m_call, 0));
+  kind.m_timer->Set(std::nullopt);
+  kind.m_listed = false;
+  kind.m_listAfter.clear();
+  List(kind);
+}
+
 void
 StoreReader::OnFailure(Kind& aKind, std::string_view aProblem)
 {
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -1,16 +1,18 @@
 // Reads the platform's store for the fleet while this instance is on duty.
 //
-// Each kind of objects is listed once and then watched. Searchers' heartbeats
-// change their objects all the time, so that kind is polled at an interval: one
-// watch call takes all that happened since. Removals of registrations that are
-// seen right after an outage are held back: registrations lapse while the store
-// is away and return soon after it.
+// Each kind of objects is listed once and then watched. A watch can be deaf
+// without being cut, so the kind that is watched with short waits, the
+// registrations, checks on the others: the store counts each change, and a
+// change that no watch showed makes the reader list the others again. Removals
+// of registrations that are seen right after an outage are held back:
+// registrations lapse while the store is away and return soon after it.
 #pragma once
 
 #include <array>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/feed/object_feed.h"
@@ -36,8 +38,11 @@
 struct StoreReaderOptions
 {
   Address m_store;
-  // Between two polls of the registrations.
-  Duration m_pollInterval = Milliseconds(900);
+  // How long a watch of the registrations stays open, and the pause after it.
+  Duration m_shortWatch = Milliseconds(900);
+  Duration m_pause = Milliseconds(400);
+  // How long a change may be shown by no watch.
+  Duration m_unseenFor = Milliseconds(500);
   // How long a watch of the other kinds stays open.
   Duration m_watch = Seconds(10);
   // How long a call may take beyond its wait.
@@ -106,6 +111,13 @@
   bool Apply(Kind& aKind, FeedObject aObject);
   bool ReleaseHeld(Kind& aKind, uint64_t aRevision);
   void OnSuccess(Kind& aKind, uint64_t aAsOf, bool aChanged);
+  // Looks after the other kinds if the store counts more changes than the
+  // registrations' watch showed.
+  void CheckOthers(uint64_t aSince, uint64_t aAsOf, size_t aEvents);
+  void OnCheck();
+  // Returns the newest change of the other kinds.
+  [[nodiscard]] uint64_t Content() const;
+  void Relist(FeedKind aKind);
   void OnFailure(Kind& aKind, std::string_view aProblem);
   [[nodiscard]] bool Holding() const;
   ObjectFeed& Feed(const Kind& aKind);
@@ -118,6 +130,7 @@
   StoreReaderOptions m_options;
   StoreReaderObserver& m_observer;
   std::array<Kind, kFeedKinds> m_kinds;
+  UvTimer m_check;
   UvTimer m_forgive;
   bool m_onDuty = false;
   bool m_reachable = true;
@@ -125,6 +138,8 @@
   // Registrations whose removal is held back.
   std::map<std::string, FeedObject> m_held;
   uint64_t m_calls = 0;
+  // What the other kinds held when a check was set.
+  uint64_t m_othersBefore = 0;
 };
 
 } // namespace ebonykeel
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -44,6 +44,7 @@
   kHistoryLost = 1404,
   kRemovalsReleased = 1405,
   kFeedMerged = 1406,
+  kChangesUnseen = 1407,
   kQueryRefused = 1501,
   kQueryPartial = 1502,
   kFilingUnknown = 1601,
--- a/packages/runtime/uv/tcp_stream.cc
+++ b/packages/runtime/uv/tcp_stream.cc
@@ -50,6 +50,19 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+// Returns whether the other end closed its side in order. libuv reports an
+// ordinary end also for a connection that was reset right after its last bytes.
+bool
+EndedInOrder(uv_stream_t* aStream)
+{
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(aStream), &descriptor) != 0) {
+    return false;
+  }
+  char byte = 0;
+  return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 } // namespace
 
 struct TcpStream::Handle
@@ -211,7 +224,8 @@
         return;
       }
       uv_read_stop(aStream);
-      owner->m_observer->OnEnd(aCount != UV_EOF);
+      bool inOrder = aCount == UV_EOF && EndedInOrder(aStream);
+      owner->m_observer->OnEnd(!inOrder);
     });
 }
 
