--- a/packages/core/config/forward_settings.cc
+++ b/packages/core/config/forward_settings.cc
@@ -119,6 +119,11 @@
   settings.m_id = InstanceId(aRoot.Text("id", NonEmptyRule()));
   settings.m_dataCentre = DataCentre(aRoot.Text("data_centre", NonEmptyRule()));
   settings.m_host = aRoot.Text("host", IpRule());
+  constexpr double kMostProcessors = 1024;
+  settings.m_processors = aRoot.Number(
+    "processor_share", { .m_min = 0, .m_max = 1 }, settings.m_processors);
+  settings.m_processors *= aRoot.Number(
+    "processor_speed", { .m_min = 0, .m_max = kMostProcessors }, 1.0);
   TextRule any{ [](std::string_view) { return true; }, "" };
   settings.m_seeds = ParseSeeds(aRoot.Text("seeds", any, ""));
   if (std::optional<TomlReader> store = aRoot.Table("store")) {
--- a/packages/core/config/forward_settings.h
+++ b/packages/core/config/forward_settings.h
@@ -42,6 +42,8 @@
   DataCentre m_dataCentre;
   // The IP number by which other instances reach this one.
   std::string m_host;
+  // The processors that this instance may use.
+  double m_processors = 1;
   ForwardListenSettings m_listen;
   Address m_store;
   // IP numbers of instances that may know others; some may be gone.
--- a/packages/core/fleet/caller_directory.cc
+++ b/packages/core/fleet/caller_directory.cc
@@ -29,6 +29,22 @@
   return !ready.empty() ? ready : !suspected.empty() ? suspected : other;
 }
 
+// The instances that have at least half of the processors of the greatest.
+Records
+MostCapable(const Records& aRecords)
+{
+  uint32_t greatest = 0;
+  for (const FleetRecord* record : aRecords) {
+    greatest = std::max(greatest, record->m_capacity);
+  }
+  Records capable;
+  std::ranges::copy_if(
+    aRecords, std::back_inserter(capable), [&](const FleetRecord* aRecord) {
+      return aRecord->m_capacity >= greatest / 2;
+    });
+  return capable;
+}
+
 Records
 InDataCentre(const Records& aRecords, const DataCentre& aDataCentre)
 {
@@ -72,7 +88,7 @@
                 const std::map<DataCentre, size_t>& aSearchers,
                 const CallerDirectoryOptions& aOptions)
 {
-  Records usable = Usable(aLiving);
+  Records usable = MostCapable(Usable(aLiving));
   auto searchers = aSearchers.find(aCaller);
   bool searchersNear = aSearchers.empty() ||
                        (searchers != aSearchers.end() && searchers->second > 0);
--- a/packages/core/fleet/caller_directory.h
+++ b/packages/core/fleet/caller_directory.h
@@ -19,10 +19,12 @@
   size_t m_instances = 2;
 };
 
-// Returns the hosts for a caller in `aCaller`. Callers are sent to instances in
-// their own data centre, or, if no searcher is there while other data centres
-// have some, to the data centres that have most. Instances that are not ready,
-// leaving or suspected are named only if there is no other. `aSearchers` counts
+// Returns the hosts for a caller in `aCaller`. Only the instances with most
+// processors are named, since each answer is gathered on one of them. Callers
+// are sent to such instances in their own data centre, or, if no searcher is
+// there while other data centres have some, to a data centre that has most.
+// Instances that are not ready, leaving or suspected are named only if there is
+// no other. `aSearchers` counts
 // the searchers of gathered routes a data centre; empty if there are none.
 [[nodiscard]] std::vector<std::string>
 ChooseForCaller(std::span<const FleetRecord> aLiving,
--- a/packages/core/fleet/fleet_message.h
+++ b/packages/core/fleet/fleet_message.h
@@ -38,6 +38,8 @@
   bool m_ready = false;
   // The store answers it.
   bool m_storeReachable = true;
+  // Its share of processors, in thousandths of one.
+  uint32_t m_capacity = 0;
 
   friend bool operator==(const FleetRecord&, const FleetRecord&) = default;
 };
--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -32,6 +32,8 @@
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
 
+constexpr double kThousand = 1000;
+
 FleetServiceOptions
 FleetOptionsFrom(const ForwardSettings& aSettings)
 {
@@ -41,7 +43,9 @@
   constexpr uint64_t kPerSecond = 1000;
   return { .m_self = { .m_host = aSettings.m_host,
                        .m_incarnation = seconds * kPerSecond,
-                       .m_dataCentre = aSettings.m_dataCentre },
+                       .m_dataCentre = aSettings.m_dataCentre,
+                       .m_capacity = static_cast<uint32_t>(
+                         aSettings.m_processors * kThousand) },
            .m_seeds = aSettings.m_seeds,
            .m_port = aSettings.m_listen.m_peerPort };
 }
--- a/packages/runtime/fleet/fleet.capnp
+++ b/packages/runtime/fleet/fleet.capnp
@@ -12,6 +12,7 @@
   dataCentre @3 :Text;
   ready @4 :Bool;
   storeReachable @5 :Bool;
+  capacity @6 :UInt32;
 }
 
 struct FeedMark {
--- a/packages/runtime/fleet/fleet.capnp.h
+++ b/packages/runtime/fleet/fleet.capnp.h
@@ -152,6 +152,8 @@
 
   inline bool getStoreReachable() const;
 
+  inline  ::uint32_t getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -206,6 +208,9 @@
   inline bool getStoreReachable();
   inline void setStoreReachable(bool value);
 
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -839,6 +844,20 @@
       ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FleetRecord::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetRecord::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FleetRecord::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FeedMark::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -32,6 +32,7 @@
   aBuilder.setDataCentre(aRecord.m_dataCentre.Text());
   aBuilder.setReady(aRecord.m_ready);
   aBuilder.setStoreReachable(aRecord.m_storeReachable);
+  aBuilder.setCapacity(aRecord.m_capacity);
 }
 
 FleetRecord
@@ -44,7 +45,8 @@
            .m_state = static_cast<FleetState>(state),
            .m_dataCentre = DataCentre(aReader.getDataCentre().cStr()),
            .m_ready = aReader.getReady(),
-           .m_storeReachable = aReader.getStoreReachable() };
+           .m_storeReachable = aReader.getStoreReachable(),
+           .m_capacity = aReader.getCapacity() };
 }
 
 std::string
