--- a/cmake/EbonykeelTargets.cmake
+++ b/cmake/EbonykeelTargets.cmake
@@ -62,7 +62,11 @@
   add_executable(${ARG_NAME} ${ARG_SRCS})
   target_link_libraries(${ARG_NAME} PRIVATE ebonykeel_options doctest::doctest ${ARG_DEPS})
   target_compile_definitions(${ARG_NAME} PRIVATE
-    DOCTEST_CONFIG_NO_SHORT_MACRO_NAMES DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN)
+    DOCTEST_CONFIG_NO_SHORT_MACRO_NAMES)
+  # The first file holds the program's entry point.
+  list(GET ARG_SRCS 0 first)
+  set_property(SOURCE ${first} APPEND PROPERTY COMPILE_DEFINITIONS
+    DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN)
   ek_known_red(${ARG_NAME} known_red)
   add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME} ${known_red})
   set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300)
--- a/packages/core/config/forward_settings_test.cc
+++ b/packages/core/config/forward_settings_test.cc
@@ -1,1 +1,77 @@
+#include "core/config/forward_settings.h"
+
+#include <string>
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+std::string
+Valid()
+{
+  return R"(mode = "forward"
+id = "front-1"
+data_centre = "north"
+host = "10.0.0.1"
+seeds = "10.0.0.2:70,10.0.0.3"
+processor_share = 0.17
+processor_speed = 2
+
+[listen]
+callers = "10.0.0.1:80"
+directory = "10.0.0.1:81"
+readiness = "10.0.0.1:82"
+peer_port = 90
+
+[store]
+address = "10.9.0.1:99"
+
+[forward]
+extra_share = 0.2
+extra_burst = 126
+grace_ms = 6000
+)";
+}
+
+DOCTEST_TEST_CASE("a whole file is read")
+{
+  DOCTEST_CHECK(IsForwardMode(Valid()));
+  ForwardSettingsResult result = ParseForwardSettings(Valid(), "node.toml");
+  DOCTEST_REQUIRE(result.m_settings.has_value());
+  const ForwardSettings& settings = *result.m_settings;
+  DOCTEST_CHECK(settings.m_seeds ==
+                std::vector<std::string>{ "10.0.0.2", "10.0.0.3" });
+  DOCTEST_CHECK(settings.m_processors == doctest::Approx(0.34));
+  DOCTEST_CHECK(settings.m_listen.m_callers.m_port == 80);
+  DOCTEST_CHECK(settings.m_extraBurst == 126);
+  DOCTEST_CHECK(settings.m_grace == Seconds(6));
+}
+
+DOCTEST_TEST_CASE("every finding is reported with its place")
+{
+  ForwardSettingsResult result = ParseForwardSettings(
+    "mode = \"forward\"\nid = \"\"\nhost = \"nowhere\"\n", "node.toml");
+  DOCTEST_CHECK_FALSE(result.m_settings.has_value());
+  std::string text = FormatFindings(result.m_findings);
+  for (const char* key : { "id", "host", "data_centre", "listen", "store" }) {
+    DOCTEST_CHECK(text.find(key) != std::string::npos);
+  }
+  DOCTEST_CHECK(text.find("node.toml:3:") != std::string::npos);
+}
+
+DOCTEST_TEST_CASE("an unknown key is a finding")
+{
+  ForwardSettingsResult result =
+    ParseForwardSettings(Valid() + "hedgin = true\n", "node.toml");
+  DOCTEST_CHECK_FALSE(result.m_settings.has_value());
+}
+
+DOCTEST_TEST_CASE("a file of the other mode is told apart")
+{
+  DOCTEST_CHECK_FALSE(IsForwardMode("id = \"entry-01\"\n"));
+  DOCTEST_CHECK_FALSE(IsForwardMode("not toml at all ["));
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/feed/object_feed_test.cc
+++ b/packages/core/feed/object_feed_test.cc
@@ -1,1 +1,123 @@
+#include "core/feed/object_feed.h"
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr TimePoint kStart{ Seconds(100) };
+
+FeedObject
+Object(const char* aName, uint64_t aRevision, const char* aPayload = "x")
+{
+  return { .m_name = aName, .m_revision = aRevision, .m_payload = aPayload };
+}
+
+std::vector<std::string>
+Pull(ObjectFeed& aTo, const ObjectFeed& aFrom, TimePoint aNow = kStart)
+{
+  std::vector<std::string> changed;
+  aTo.Merge(aFrom.Since(aTo.Complete(), aNow),
+            aNow,
+            [&](const FeedObject& aObject) {
+              changed.push_back(aObject.m_name +
+                                (aObject.m_deleted ? "-" : "+"));
+            });
+  return changed;
+}
+
+DOCTEST_TEST_CASE("a copy takes over what it lacks, and nothing twice")
+{
+  ObjectFeed reader;
+  ObjectFeed other;
+  DOCTEST_CHECK(reader.Apply(Object("a", 3)));
+  reader.CompleteTo(5, kStart);
+  DOCTEST_CHECK(Pull(other, reader) == std::vector<std::string>{ "a+" });
+  DOCTEST_CHECK(other.Complete() == 5);
+  DOCTEST_CHECK(Pull(other, reader).empty());
+}
+
+DOCTEST_TEST_CASE("a change of revision without one of content is no change")
+{
+  ObjectFeed feed;
+  DOCTEST_CHECK(feed.Apply(Object("a", 3)));
+  DOCTEST_CHECK_FALSE(feed.Apply(Object("a", 9)));
+  DOCTEST_CHECK(feed.Content() == 3);
+}
+
+DOCTEST_TEST_CASE("an older revision never replaces a newer one")
+{
+  ObjectFeed feed;
+  DOCTEST_CHECK(feed.Apply(Object("a", 9, "new")));
+  DOCTEST_CHECK_FALSE(feed.Apply(Object("a", 3, "old")));
+  DOCTEST_CHECK(feed.Find("a")->m_payload == "new");
+}
+
+DOCTEST_TEST_CASE("removals travel, from deltas and from whole copies")
+{
+  ObjectFeed reader;
+  ObjectFeed other;
+  (void)reader.Apply(Object("a", 3));
+  (void)reader.Apply(Object("b", 4));
+  reader.CompleteTo(4, kStart);
+  (void)Pull(other, reader);
+  DOCTEST_CHECK(reader.RemoveOthers({ "b" }, 7) ==
+                std::vector<std::string>{ "a" });
+  reader.CompleteTo(7, kStart);
+  DOCTEST_CHECK(Pull(other, reader) == std::vector<std::string>{ "a-" });
+
+  ObjectFeed stale;
+  (void)stale.Apply(Object("c", 1));
+  FeedDelta whole = reader.Since(0, kStart);
+  std::vector<std::string> removed;
+  stale.Merge(whole, kStart, [&](const FeedObject& aObject) {
+    if (aObject.m_deleted) {
+      removed.push_back(aObject.m_name);
+    }
+  });
+  DOCTEST_CHECK(removed == std::vector<std::string>{ "c" });
+}
+
+DOCTEST_TEST_CASE("a whole copy that is older removes nothing")
+{
+  ObjectFeed fresh;
+  (void)fresh.Apply(Object("new", 9));
+  fresh.CompleteTo(9, kStart);
+  ObjectFeed old;
+  (void)old.Apply(Object("a", 3));
+  old.CompleteTo(4, kStart);
+  fresh.Merge(old.Since(0, kStart), kStart, [](const FeedObject&) {});
+  DOCTEST_CHECK_FALSE(fresh.Find("new")->m_deleted);
+}
+
+DOCTEST_TEST_CASE("how old a copy is travels with it and grows")
+{
+  ObjectFeed reader;
+  ObjectFeed other;
+  DOCTEST_CHECK_FALSE(other.Age(kStart).has_value());
+  (void)reader.Apply(Object("a", 3));
+  reader.CompleteTo(3, kStart);
+  (void)Pull(other, reader, kStart + Milliseconds(400));
+  DOCTEST_CHECK(other.Age(kStart + Milliseconds(500)) == Milliseconds(500));
+  other.Confirm({ .m_content = 3, .m_age = Milliseconds(100) },
+                kStart + Milliseconds(600));
+  DOCTEST_CHECK(other.Age(kStart + Milliseconds(600)) == Milliseconds(100));
+  other.Confirm({ .m_content = 4, .m_age = Duration{} },
+                kStart + Milliseconds(700));
+  DOCTEST_CHECK(other.Age(kStart + Milliseconds(700)) == Milliseconds(200));
+  other.Grow(Seconds(3));
+  DOCTEST_CHECK(other.Age(kStart + Milliseconds(700)) > Seconds(3));
+}
+
+DOCTEST_TEST_CASE("an empty copy that is complete can be told from none")
+{
+  ObjectFeed reader;
+  reader.CompleteTo(8, kStart);
+  DOCTEST_CHECK(reader.Mark(kStart).m_content == 8);
+  ObjectFeed other;
+  (void)Pull(other, reader);
+  DOCTEST_CHECK(other.Age(kStart).has_value());
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/fleet/caller_directory_test.cc
+++ b/packages/core/fleet/caller_directory_test.cc
@@ -1,1 +1,85 @@
+#include "core/fleet/caller_directory.h"
+
+#include <algorithm>
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+FleetRecord
+Instance(const char* aHost, const char* aDataCentre, uint32_t aCapacity = 100)
+{
+  return { .m_host = aHost,
+           .m_dataCentre = DataCentre(aDataCentre),
+           .m_ready = true,
+           .m_capacity = aCapacity };
+}
+
+const DataCentre kNorth("north");
+const DataCentre kSouth("south");
+
+std::vector<std::string>
+Ask(const std::vector<FleetRecord>& aFleet,
+    const DataCentre& aCaller,
+    const std::map<DataCentre, size_t>& aSearchers = {})
+{
+  std::vector<std::string> hosts =
+    ChooseForCaller(aFleet, aCaller, aSearchers, { .m_instances = 2 });
+  std::ranges::sort(hosts);
+  return hosts;
+}
+
+DOCTEST_TEST_CASE("a caller is sent to its own data centre")
+{
+  std::vector<FleetRecord> fleet{ Instance("1", "north"),
+                                  Instance("2", "south"),
+                                  Instance("3", "south") };
+  DOCTEST_CHECK(Ask(fleet, kSouth) == std::vector<std::string>{ "2", "3" });
+}
+
+DOCTEST_TEST_CASE("a caller without searchers near is sent where they are")
+{
+  std::vector<FleetRecord> fleet{ Instance("1", "north"),
+                                  Instance("2", "south") };
+  DOCTEST_CHECK(Ask(fleet, kNorth, { { kSouth, 20 } }) ==
+                std::vector<std::string>{ "2" });
+}
+
+DOCTEST_TEST_CASE("leaving, dead and unready instances are not named")
+{
+  std::vector<FleetRecord> fleet{ Instance("1", "north"),
+                                  Instance("2", "north"),
+                                  Instance("3", "north"),
+                                  Instance("4", "north") };
+  fleet[0].m_state = FleetState::kLeaving;
+  fleet[1].m_state = FleetState::kSuspect;
+  fleet[2].m_ready = false;
+  DOCTEST_CHECK(Ask(fleet, kNorth) == std::vector<std::string>{ "4" });
+  fleet[3].m_ready = false;
+  DOCTEST_CHECK(Ask(fleet, kNorth) == std::vector<std::string>{ "2" });
+}
+
+DOCTEST_TEST_CASE("instances with few processors are left alone")
+{
+  std::vector<FleetRecord> fleet{ Instance("1", "north", 500),
+                                  Instance("2", "north", 84),
+                                  Instance("3", "south", 84) };
+  DOCTEST_CHECK(Ask(fleet, kNorth) == std::vector<std::string>{ "1" });
+  DOCTEST_CHECK(Ask(fleet, kSouth) == std::vector<std::string>{ "1" });
+  fleet[0].m_state = FleetState::kSuspect;
+  DOCTEST_CHECK(Ask(fleet, kSouth) == std::vector<std::string>{ "3" });
+}
+
+DOCTEST_TEST_CASE("callers of one data centre get the same instances")
+{
+  std::vector<FleetRecord> fleet;
+  for (const char* host : { "1", "2", "3", "4", "5" }) {
+    fleet.push_back(Instance(host, "north"));
+  }
+  DOCTEST_CHECK(Ask(fleet, kNorth).size() == 2);
+  DOCTEST_CHECK(Ask(fleet, kNorth) == Ask(fleet, kNorth));
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/fleet/fleet_message.h
+++ b/packages/core/fleet/fleet_message.h
@@ -70,6 +70,8 @@
   // For `kPingRequest`.
   std::string m_subject;
   FleetRecord m_sender;
+  // How many other instances the sender knows.
+  uint32_t m_known = 0;
   std::vector<FleetRecord> m_news;
   // In the fixed order of the kinds.
   std::vector<FeedMark> m_marks;
--- a/packages/core/fleet/fleet_view.cc
+++ b/packages/core/fleet/fleet_view.cc
@@ -74,7 +74,6 @@
     ForgetConclusions();
   }
   m_heardAt = aNow;
-  bool newcomer = !m_members.contains(sender);
   std::erase_if(m_probes,
                 [&](const Probe& aProbe) { return aProbe.m_host == sender; });
   bool news = Learn(aMessage.m_sender, true, aNow);
@@ -84,7 +83,7 @@
   switch (aMessage.m_kind) {
     case FleetMessageKind::kPing:
       Send(sender, FleetMessageKind::kAck, aMessage.m_sequence);
-      if (newcomer) {
+      if (aMessage.m_known < m_members.size() / 2) {
         Introduce(sender);
       }
       break;
@@ -93,12 +92,10 @@
       if (!relay.empty()) {
         // The requester takes the subject's record on this notice as its sign
         // of life.
-        FleetMessage notice{ .m_kind = FleetMessageKind::kNotice,
-                             .m_sequence = relay.mapped().m_requesterSequence,
-                             .m_subject = sender,
-                             .m_sender = m_self,
-                             .m_news = { aMessage.m_sender },
-                             .m_marks = m_port->Marks() };
+        FleetMessage notice = NewMessage(FleetMessageKind::kNotice);
+        notice.m_sequence = relay.mapped().m_requesterSequence;
+        notice.m_subject = sender;
+        notice.m_news = { aMessage.m_sender };
         m_port->SendTo(relay.mapped().m_requester, notice);
       }
       break;
@@ -117,7 +114,7 @@
   }
   m_port->OnMarks(aMessage.m_sender, aMessage.m_marks);
   if (news && aMessage.m_kind == FleetMessageKind::kNotice) {
-    Spread();
+    Spread(false);
   }
 }
 
@@ -187,7 +184,7 @@
 FleetView::Notify()
 {
   m_selfSendsLeft = SendsForNews();
-  Spread();
+  Spread(true);
 }
 
 std::vector<FleetRecord>
@@ -242,20 +239,38 @@
 void
 FleetView::PingNext(TimePoint aNow)
 {
-  if (m_round.empty()) {
-    m_round = Hosts(FleetState::kLeaving);
-    m_round = Draw(std::move(m_round), m_round.size());
+  bool remote = ++m_pings % m_options.m_remotePingEvery == 0;
+  std::vector<std::string>& wanted = remote ? m_remoteRound : m_round;
+  std::vector<std::string>& other = remote ? m_round : m_remoteRound;
+  if (!PingFrom(wanted, !remote, aNow)) {
+    (void)PingFrom(other, remote, aNow);
   }
-  while (!m_round.empty()) {
-    std::string host = std::move(m_round.back());
-    m_round.pop_back();
+}
+
+bool
+FleetView::PingFrom(std::vector<std::string>& aRound,
+                    bool aNear,
+                    TimePoint aNow)
+{
+  if (aRound.empty()) {
+    aRound = Hosts(FleetState::kLeaving);
+    std::erase_if(aRound, [&](const std::string& aHost) {
+      return IsNear(aHost) != aNear;
+    });
+    size_t count = aRound.size();
+    aRound = Draw(std::move(aRound), count);
+  }
+  while (!aRound.empty()) {
+    std::string host = std::move(aRound.back());
+    aRound.pop_back();
     auto member = m_members.find(host);
     if (member != m_members.end() &&
         member->second.m_record.m_state != FleetState::kDead) {
       Ping(host, aNow);
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 void
@@ -336,11 +351,9 @@
                 uint64_t aSequence,
                 const std::string& aSubject)
 {
-  FleetMessage message{ .m_kind = aKind,
-                        .m_sequence = aSequence,
-                        .m_subject = aSubject,
-                        .m_sender = m_self,
-                        .m_marks = m_port->Marks() };
+  FleetMessage message = NewMessage(aKind);
+  message.m_sequence = aSequence;
+  message.m_subject = aSubject;
   if (m_selfSendsLeft > 0) {
     --m_selfSendsLeft;
   }
@@ -370,9 +383,7 @@
 void
 FleetView::Introduce(const std::string& aHost)
 {
-  FleetMessage message{ .m_kind = FleetMessageKind::kNotice,
-                        .m_sender = m_self,
-                        .m_marks = m_port->Marks() };
+  FleetMessage message = NewMessage(FleetMessageKind::kNotice);
   std::vector<std::string> hosts = Hosts(FleetState::kLeaving);
   std::erase(hosts, aHost);
   for (const std::string& host :
@@ -382,12 +393,36 @@
   m_port->SendTo(aHost, message);
 }
 
+FleetMessage
+FleetView::NewMessage(FleetMessageKind aKind)
+{
+  return { .m_kind = aKind,
+           .m_sender = m_self,
+           .m_known = static_cast<uint32_t>(m_members.size()),
+           .m_marks = m_port->Marks() };
+}
+
 void
-FleetView::Spread()
+FleetView::Spread(bool aOwnNews)
 {
-  std::vector<std::string> hosts = Hosts(FleetState::kSuspect);
-  for (const std::string& host :
-       Draw(std::move(hosts), m_options.m_noticeFanout)) {
+  std::vector<std::string> near;
+  std::map<DataCentre, std::vector<std::string>> remote;
+  for (const std::string& host : Hosts(FleetState::kSuspect)) {
+    if (IsNear(host)) {
+      near.push_back(host);
+    } else {
+      remote[m_members.at(host).m_record.m_dataCentre].push_back(host);
+    }
+  }
+  std::vector<std::string> receivers =
+    Draw(std::move(near), m_options.m_noticeFanout);
+  if (aOwnNews) {
+    for (auto& [dataCentre, hosts] : remote) {
+      std::ranges::move(Draw(std::move(hosts), 1),
+                        std::back_inserter(receivers));
+    }
+  }
+  for (const std::string& host : receivers) {
     Send(host, FleetMessageKind::kNotice, 0);
   }
 }
@@ -474,6 +509,12 @@
   return hosts;
 }
 
+bool
+FleetView::IsNear(const std::string& aHost) const
+{
+  return m_members.at(aHost).m_record.m_dataCentre == m_self.m_dataCentre;
+}
+
 std::vector<std::string>
 FleetView::Draw(std::vector<std::string> aHosts, size_t aCount)
 {
--- a/packages/core/fleet/fleet_view.h
+++ b/packages/core/fleet/fleet_view.h
@@ -39,8 +39,12 @@
   size_t m_newsPerMessage = 8;
   // Records that a newcomer is told of.
   size_t m_introduced = 40;
-  // Receivers of a notice; each passes news on once to as many.
-  size_t m_noticeFanout = 6;
+  // Receivers of a notice in the own data centre; each passes news on once to
+  // as many there.
+  size_t m_noticeFanout = 4;
+  // One ping in so many goes to another data centre: traffic between them is
+  // dear, and each data centre watches its own instances.
+  uint32_t m_remotePingEvery = 4;
   // An instance that hears nothing for so long counts itself as cut off.
   Duration m_isolatedAfter = Milliseconds(1000);
   // Between two pings of an instance that is dead or a seed that is unknown.
@@ -124,6 +128,8 @@
 
   void Ping(const std::string& aHost, TimePoint aNow);
   void PingNext(TimePoint aNow);
+  // Pings the next of a round; returns false if the round has nobody.
+  bool PingFrom(std::vector<std::string>& aRound, bool aNear, TimePoint aNow);
   void Rejoin(TimePoint aNow);
   void CheckProbes(TimePoint aNow);
   void CheckSuspects(TimePoint aNow);
@@ -131,9 +137,12 @@
             FleetMessageKind aKind,
             uint64_t aSequence,
             const std::string& aSubject = {});
-  // Tells a newcomer of the others.
+  // Tells an instance that knows few of the others.
   void Introduce(const std::string& aHost);
-  void Spread();
+  // Passes news on within the data centre and, if this instance brought it up,
+  // to one instance of each other data centre.
+  void Spread(bool aOwnNews);
+  [[nodiscard]] FleetMessage NewMessage(FleetMessageKind aKind);
   // Takes in a record; returns whether it changed anything.
   bool Learn(const FleetRecord& aRecord, bool aDirect, TimePoint aNow);
   void Contradict(const FleetRecord& aRecord);
@@ -141,6 +150,7 @@
   void SetState(Member& aMember, FleetState aState, TimePoint aNow);
   [[nodiscard]] size_t SendsForNews() const;
   [[nodiscard]] std::vector<std::string> Hosts(FleetState aAtMost) const;
+  [[nodiscard]] bool IsNear(const std::string& aHost) const;
   [[nodiscard]] std::vector<std::string> Draw(std::vector<std::string> aHosts,
                                               size_t aCount);
 
@@ -150,7 +160,10 @@
   absl::BitGenRef m_bitGen;
   FleetPort* m_port;
   std::map<std::string, Member> m_members;
+  // Hosts still to be pinged in this round, near and in other data centres.
   std::vector<std::string> m_round;
+  std::vector<std::string> m_remoteRound;
+  uint32_t m_pings = 0;
   std::vector<Probe> m_probes;
   std::map<uint64_t, Relay> m_relays;
   uint64_t m_sequence = 0;
--- a/packages/core/fleet/fleet_view_test.cc
+++ b/packages/core/fleet/fleet_view_test.cc
@@ -1,1 +1,232 @@
+#include "core/fleet/fleet_view.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+constexpr Duration kStep = Milliseconds(10);
+
+// A fleet on a network whose datagrams arrive in the next step.
+class Fleet
+{
+public:
+  explicit Fleet(size_t aCount)
+  {
+    for (size_t i = 0; i < aCount; ++i) {
+      Add(HostOf(i), { HostOf(0) });
+    }
+    Run(Seconds(3));
+  }
+
+  static std::string HostOf(size_t aIndex)
+  {
+    return "10.0.0." + std::to_string(100 + aIndex);
+  }
+
+  void Add(const std::string& aHost,
+           std::vector<std::string> aSeeds,
+           uint64_t aIncarnation = 1)
+  {
+    size_t index = m_nodes.size();
+    auto node = std::make_unique<Node>(*this);
+    FleetRecord self{ .m_host = aHost,
+                      .m_incarnation = aIncarnation,
+                      .m_dataCentre =
+                        DataCentre(index % 2 == 0 ? "north" : "south"),
+                      .m_ready = true };
+    node->m_view = std::make_unique<FleetView>(
+      FleetOptions{}, self, std::move(aSeeds), m_random, *node);
+    m_nodes[aHost] = std::move(node);
+    m_nodes[aHost]->m_view->Start(m_now);
+  }
+
+  void Run(Duration aFor)
+  {
+    TimePoint end = m_now + aFor;
+    while (m_now < end) {
+      m_now += kStep;
+      std::deque<std::pair<std::string, FleetMessage>> arriving =
+        std::exchange(m_network, {});
+      for (auto& [host, message] : arriving) {
+        auto node = m_nodes.find(host);
+        bool cut = m_cut.contains(host) != m_cut.contains(
+                                             message.m_sender.m_host);
+        if (node != m_nodes.end() && !cut) {
+          node->second->m_view->OnMessage(message, m_now);
+        }
+      }
+      for (auto& [host, node] : m_nodes) {
+        if (node->m_view->NextTimer() <= m_now) {
+          node->m_view->OnTimer(m_now);
+        }
+      }
+    }
+  }
+
+  // Returns the state that `aBy` sees of `aOf`.
+  FleetState See(const std::string& aBy, const std::string& aOf)
+  {
+    for (const FleetRecord& record : m_nodes[aBy]->m_view->Living()) {
+      if (record.m_host == aOf) {
+        return record.m_state;
+      }
+    }
+    return FleetState::kDead;
+  }
+
+  bool AllSee(const std::string& aOf, FleetState aState)
+  {
+    return std::ranges::all_of(m_nodes, [&](const auto& aEntry) {
+      return aEntry.first == aOf || See(aEntry.first, aOf) == aState;
+    });
+  }
+
+  FleetView& View(const std::string& aHost) { return *m_nodes[aHost]->m_view; }
+  void Kill(const std::string& aHost) { m_nodes.erase(aHost); }
+  void Cut(std::set<std::string> aHosts) { m_cut = std::move(aHosts); }
+  size_t Size() const { return m_nodes.size(); }
+  TimePoint Now() const { return m_now; }
+  size_t m_sent = 0;
+
+private:
+  struct Node final : public FleetPort
+  {
+    explicit Node(Fleet& aFleet)
+      : m_fleet(aFleet)
+    {
+    }
+    void SendTo(const std::string& aHost, const FleetMessage& aMessage) override
+    {
+      ++m_fleet.m_sent;
+      m_fleet.m_network.emplace_back(aHost, aMessage);
+    }
+    void OnMember(const FleetRecord& /*aRecord*/) override {}
+    void OnMarks(const FleetRecord& /*aSender*/,
+                 std::span<const FeedMark> /*aMarks*/) override
+    {
+    }
+    std::vector<FeedMark> Marks() override { return {}; }
+
+    Fleet& m_fleet;
+    std::unique_ptr<FleetView> m_view;
+  };
+
+  std::mt19937_64 m_random{ 7 };
+  TimePoint m_now{ Seconds(100) };
+  std::map<std::string, std::unique_ptr<Node>> m_nodes;
+  std::deque<std::pair<std::string, FleetMessage>> m_network;
+  std::set<std::string> m_cut;
+};
+
+DOCTEST_TEST_CASE("instances that know one seed find each other")
+{
+  Fleet fleet(30);
+  for (size_t i = 0; i < 30; ++i) {
+    DOCTEST_CHECK(fleet.View(Fleet::HostOf(i)).Living().size() == 30);
+  }
+}
+
+DOCTEST_TEST_CASE("a killed instance is dead for all within three seconds")
+{
+  Fleet fleet(18);
+  fleet.Kill(Fleet::HostOf(5));
+  fleet.Run(Seconds(3));
+  DOCTEST_CHECK(fleet.AllSee(Fleet::HostOf(5), FleetState::kDead));
+}
+
+DOCTEST_TEST_CASE("a leaving instance is known as leaving within a second")
+{
+  Fleet fleet(18);
+  fleet.View(Fleet::HostOf(4)).SetSelf(FleetState::kLeaving, false, true);
+  fleet.Run(Seconds(1));
+  DOCTEST_CHECK(fleet.AllSee(Fleet::HostOf(4), FleetState::kLeaving));
+}
+
+DOCTEST_TEST_CASE("an instance that was cut off is alive for all after the cut")
+{
+  Fleet fleet(18);
+  std::string host = Fleet::HostOf(3);
+  fleet.Cut({ host });
+  fleet.Run(Seconds(6));
+  DOCTEST_CHECK(fleet.AllSee(host, FleetState::kDead));
+  DOCTEST_CHECK_FALSE(fleet.View(host).InContact(fleet.Now()));
+  fleet.Cut({});
+  fleet.Run(Seconds(4));
+  DOCTEST_CHECK(fleet.AllSee(host, FleetState::kAlive));
+  for (size_t i = 0; i < 18; ++i) {
+    DOCTEST_CHECK(fleet.See(host, Fleet::HostOf(i)) == FleetState::kAlive);
+  }
+}
+
+DOCTEST_TEST_CASE("a cut in two halves heals")
+{
+  Fleet fleet(16);
+  std::set<std::string> half;
+  for (size_t i = 0; i < 8; ++i) {
+    half.insert(Fleet::HostOf(i));
+  }
+  fleet.Cut(half);
+  fleet.Run(Seconds(6));
+  DOCTEST_CHECK(fleet.View(Fleet::HostOf(0)).Living().size() == 8);
+  fleet.Cut({});
+  fleet.Run(Seconds(12));
+  for (size_t i = 0; i < 16; ++i) {
+    DOCTEST_CHECK(fleet.View(Fleet::HostOf(i)).Living().size() == 16);
+  }
+}
+
+DOCTEST_TEST_CASE("a restarted instance counts as alive, also with an old clock")
+{
+  Fleet fleet(12);
+  std::string host = Fleet::HostOf(6);
+  fleet.View(host).SetSelf(FleetState::kLeaving, false, true);
+  fleet.Run(Seconds(1));
+  fleet.Kill(host);
+  fleet.Run(Seconds(3));
+  fleet.Add(host, { Fleet::HostOf(0) }, 0);
+  fleet.Run(Seconds(3));
+  DOCTEST_CHECK(fleet.AllSee(host, FleetState::kAlive));
+}
+
+DOCTEST_TEST_CASE("datagrams of an instance do not grow with the fleet")
+{
+  auto rate = [](size_t aCount) {
+    Fleet fleet(aCount);
+    fleet.Run(Seconds(5));
+    size_t before = fleet.m_sent;
+    fleet.Run(Seconds(10));
+    return static_cast<double>(fleet.m_sent - before) /
+           static_cast<double>(aCount * 10);
+  };
+  // A ping and an answer each interval.
+  constexpr double kPerSecond = 2 / 0.3;
+  DOCTEST_CHECK(rate(16) < kPerSecond * 1.2);
+  DOCTEST_CHECK(rate(64) < kPerSecond * 1.2);
+}
+
+DOCTEST_TEST_CASE("everybody dead and back finds each other through old seeds")
+{
+  Fleet fleet(10);
+  for (size_t i = 1; i < 10; ++i) {
+    fleet.Kill(Fleet::HostOf(i));
+  }
+  fleet.Run(Seconds(3));
+  for (size_t i = 1; i < 10; ++i) {
+    fleet.Add(Fleet::HostOf(i), { Fleet::HostOf(0) }, 2);
+  }
+  fleet.Run(Seconds(3));
+  for (size_t i = 0; i < 10; ++i) {
+    DOCTEST_CHECK(fleet.View(Fleet::HostOf(i)).Living().size() == 10);
+  }
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/core/fleet/read_duty.cc
+++ b/packages/core/fleet/read_duty.cc
@@ -28,6 +28,19 @@
 
 } // namespace
 
+bool
+FetchesAcross(std::span<const FleetRecord> aLiving, const FleetRecord& aSelf)
+{
+  constexpr ptrdiff_t kFetchers = 2;
+  auto before =
+    std::ranges::count_if(aLiving, [&](const FleetRecord& aRecord) {
+      return aRecord.m_state == FleetState::kAlive &&
+             aRecord.m_dataCentre == aSelf.m_dataCentre &&
+             aRecord.m_host < aSelf.m_host;
+    });
+  return before < kFetchers;
+}
+
 std::vector<std::string>
 ChooseReaders(std::span<const FleetRecord> aLiving, size_t aCount)
 {
--- a/packages/core/fleet/read_duty.h
+++ b/packages/core/fleet/read_duty.h
@@ -21,4 +21,10 @@
 [[nodiscard]] std::vector<std::string>
 ChooseReaders(std::span<const FleetRecord> aLiving, size_t aCount = kReaders);
 
+// Returns whether the instance fetches copies of the store's objects from other
+// data centres; the others fetch them within their own. `aSelf` is one of
+// `aLiving`.
+[[nodiscard]] bool
+FetchesAcross(std::span<const FleetRecord> aLiving, const FleetRecord& aSelf);
+
 } // namespace ebonykeel
--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -255,7 +255,7 @@
   m_log.SetTime(m_loop.Now() - m_startedAt);
   CheckSuspension();
   UpdateDuty();
-  RegisterOnce();
+  KeepInstanceList();
   m_budget.SetInstances(m_fleet.View().Living().size());
   if (m_stoppingSince) {
     ContinueStop();
@@ -319,17 +319,30 @@
 }
 
 void
-EntryNode::RegisterOnce()
+EntryNode::KeepInstanceList()
 {
-  if (m_registered || m_loop.Now() - m_startedAt < kStartAlone / 2) {
+  bool onDuty = m_reader.OnDuty();
+  bool lonely =
+    !m_fleet.InContact() && m_loop.Now() - m_startedAt >= kStartAlone;
+  if (!m_listRead && (onDuty || lonely)) {
+    m_listRead = true;
+    m_reader.ListInstances([this](std::vector<std::string> aHosts) {
+      m_fleet.AddSeeds(aHosts);
+      m_listed = std::move(aHosts);
+      if (std::ranges::find(m_listed, m_settings.m_host) == m_listed.end()) {
+        m_reader.Register(m_settings.m_host, m_settings.m_dataCentre);
+      }
+    });
+  }
+  if (!onDuty) {
     return;
   }
-  m_registered = true;
-  m_reader.Register(m_settings.m_host,
-                    m_settings.m_dataCentre,
-                    [this](std::vector<std::string> aHosts) {
-                      m_fleet.AddSeeds(aHosts);
-                    });
+  for (const std::string& host :
+       m_fleet.View().DeadFor(kUnregisterAfter, m_loop.Now())) {
+    if (std::erase(m_listed, host) > 0) {
+      m_reader.Unregister(host);
+    }
+  }
 }
 
 void
--- a/packages/node/entry/entry_node.h
+++ b/packages/node/entry/entry_node.h
@@ -60,7 +60,9 @@
   void UpdateDuty();
   void ApplyLimits();
   void CheckSuspension();
-  void RegisterOnce();
+  // Keeps the store's list of instances, by which a starting instance finds
+  // others when its seeds are gone: those that read the store are on it.
+  void KeepInstanceList();
   void ContinueStop();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] Http1Response AnswerDirectory(const DirectoryQuestion& aQuestion);
@@ -90,7 +92,8 @@
   UvTimer m_tick;
   std::map<DataCentre, size_t> m_searchers;
   bool m_storeReachable = true;
-  bool m_registered = false;
+  bool m_listRead = false;
+  std::vector<std::string> m_listed;
   std::optional<TimePoint> m_stoppingSince;
   std::function<void()> m_stopped;
 };
--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
+#include "core/fleet/read_duty.h"
 #include "runtime/fleet/fleet_codec.h"
 
 namespace ebonykeel {
@@ -122,11 +123,24 @@
     m_feeds[i].Confirm(aMarks[i], now);
     newer = newer || aMarks[i].m_content > m_feeds[i].Complete();
   }
-  if (newer) {
+  if (newer && MayFetchFrom(aSender, now)) {
     Fetch(aSender.m_host);
   }
 }
 
+bool
+FleetService::MayFetchFrom(const FleetRecord& aPeer, TimePoint aNow) const
+{
+  if (aPeer.m_dataCentre == m_options.m_self.m_dataCentre) {
+    return true;
+  }
+  const ObjectFeed& replicas =
+    m_feeds[static_cast<size_t>(FeedKind::kReplicas)];
+  bool old = replicas.Age(aNow).value_or(m_options.m_oldAfter) >=
+             m_options.m_oldAfter;
+  return old || FetchesAcross(m_view.Living(), m_view.Self());
+}
+
 std::vector<FeedMark>
 FleetService::Marks()
 {
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -38,6 +38,8 @@
   uint16_t m_port = 0;
   // The bound of one exchange of copies.
   Duration m_exchangeTimeout = Milliseconds(600);
+  // Copies that are older than this are fetched from any data centre.
+  Duration m_oldAfter = Milliseconds(2000);
 };
 
 // Everything that is passed in outlives the service.
@@ -72,6 +74,8 @@
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
 
   void OnDatagram(const std::string& aHost, std::string_view aBytes);
+  [[nodiscard]] bool MayFetchFrom(const FleetRecord& aPeer,
+                                  TimePoint aNow) const;
   void Fetch(const std::string& aHost);
   void OnFetched(const std::string& aHost, const Http1Result& aResult);
   void Arm();
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -76,33 +76,30 @@
 }
 
 void
-StoreReader::Register(const std::string& aHost,
-                      const DataCentre& aDataCentre,
-                      std::function<void(std::vector<std::string>)> aCallback)
+StoreReader::ListInstances(
+  std::function<void(std::vector<std::string>)> aCallback)
 {
   Call(m_protocol.ListInstances(),
        m_options.m_timeout,
-       [this, aHost, aDataCentre, callback = std::move(aCallback)](
-         Http1Result aResult) {
+       [this, callback = std::move(aCallback)](const Http1Result& aResult) {
          if (aResult.m_end != Http1End::kAnswered ||
              aResult.m_response.m_status != kOkStatus) {
            callback({});
            return;
          }
          auto hosts = m_protocol.ReadInstances(aResult.m_response.m_body);
-         if (!hosts.ok()) {
-           callback({});
-           return;
-         }
-         if (std::ranges::find(*hosts, aHost) == hosts->end()) {
-           Call(m_protocol.AddInstance(aHost, aDataCentre),
-                m_options.m_timeout,
-                [](const Http1Result&) {
-                  // The list only helps later instances to find others; seeds
-                  // and gossip do the same.
-                });
-         }
-         callback(*std::move(hosts));
+         callback(hosts.ok() ? *std::move(hosts) : std::vector<std::string>());
+       });
+}
+
+void
+StoreReader::Register(const std::string& aHost, const DataCentre& aDataCentre)
+{
+  Call(m_protocol.AddInstance(aHost, aDataCentre),
+       m_options.m_timeout,
+       [](const Http1Result&) {
+         // The list only helps later instances to find others; seeds and gossip
+         // do the same.
        });
 }
 
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -76,11 +76,11 @@
   // Calls made since the start.
   [[nodiscard]] uint64_t Calls() const { return m_calls; }
 
-  // Reads the list of instances and adds `aHost` if it is not there; calls back
-  // with the hosts, or with none if the store does not answer.
-  void Register(const std::string& aHost,
-                const DataCentre& aDataCentre,
-                std::function<void(std::vector<std::string>)> aCallback);
+  // Reads the list of instances; calls back with the hosts, or with none if the
+  // store does not answer.
+  void ListInstances(std::function<void(std::vector<std::string>)> aCallback);
+  // Adds an instance to the list.
+  void Register(const std::string& aHost, const DataCentre& aDataCentre);
   // Removes an instance from the list.
   void Unregister(const std::string& aHost);
 
--- a/packages/runtime/fleet/fleet.capnp
+++ b/packages/runtime/fleet/fleet.capnp
@@ -27,6 +27,7 @@
   sender @3 :FleetRecord;
   news @4 :List(FleetRecord);
   marks @5 :List(FeedMark);
+  known @6 :UInt32;
 }
 
 struct FeedObject {
--- a/packages/runtime/fleet/fleet.capnp.h
+++ b/packages/runtime/fleet/fleet.capnp.h
@@ -351,6 +351,8 @@
   inline bool hasMarks() const;
   inline  ::capnp::List< ::ebonykeel::wire::FeedMark,  ::capnp::Kind::STRUCT>::Reader getMarks() const;
 
+  inline  ::uint32_t getKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -413,6 +415,9 @@
   inline void adoptMarks(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::FeedMark,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::FeedMark,  ::capnp::Kind::STRUCT>> disownMarks();
 
+  inline  ::uint32_t getKnown();
+  inline void setKnown( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1055,6 +1060,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t FleetDatagram::Reader::getKnown() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetDatagram::Builder::getKnown() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetDatagram::Builder::setKnown( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedObject::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -82,7 +82,8 @@
   FleetMessage message{ .m_kind = static_cast<FleetMessageKind>(kind),
                         .m_sequence = aReader.getSequence(),
                         .m_subject = aReader.getSubject(),
-                        .m_sender = ReadRecord(aReader.getSender()) };
+                        .m_sender = ReadRecord(aReader.getSender()),
+                        .m_known = aReader.getKnown() };
   for (wire::FleetRecord::Reader record : aReader.getNews()) {
     message.m_news.push_back(ReadRecord(record));
   }
@@ -140,6 +141,7 @@
   datagram.setSequence(aMessage.m_sequence);
   datagram.setSubject(aMessage.m_subject);
   WriteRecord(aMessage.m_sender, datagram.initSender());
+  datagram.setKnown(aMessage.m_known);
   auto news = datagram.initNews(aMessage.m_news.size());
   for (size_t i = 0; i < aMessage.m_news.size(); ++i) {
     WriteRecord(aMessage.m_news[i], news[i]);
--- a/packages/runtime/fleet/fleet_codec_test.cc
+++ b/packages/runtime/fleet/fleet_codec_test.cc
@@ -1,1 +1,73 @@
+#include "runtime/fleet/fleet_codec.h"
+
+#include <vector>
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+FleetRecord
+SomeRecord()
+{
+  return { .m_host = "10.0.0.1",
+           .m_incarnation = 77,
+           .m_state = FleetState::kLeaving,
+           .m_dataCentre = DataCentre("north"),
+           .m_ready = true,
+           .m_storeReachable = false,
+           .m_capacity = 500 };
+}
+
+DOCTEST_TEST_CASE("a message comes back as it was")
+{
+  FleetMessage message{ .m_kind = FleetMessageKind::kPingRequest,
+                        .m_sequence = 9,
+                        .m_subject = "10.0.0.3",
+                        .m_sender = SomeRecord(),
+                        .m_known = 12,
+                        .m_news = { SomeRecord(), SomeRecord() },
+                        .m_marks = { { 5, Milliseconds(40) } } };
+  auto decoded = DecodeFleetMessage(EncodeFleetMessage(message));
+  DOCTEST_REQUIRE(decoded.has_value());
+  DOCTEST_CHECK(decoded->m_kind == FleetMessageKind::kPingRequest);
+  DOCTEST_CHECK(decoded->m_sequence == 9);
+  DOCTEST_CHECK(decoded->m_subject == "10.0.0.3");
+  DOCTEST_CHECK(decoded->m_known == 12);
+  DOCTEST_CHECK(decoded->m_sender == SomeRecord());
+  DOCTEST_CHECK(decoded->m_news.size() == 2);
+  DOCTEST_CHECK(decoded->m_marks[0].m_content == 5);
+  DOCTEST_CHECK(decoded->m_marks[0].m_age == Milliseconds(40));
+}
+
+DOCTEST_TEST_CASE("deltas come back as they were, with any bytes")
+{
+  std::vector<FeedDelta> deltas{
+    { .m_whole = true,
+      .m_completeTo = 8,
+      .m_age = Milliseconds(3),
+      .m_objects = { { "a", 7, false, std::string("\0\xff", 2) },
+                     { "b", 8, true, "" } } },
+    {}
+  };
+  auto decoded = DecodeDeltas(EncodeDeltas(deltas));
+  DOCTEST_REQUIRE(decoded.has_value());
+  DOCTEST_REQUIRE(decoded->size() == 2);
+  DOCTEST_CHECK((*decoded)[0].m_whole);
+  DOCTEST_CHECK((*decoded)[0].m_completeTo == 8);
+  DOCTEST_CHECK((*decoded)[0].m_objects == deltas[0].m_objects);
+}
+
+DOCTEST_TEST_CASE("bytes that are no message are refused at any length")
+{
+  std::string bytes = EncodeFleetMessage({ .m_sender = SomeRecord() });
+  for (size_t length = 0; length < bytes.size(); ++length) {
+    // A cut message may by chance still be one; it must not do harm.
+    (void)DecodeFleetMessage(bytes.substr(0, length));
+  }
+  DOCTEST_CHECK_FALSE(DecodeFleetMessage("").has_value());
+  DOCTEST_CHECK_FALSE(DecodeDeltas("\xff\xff\xff\xff").has_value());
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/runtime/http1/http1_test.cc
+++ b/packages/runtime/http1/http1_test.cc
@@ -1,1 +1,334 @@
+// The client and the server against each other and against raw peers, on one
+// loop over loopback. Every wait is for a condition.
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sys/socket.h>
+
 #include <doctest/doctest.h>
+
+#include "runtime/http1/client.h"
+#include "runtime/http1/server.h"
+
+namespace ebonykeel {
+namespace {
+
+const Address kLoopback{ "127.0.0.1", 0 };
+
+// Keeps requests until the test answers them.
+struct HoldingHandler final : public Http1Handler
+{
+  void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override
+  {
+    aExchange->OnGone([this]() { ++m_gone; });
+    m_held.push_back(std::move(aExchange));
+  }
+  std::vector<std::shared_ptr<Http1Exchange>> m_held;
+  int m_gone = 0;
+};
+
+// A peer that sends and takes raw bytes.
+class RawPeer final : public TcpObserver
+{
+public:
+  // Waits for a connection.
+  explicit RawPeer(UvLoop& aLoop)
+    : m_loop(aLoop)
+    , m_listener(aLoop, [this](uv_stream_t* aListener) {
+      m_stream = TcpStream::Accept(m_loop, aListener, *this);
+      ++m_accepted;
+    })
+  {
+    DOCTEST_REQUIRE(m_listener.Listen(kLoopback).empty());
+  }
+  RawPeer(UvLoop& aLoop, uint16_t aPort)
+    : RawPeer(aLoop)
+  {
+    m_stream = TcpStream::Connect(aLoop, { "127.0.0.1", aPort }, *this);
+  }
+
+  void OnConnected(bool aOk) override { m_connected = aOk; }
+  void OnBytes(std::string_view aBytes) override { m_bytes.append(aBytes); }
+  void OnEnd(bool aReset) override
+  {
+    m_ended = true;
+    m_reset = aReset;
+  }
+  Address Where() const { return { "127.0.0.1", m_listener.Port() }; }
+
+  UvLoop& m_loop;
+  TcpListener m_listener;
+  std::unique_ptr<TcpStream> m_stream;
+  std::string m_bytes;
+  int m_accepted = 0;
+  bool m_connected = false;
+  bool m_ended = false;
+  bool m_reset = false;
+};
+
+struct Fixture
+{
+  void Until(const std::function<bool()>& aCondition)
+  {
+    while (!aCondition()) {
+      m_loop.RunOnce(true);
+    }
+  }
+
+  uint64_t Send(const Address& aTo,
+                std::function<bool(const Http1Response&)> aAccepts = nullptr)
+  {
+    return m_client.Send({ .m_address = aTo,
+                           .m_bytes = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+                           .m_accepts = std::move(aAccepts) },
+                         [this](Http1Result aResult) {
+                           m_results.push_back(std::move(aResult));
+                         });
+  }
+
+  // Sends a request to `aPeer` and waits until it is there.
+  void SendTo(RawPeer& aPeer,
+              std::function<bool(const Http1Response&)> aAccepts = nullptr)
+  {
+    aPeer.m_bytes.clear();
+    Send(aPeer.Where(), std::move(aAccepts));
+    Until([&]() { return !aPeer.m_bytes.empty(); });
+  }
+  Http1Result& NextResult()
+  {
+    size_t before = m_seen;
+    Until([&]() { return m_results.size() > before; });
+    return m_results[m_seen++];
+  }
+
+  UvLoop m_loop;
+  HoldingHandler m_handler;
+  Http1Server m_server{ m_loop, m_handler, {} };
+  Http1Client m_client{ m_loop, {} };
+  std::vector<Http1Result> m_results;
+  size_t m_seen = 0;
+};
+
+std::string
+Ok(const std::string& aBody, const std::string& aHeaders = "")
+{
+  return "HTTP/1.1 200 OK\r\n" + aHeaders +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+}
+
+DOCTEST_TEST_CASE("a request and its answer, twice on one connection")
+{
+  Fixture fixture;
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  Address where{ "127.0.0.1", fixture.m_server.Port() };
+  for (int i = 1; i <= 2; ++i) {
+    fixture.Send(where);
+    fixture.Until([&]() { return !fixture.m_handler.m_held.empty(); });
+    DOCTEST_CHECK(fixture.m_server.InFlight() == 1);
+    fixture.m_handler.m_held[0]->Answer({ .m_status = 200, .m_body = "hi" });
+    fixture.m_handler.m_held.clear();
+    DOCTEST_CHECK(fixture.NextResult().m_response.m_body == "hi");
+  }
+  DOCTEST_CHECK(fixture.m_client.Opened() == 1);
+}
+
+DOCTEST_TEST_CASE("a caller that closes while its request is worked on is noticed")
+{
+  Fixture fixture;
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  uint64_t call = fixture.Send({ "127.0.0.1", fixture.m_server.Port() });
+  fixture.Until([&]() { return !fixture.m_handler.m_held.empty(); });
+  fixture.m_client.Cancel(call);
+  fixture.Until([&]() { return fixture.m_handler.m_gone == 1; });
+  DOCTEST_CHECK(fixture.m_server.InFlight() == 0);
+  fixture.m_handler.m_held[0]->Answer({ .m_status = 200 });
+  DOCTEST_CHECK(fixture.m_results.empty());
+}
+
+DOCTEST_TEST_CASE("pipelined requests are answered one after the other")
+{
+  Fixture fixture;
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  RawPeer caller(fixture.m_loop, fixture.m_server.Port());
+  fixture.Until([&]() { return caller.m_connected; });
+  caller.m_stream->Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  fixture.Until([&]() { return fixture.m_handler.m_held.size() == 1; });
+  fixture.m_handler.m_held[0]->Answer({ .m_status = 200, .m_body = "one" });
+  fixture.Until([&]() { return fixture.m_handler.m_held.size() == 2; });
+  DOCTEST_CHECK(fixture.m_handler.m_held[1]->Request().m_target == "/2");
+}
+
+DOCTEST_TEST_CASE("malformed and oversized requests get their answer and an end")
+{
+  Fixture fixture;
+  fixture.m_server.SetOptions(
+    { .m_limits = { .m_headerBytes = 200, .m_bodyBytes = 4 } });
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  struct Case
+  {
+    std::string m_sent;
+    std::string m_status;
+  };
+  std::vector<Case> cases{
+    { "rubbish\r\n\r\n", "400" },
+    { "GET / HTTP/1.1\r\nX: " + std::string(300, 'x'), "431" },
+    { "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabcde", "413" },
+  };
+  for (const Case& one : cases) {
+    RawPeer caller(fixture.m_loop, fixture.m_server.Port());
+    fixture.Until([&]() { return caller.m_connected; });
+    caller.m_stream->Write(one.m_sent);
+    fixture.Until([&]() { return caller.m_ended; });
+    DOCTEST_CHECK(caller.m_bytes.starts_with("HTTP/1.1 " + one.m_status));
+    DOCTEST_CHECK_FALSE(caller.m_reset);
+  }
+  DOCTEST_CHECK(fixture.m_handler.m_held.empty());
+}
+
+DOCTEST_TEST_CASE("a server that shuts down answers and then closes")
+{
+  Fixture fixture;
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  RawPeer busy(fixture.m_loop, fixture.m_server.Port());
+  RawPeer idle(fixture.m_loop, fixture.m_server.Port());
+  fixture.Until([&]() { return busy.m_connected && idle.m_connected; });
+  busy.m_stream->Write("GET / HTTP/1.1\r\n\r\n");
+  fixture.Until([&]() {
+    return !fixture.m_handler.m_held.empty() &&
+           fixture.m_server.Connections() == 2;
+  });
+  fixture.m_server.BeginShutdown(true);
+  fixture.Until([&]() { return idle.m_ended; });
+  fixture.m_handler.m_held[0]->Answer({ .m_status = 200, .m_body = "last" });
+  fixture.Until([&]() { return busy.m_ended; });
+  DOCTEST_CHECK(busy.m_bytes.find("Connection: close") != std::string::npos);
+  DOCTEST_CHECK(busy.m_bytes.ends_with("last"));
+}
+
+DOCTEST_TEST_CASE("an answer without a length ends with an ordinary close")
+{
+  Fixture fixture;
+  RawPeer peer(fixture.m_loop);
+  fixture.SendTo(peer);
+  peer.m_stream->Write("HTTP/1.1 200 OK\r\n\r\nwhole");
+  peer.m_stream.reset();
+  Http1Result& result = fixture.NextResult();
+  DOCTEST_CHECK(result.m_end == Http1End::kAnswered);
+  DOCTEST_CHECK(result.m_response.m_body == "whole");
+}
+
+// Regression: a reset right after the last bytes was taken as an ordinary end,
+// so that a truncated answer looked whole.
+DOCTEST_TEST_CASE("an answer without a length that is reset is not whole")
+{
+  for (int i = 0; i < 20; ++i) {
+    Fixture fixture;
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    uv_ip4_addr("127.0.0.1", 0, &address);
+    socklen_t length = sizeof(address);
+    DOCTEST_REQUIRE(
+      bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+    DOCTEST_REQUIRE(listen(listener, 1) == 0);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+    fixture.Send({ "127.0.0.1", ntohs(address.sin_port) });
+    fixture.m_loop.RunOnce(false);
+    int peer = accept(listener, nullptr, nullptr);
+    fixture.m_loop.RunOnce(true);
+    constexpr std::string_view kPart = "HTTP/1.1 200 OK\r\n\r\npart";
+    (void)send(peer, kPart.data(), kPart.size(), 0);
+    // With a zero linger time a close sends a reset.
+    linger abort{ .l_onoff = 1, .l_linger = 0 };
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    close(peer);
+    DOCTEST_CHECK(fixture.NextResult().m_end == Http1End::kBroken);
+    close(listener);
+  }
+}
+
+DOCTEST_TEST_CASE("an answer that breaks off is broken, one that garbles too")
+{
+  Fixture fixture;
+  for (const char* bytes : { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+                             "\x01nonsense\r\n\r\n",
+                             "" }) {
+    RawPeer peer(fixture.m_loop);
+    fixture.SendTo(peer);
+    peer.m_stream->Write(bytes);
+    peer.m_stream.reset();
+    DOCTEST_CHECK(fixture.NextResult().m_end == Http1End::kBroken);
+  }
+}
+
+DOCTEST_TEST_CASE("a refused connection says that nothing was sent")
+{
+  Fixture fixture;
+  Address gone;
+  {
+    RawPeer peer(fixture.m_loop);
+    gone = peer.Where();
+  }
+  fixture.m_loop.RunOnce(false);
+  fixture.Send(gone);
+  DOCTEST_CHECK(fixture.NextResult().m_end == Http1End::kNotSent);
+}
+
+DOCTEST_TEST_CASE("an answer of another request is skipped and the connection left")
+{
+  Fixture fixture;
+  RawPeer peer(fixture.m_loop);
+  auto accepts = [](const Http1Response& aResponse) {
+    return aResponse.m_body == "mine";
+  };
+  fixture.SendTo(peer, accepts);
+  peer.m_stream->Write(Ok("other") + Ok("mine"));
+  DOCTEST_CHECK(fixture.NextResult().m_response.m_body == "mine");
+  fixture.SendTo(peer, accepts);
+  DOCTEST_CHECK(peer.m_accepted == 2);
+}
+
+DOCTEST_TEST_CASE("bytes beyond an answer end the connection's use")
+{
+  Fixture fixture;
+  RawPeer peer(fixture.m_loop);
+  fixture.SendTo(peer);
+  peer.m_stream->Write(Ok("a") + "HTTP/1.1");
+  DOCTEST_CHECK(fixture.NextResult().m_response.m_body == "a");
+  fixture.SendTo(peer);
+  DOCTEST_CHECK(peer.m_accepted == 2);
+}
+
+DOCTEST_TEST_CASE("an answer that nobody asked for ends a kept connection")
+{
+  Fixture fixture;
+  RawPeer peer(fixture.m_loop);
+  fixture.SendTo(peer);
+  peer.m_stream->Write(Ok("a"));
+  (void)fixture.NextResult();
+  peer.m_stream->Write(Ok("stray"));
+  fixture.Until([&]() { return peer.m_ended; });
+  fixture.SendTo(peer);
+  DOCTEST_CHECK(peer.m_accepted == 2);
+  peer.m_stream->Write(Ok("b"));
+  DOCTEST_CHECK(fixture.NextResult().m_response.m_body == "b");
+}
+
+DOCTEST_TEST_CASE("a server's wish to close is honoured")
+{
+  for (const char* header : { "Connection: close\r\n",
+                              "Keep-Alive: timeout=0\r\n" }) {
+    Fixture fixture;
+    RawPeer peer(fixture.m_loop);
+    fixture.SendTo(peer);
+    peer.m_stream->Write(Ok("a", header));
+    (void)fixture.NextResult();
+    fixture.SendTo(peer);
+    DOCTEST_CHECK(peer.m_accepted == 2);
+  }
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -1,1 +1,117 @@
+#include "runtime/http1/parser.h"
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+using Progress = Http1Parser::Progress;
+
+Http1Parser
+RequestParser(Http1Limits aLimits = {})
+{
+  return { Http1Parser::Kind::kRequest, aLimits };
+}
+
+Http1Parser
+ResponseParser()
+{
+  return { Http1Parser::Kind::kResponse, {} };
+}
+
+DOCTEST_TEST_CASE("a request is read whole, byte by byte")
+{
+  Http1Parser parser = RequestParser();
+  std::string text = "POST /a?b=%20 HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                     "3\r\nX-Two: a b\r\n\r\nabc";
+  for (char byte : text) {
+    DOCTEST_CHECK(parser.Feed({ &byte, 1 }) == 1);
+  }
+  DOCTEST_REQUIRE(parser.State() == Progress::kComplete);
+  DOCTEST_CHECK(parser.Request().m_method == "POST");
+  DOCTEST_CHECK(parser.Request().m_target == "/a?b=%20");
+  DOCTEST_CHECK(parser.Request().m_body == "abc");
+  DOCTEST_CHECK(FindHeader(parser.Request().m_headers, "x-two") == "a b");
+  DOCTEST_CHECK(parser.KeepAlive());
+}
+
+DOCTEST_TEST_CASE("what follows a message is left")
+{
+  Http1Parser parser = RequestParser();
+  std::string first = "GET /a HTTP/1.1\r\n\r\n";
+  DOCTEST_CHECK(parser.Feed(first + "GET /b HTTP/1.1\r\n\r\n") == first.size());
+  DOCTEST_CHECK(parser.Request().m_target == "/a");
+}
+
+DOCTEST_TEST_CASE("a chunked body is joined and its trailers dropped")
+{
+  Http1Parser parser = RequestParser();
+  parser.Feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "2\r\nab\r\n1\r\nc\r\n0\r\nX: y\r\n\r\n");
+  DOCTEST_REQUIRE(parser.State() == Progress::kComplete);
+  DOCTEST_CHECK(parser.Request().m_body == "abc");
+  DOCTEST_CHECK(parser.Request().m_headers.size() == 1);
+}
+
+DOCTEST_TEST_CASE("two lengths that disagree are refused")
+{
+  Http1Parser both = RequestParser();
+  both.Feed("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n");
+  DOCTEST_CHECK(both.State() == Progress::kMalformed);
+  Http1Parser twice = RequestParser();
+  twice.Feed(
+    "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n");
+  DOCTEST_CHECK(twice.State() == Progress::kMalformed);
+}
+
+DOCTEST_TEST_CASE("limits on headers and bodies")
+{
+  Http1Parser headers = RequestParser({ .m_headerBytes = 64 });
+  headers.Feed("GET / HTTP/1.1\r\nX: ");
+  headers.Feed(std::string(100, 'x'));
+  DOCTEST_CHECK(headers.State() == Progress::kHeadersTooLong);
+  Http1Parser stated = RequestParser({ .m_bodyBytes = 4 });
+  stated.Feed("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+  DOCTEST_CHECK(stated.State() == Progress::kBodyTooLong);
+  Http1Parser chunked = RequestParser({ .m_bodyBytes = 4 });
+  chunked.Feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "5\r\nabcde\r\n");
+  DOCTEST_CHECK(chunked.State() == Progress::kBodyTooLong);
+}
+
+DOCTEST_TEST_CASE("an answer without a length ends with its connection only")
+{
+  Http1Parser parser = ResponseParser();
+  parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  DOCTEST_CHECK(parser.State() == Progress::kBody);
+  parser.FeedEnd();
+  DOCTEST_CHECK(parser.State() == Progress::kComplete);
+  DOCTEST_CHECK_FALSE(parser.KeepAlive());
+}
+
+DOCTEST_TEST_CASE("an answer that ends before its length is not complete")
+{
+  Http1Parser parser = ResponseParser();
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  parser.FeedEnd();
+  DOCTEST_CHECK(parser.State() != Progress::kComplete);
+}
+
+DOCTEST_TEST_CASE("bytes that are no answer are malformed")
+{
+  Http1Parser parser = ResponseParser();
+  parser.Feed("\x01\x02garbage\r\n\r\n");
+  DOCTEST_CHECK(parser.State() == Progress::kMalformed);
+}
+
+DOCTEST_TEST_CASE("an answer to HEAD has no body")
+{
+  Http1Parser parser = ResponseParser();
+  parser.ExpectNoBody(true);
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+  DOCTEST_CHECK(parser.State() == Progress::kComplete);
+}
+
+} // namespace
+} // namespace ebonykeel
--- a/packages/runtime/log/line_log_test.cc
+++ b/packages/runtime/log/line_log_test.cc
@@ -1,1 +1,76 @@
+#include "runtime/log/line_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
 #include <doctest/doctest.h>
+
+namespace ebonykeel {
+namespace {
+
+struct Pipe
+{
+  Pipe() { DOCTEST_REQUIRE(pipe(m_ends.data()) == 0); }
+  ~Pipe()
+  {
+    close(m_ends[0]);
+    close(m_ends[1]);
+  }
+  std::string Read()
+  {
+    (void)fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
+    std::string text(1 << 20, '\0');
+    ssize_t count = read(m_ends[0], text.data(), text.size());
+    text.resize(count > 0 ? static_cast<size_t>(count) : 0);
+    return text;
+  }
+  std::array<int, 2> m_ends{};
+};
+
+DOCTEST_TEST_CASE("lines are written when they are flushed")
+{
+  Pipe pipe;
+  LineLog log({ .m_descriptor = pipe.m_ends[1] });
+  log.SetTime(Milliseconds(1500));
+  log.Write(Event::kStoreFailed, { { "call", "x y" } });
+  DOCTEST_CHECK(pipe.Read().empty());
+  log.Flush();
+  DOCTEST_CHECK(pipe.Read() == "ms=1500 EK1401 store_failed call=\"x y\"\n");
+}
+
+DOCTEST_TEST_CASE("beyond an event's rate lines are dropped and counted")
+{
+  Pipe pipe;
+  LineLog log({ .m_descriptor = pipe.m_ends[1], .m_linesPerEvent = 2 });
+  for (int i = 0; i < 5; ++i) {
+    log.Write(Event::kStoreRecovered, {});
+    log.Write(Event::kStoreFailed, {});
+  }
+  log.Flush();
+  DOCTEST_CHECK(log.Dropped() == 3);
+  std::string text = pipe.Read();
+  DOCTEST_CHECK(text.find("lines_dropped count=3") != std::string::npos);
+  log.Write(Event::kStoreRecovered, {});
+  log.Flush();
+  DOCTEST_CHECK(pipe.Read().find("store_recovered") != std::string::npos);
+}
+
+DOCTEST_TEST_CASE("a full pipe never blocks, and what waits is bounded")
+{
+  Pipe pipe;
+  LineLog log({ .m_descriptor = pipe.m_ends[1],
+                .m_mostBytes = 4096,
+                .m_linesPerEvent = 1000000 });
+  for (int i = 0; i < 10000; ++i) {
+    log.Write(Event::kStoreFailed, { { "call", std::string(100, 'x') } });
+    log.Flush();
+  }
+  DOCTEST_CHECK(log.Pending().size() < 8192);
+  DOCTEST_CHECK(log.Dropped() > 0);
+}
+
+} // namespace
+} // namespace ebonykeel
