--- a/packages/core/fleet/fleet_view.cc
+++ b/packages/core/fleet/fleet_view.cc
@@ -315,6 +315,8 @@
     }
     if (probe.m_indirect) {
       SetState(member->second, FleetState::kSuspect, aNow);
+      // It hears what is thought of it and can contradict at once.
+      Send(probe.m_host, FleetMessageKind::kPing, ++m_sequence);
       continue;
     }
     std::vector<std::string> helpers = Hosts(FleetState::kAlive);
@@ -473,6 +475,7 @@
 void
 FleetView::ForgetConclusions()
 {
+  m_probes.clear();
   std::erase_if(m_members, [](const auto& aEntry) {
     return aEntry.second.m_record.m_state == FleetState::kSuspect ||
            aEntry.second.m_record.m_state == FleetState::kDead;
--- a/packages/runtime/http1/http1_test.cc
+++ b/packages/runtime/http1/http1_test.cc
@@ -74,7 +74,7 @@
   void Until(const std::function<bool()>& aCondition)
   {
     while (!aCondition()) {
-      m_loop.RunOnce(true);
+      m_loop.RunOnce(false);
     }
   }
 
@@ -235,16 +235,20 @@
     DOCTEST_REQUIRE(listen(listener, 1) == 0);
     getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
     fixture.Send({ "127.0.0.1", ntohs(address.sin_port) });
-    fixture.m_loop.RunOnce(false);
     int peer = accept(listener, nullptr, nullptr);
-    fixture.m_loop.RunOnce(true);
+    std::string request(256, '\0');
+    fixture.Until([&]() {
+      return recv(peer, request.data(), request.size(), MSG_DONTWAIT) > 0;
+    });
     constexpr std::string_view kPart = "HTTP/1.1 200 OK\r\n\r\npart";
     (void)send(peer, kPart.data(), kPart.size(), 0);
     // With a zero linger time a close sends a reset.
     linger abort{ .l_onoff = 1, .l_linger = 0 };
     setsockopt(peer, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
     close(peer);
-    DOCTEST_CHECK(fixture.NextResult().m_end == Http1End::kBroken);
+    Http1Result& result = fixture.NextResult();
+    DOCTEST_CHECK(result.m_end == Http1End::kBroken);
+    DOCTEST_CHECK(result.m_problem == "reset");
     close(listener);
   }
 }
