Let a leg wait for its turn; a starting instance brings no burst of retries

A searcher gets at most its slots and four more from one instance; a leg whose searchers are full or shed it waits here. Hedges come after twice the median at the latest: where 15 in 100 searchers are slow, the 0.9 quantile is theirs.

--- a/packages/core/forward/extra_budget.cc
+++ b/packages/core/forward/extra_budget.cc
@@ -19,7 +19,21 @@
 void
 ExtraBudget::SetInstances(size_t aCount)
 {
-  m_instances = std::max<size_t>(1, aCount);
+  size_t instances = std::max<size_t>(1, aCount);
+  if (instances == m_instances) {
+    return;
+  }
+  m_instances = instances;
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetBurst(Burst());
+  }
+}
+
+double
+ExtraBudget::Burst() const
+{
+  return std::max(
+    1.0, m_limit.m_burst * kUsedShare / static_cast<double>(m_instances));
 }
 
 void
@@ -39,12 +53,10 @@
 {
   auto found = m_budgets.find(aService);
   if (found == m_budgets.end()) {
-    double burst = std::max(
-      1.0, m_limit.m_burst * kUsedShare / static_cast<double>(m_instances));
-    found =
-      m_budgets
-        .emplace(aService, TokenBudget(m_limit.m_share * kUsedShare, burst))
-        .first;
+    // An instance that starts again must not bring a new burst each time.
+    TokenBudget budget(m_limit.m_share * kUsedShare, 1);
+    budget.SetBurst(Burst());
+    found = m_budgets.emplace(aService, budget).first;
   }
   return found->second;
 }
--- a/packages/core/forward/extra_budget.h
+++ b/packages/core/forward/extra_budget.h
@@ -32,18 +32,22 @@
 public:
   explicit ExtraBudget(ExtraBudgetLimit aLimit);
 
-  // Sets by how many instances the burst is divided; >= 1. Budgets that exist
-  // keep what they have.
+  // Sets by how many instances the burst is divided; >= 1. Before that it is
+  // divided by many: an instance that just started knows no other yet.
   void SetInstances(size_t aCount);
   void OnFirst(const std::string& aService);
   // Takes one extra request; returns false if none is left.
   [[nodiscard]] bool TryTake(const std::string& aService);
 
 private:
+  // The instances that are assumed before any is known.
+  static constexpr size_t kAssumedInstances = 100;
+
+  [[nodiscard]] double Burst() const;
   TokenBudget& Of(const std::string& aService);
 
   ExtraBudgetLimit m_limit;
-  size_t m_instances = 1;
+  size_t m_instances = kAssumedInstances;
   std::unordered_map<std::string, TokenBudget> m_budgets;
 };
 
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -10,6 +10,8 @@
 // Sendings of one leg beyond the searchers that may run it: statements that a
 // request was not run do not count there, but must not go on for ever.
 constexpr uint32_t kMostNotRun = 2;
+// The part of its target that a request to one service waits untried.
+constexpr int kParkShare = 5;
 // A request is not sent on with less time than this: no searcher could use it.
 constexpr Duration kShortestDeadline = Milliseconds(2);
 
@@ -108,11 +110,13 @@
   for (uint32_t leg = 0; leg < m_legs.size(); ++leg) {
     m_environment->m_budget.OnFirst(m_legs[leg].m_service);
     const ReplicaPtr* replica = ChooseFor(m_legs[leg], false, aNow);
-    if (replica == nullptr) {
+    if (replica != nullptr) {
+      SendTo(leg, *replica, SendReason::kFirst, aNow);
+    } else if (IsServed(m_legs[leg].m_service, aNow)) {
+      Park(m_legs[leg], aNow);
+    } else {
       m_legs[leg].m_failed = true;
-      continue;
     }
-    SendTo(leg, *replica, SendReason::kFirst, aNow);
   }
   FinishIfDue(aNow);
 }
@@ -158,6 +162,7 @@
   if (m_ended) {
     return;
   }
+  ResendParked(aNow);
   HedgeLate(aNow);
   FinishIfDue(aNow);
 }
@@ -190,6 +195,9 @@
     if (!leg.m_answer && !leg.m_failed && leg.m_hedgeAt != TimePoint{}) {
       next = std::min(next, leg.m_hedgeAt);
     }
+    if (leg.m_parked) {
+      next = std::min(next, leg.m_resendAt);
+    }
   }
   return next;
 }
@@ -322,9 +330,53 @@
       return;
     }
   }
+  bool shed = aOutcome == SendOutcome::kNotExecuted && IsGathered();
+  if (!HasOpen(leg) && shed && enoughTime && MayRepeat(leg, aOutcome)) {
+    Park(leg, aNow);
+    return;
+  }
   leg.m_failed = !HasOpen(leg);
 }
 
+void
+ForwardRun::Park(Leg& aLeg, TimePoint aNow)
+{
+  aLeg.m_parked = true;
+  aLeg.m_resendAt = aNow + m_environment->m_options.m_parkRecheck;
+}
+
+void
+ForwardRun::ResendParked(TimePoint aNow)
+{
+  for (uint32_t index = 0; index < m_legs.size(); ++index) {
+    Leg& leg = m_legs[index];
+    if (!leg.m_parked || leg.m_resendAt > aNow) {
+      continue;
+    }
+    const ReplicaPtr* replica = ChooseFor(leg, true, aNow);
+    bool first = leg.m_attempts.empty();
+    if (replica != nullptr &&
+        (first || m_environment->m_budget.TryTake(leg.m_service))) {
+      leg.m_parked = false;
+      SendTo(index,
+             *replica,
+             first ? SendReason::kFirst : SendReason::kRepeat,
+             aNow);
+    } else if (IsServed(leg.m_service, aNow)) {
+      Park(leg, aNow);
+    } else {
+      leg.m_parked = false;
+      leg.m_failed = true;
+    }
+  }
+}
+
+bool
+ForwardRun::IsServed(const std::string& aService, TimePoint aNow) const
+{
+  return !BlockedUntil(aService, aNow).has_value();
+}
+
 void
 ForwardRun::HedgeLate(TimePoint aNow)
 {
@@ -404,6 +456,14 @@
 ForwardRun::FinishSingle(TimePoint aNow)
 {
   const Leg& leg = m_legs.front();
+  // A caller is better told early that every searcher is full.
+  bool waitedLong = leg.m_parked && leg.m_attempts.empty() &&
+                    aNow - m_request.m_receivedAt >=
+                      m_request.m_route->m_targetLatency / kParkShare;
+  if (waitedLong) {
+    FinishFailed(false);
+    return;
+  }
   if (leg.m_answer) {
     Finish({ .m_status = ForwardStatus::kWhole,
              .m_answers = { { 0, *leg.m_answer } },
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -10,6 +10,11 @@
 //   run.OnOutcome(leg, attempt, outcome, now);   // from the port's sendings
 //   if (run.NextTimer() <= now) run.OnTimer(now);
 //
+// Each searcher gets only so many requests of one instance at a time. A leg
+// whose searchers are all full, or shed it, waits here for its turn: after a
+// burst, or when everybody comes back at once, requests that pile up at the
+// searchers would only be shed there.
+//
 // A leg is the part of the request that goes to one service. A route to one
 // service has one leg, a gathered route one for each shard.
 #pragma once
@@ -123,6 +128,8 @@
   Duration m_answerMargin = Milliseconds(8);
   // Between two looks whether a late request can be hedged.
   Duration m_hedgeRecheck = Milliseconds(6);
+  // Between two looks whether a leg can be sent whose searchers are all full.
+  Duration m_parkRecheck = Milliseconds(8);
   // A caller whose service has no searcher is told to come back after this.
   Duration m_absentRetryAfter = Milliseconds(500);
   // Switches hedging off, for comparison.
@@ -191,6 +198,9 @@
     bool m_failed = false;
     bool m_unknown = false;
     TimePoint m_hedgeAt;
+    // Set while the leg waits for a searcher that may get another request.
+    TimePoint m_resendAt;
+    bool m_parked = false;
   };
 
   [[nodiscard]] bool IsGathered() const;
@@ -211,6 +221,12 @@
   [[nodiscard]] bool MayRepeat(const Leg& aLeg, SendOutcome aOutcome) const;
   [[nodiscard]] static bool HasOpen(const Leg& aLeg);
   void OnFailedAttempt(uint32_t aLeg, SendOutcome aOutcome, TimePoint aNow);
+  // Lets a leg wait until a searcher may get another request.
+  void Park(Leg& aLeg, TimePoint aNow);
+  void ResendParked(TimePoint aNow);
+  // Returns whether the service has a searcher that is not down.
+  [[nodiscard]] bool IsServed(const std::string& aService,
+                              TimePoint aNow) const;
   void HedgeLate(TimePoint aNow);
   void TryHedge(uint32_t aLeg, TimePoint aNow);
   void FinishIfDue(TimePoint aNow);
--- a/packages/core/forward/latency_model.cc
+++ b/packages/core/forward/latency_model.cc
@@ -1,5 +1,7 @@
 #include "core/forward/latency_model.h"
 
+#include <algorithm>
+
 namespace ebonykeel {
 namespace {
 
@@ -10,6 +12,8 @@
 // The quantile above which a request counts as late. Most of the rest wait for
 // a searcher that pauses.
 constexpr double kLateQuantile = 0.9;
+// The same as a multiple of the median.
+constexpr int kLateFactor = 2;
 // Assumed before there are samples, as a share of the route's target.
 constexpr double kAssumedTypical = 0.2;
 constexpr double kAssumedLate = 0.35;
@@ -33,7 +37,9 @@
 Duration
 LatencyModel::Late(const Route& aRoute) const
 {
-  return Quantile(aRoute, kLateQuantile, kAssumedLate);
+  // Where many searchers are slow, the quantile is one of theirs.
+  Duration bound = Typical(aRoute) * kLateFactor;
+  return std::min(bound, Quantile(aRoute, kLateQuantile, kAssumedLate));
 }
 
 Duration
--- a/packages/core/query/token_budget.h
+++ b/packages/core/query/token_budget.h
@@ -25,6 +25,13 @@
   {
   }
 
+  // Changes the most that the bucket holds; what it holds beyond is lost.
+  void SetBurst(double aBurst)
+  {
+    m_burst = aBurst;
+    m_tokens = std::min(m_tokens, aBurst);
+  }
+
   // Adds the share of `aRequests` first attempts.
   void Earn(double aRequests)
   {
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -45,7 +45,7 @@
     bool tried = std::ranges::any_of(aTried, [&](const ReplicaPtr& aOther) {
       return aOther->m_id == candidate->m_id;
     });
-    if (tried) {
+    if (tried || !MayQueue(*candidate)) {
       continue;
     }
     Duration cost = Cost(*candidate, aTypical, aNow);
@@ -90,6 +90,14 @@
   return state == nullptr || state->m_outstanding.size() < aReplica.m_slots;
 }
 
+bool
+ReplicaLoad::MayQueue(const Replica& aReplica) const
+{
+  const State* state = Find(aReplica);
+  return state == nullptr || state->m_outstanding.size() <
+                               aReplica.m_slots + m_options.m_mostQueued;
+}
+
 std::optional<TimePoint>
 ReplicaLoad::DownUntil(const Replica& aReplica, TimePoint aNow) const
 {
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -39,6 +39,8 @@
   // What a searcher has to be faster by that fails every request; in
   // proportion for one that fails some.
   Duration m_errorPenalty = Milliseconds(500);
+  // Requests of this instance that wait at one searcher beyond its slots.
+  size_t m_mostQueued = 4;
   // The time after which half of a searcher's slowness is forgotten.
   Duration m_halfLife = Milliseconds(1500);
 };
@@ -48,8 +50,8 @@
 public:
   explicit ReplicaLoad(ReplicaLoadOptions aOptions);
 
-  // Returns the searcher that is expected to answer first; null if there is
-  // none but those in `aTried`. `aTypical` is the usual latency of the request.
+  // Returns the searcher that is expected to answer first, of those that are not
+  // in `aTried` and may get another request; null if there is none. `aTypical` is the usual latency of the request.
   [[nodiscard]] const ReplicaPtr* Choose(
     std::span<const ReplicaPtr> aCandidates,
     std::span<const ReplicaPtr> aTried,
@@ -62,6 +64,9 @@
                                  TimePoint aNow) const;
   // Returns whether the searcher has a free slot as far as this instance knows.
   [[nodiscard]] bool HasRoom(const Replica& aReplica) const;
+  // Returns whether the searcher may get another request from this instance:
+  // one that queues there would wait for more than `m_mostQueued` others.
+  [[nodiscard]] bool MayQueue(const Replica& aReplica) const;
   // Returns until when the searcher counts as unreachable; nothing if it does
   // not.
   [[nodiscard]] std::optional<TimePoint> DownUntil(const Replica& aReplica,
--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -11,12 +11,12 @@
 namespace ebonykeel {
 namespace {
 
-constexpr Duration kTick = Milliseconds(200);
+constexpr Duration kTick = Milliseconds(100);
 // How long a starting instance waits for others to answer before it reads the
 // store by itself.
-constexpr Duration kStartAlone = Milliseconds(600);
+constexpr Duration kStartAlone = Milliseconds(400);
 // How long it waits at least, to learn of the others first.
-constexpr Duration kStartTogether = Milliseconds(300);
+constexpr Duration kStartTogether = Milliseconds(120);
 // The age that is assumed of a copy that does not exist.
 constexpr Duration kNoCopy = Seconds(3600);
 // A jump of the clocks beyond this means that the machine was suspended.
@@ -256,7 +256,9 @@
   CheckSuspension();
   UpdateDuty();
   KeepInstanceList();
-  m_budget.SetInstances(m_fleet.View().Living().size());
+  if (m_fleet.InContact()) {
+    m_budget.SetInstances(m_fleet.View().Living().size());
+  }
   if (m_stoppingSince) {
     ContinueStop();
   }
