--- a/packages/core/fleet/fleet_view.cc
+++ b/packages/core/fleet/fleet_view.cc
@@ -74,6 +74,7 @@
     ForgetConclusions();
   }
   m_heardAt = aNow;
+  m_isolated = false;
   std::erase_if(m_probes,
                 [&](const Probe& aProbe) { return aProbe.m_host == sender; });
   bool news = Learn(aMessage.m_sender, true, aNow);
@@ -121,6 +122,7 @@
 void
 FleetView::OnTimer(TimePoint aNow)
 {
+  m_isolated = !InContact(aNow);
   CheckProbes(aNow);
   CheckSuspects(aNow);
   if (aNow >= m_nextPing) {
@@ -359,6 +361,10 @@
   if (m_selfSendsLeft > 0) {
     --m_selfSendsLeft;
   }
+  if (m_isolated) {
+    m_port->SendTo(aHost, message);
+    return;
+  }
   // What is thought of the receiver goes first, so that it can contradict.
   auto receiver = m_members.find(aHost);
   if (receiver != m_members.end() &&
--- a/packages/core/fleet/fleet_view.h
+++ b/packages/core/fleet/fleet_view.h
@@ -170,6 +170,9 @@
   TimePoint m_nextPing;
   TimePoint m_nextRejoin;
   std::optional<TimePoint> m_heardAt;
+  // Nothing was heard of others for long: what this instance thinks of them is
+  // not passed on.
+  bool m_isolated = true;
   size_t m_selfSendsLeft = 0;
 };
 
