--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 
 # The first command of the README runs `demo`, the second `test`.
-.PHONY: demo programs plots deps configure build test sanitize lint format generate clean fault-matrix
+.PHONY: soak demo programs plots deps configure build test sanitize lint format generate clean fault-matrix
 
 deps:
 	tools/install_deps.sh
@@ -52,3 +52,10 @@
 RESULTS ?= results
 plots:
 	find $(RESULTS) -name '*.gp' -execdir gnuplot {} \;
+
+# Real processes of the forward mode under random faults.
+SEED ?= 1
+SOAK_SECONDS ?= 60
+soak: configure
+	cmake --build $(BUILD) -j $(JOBS) --target soak ebonykeeld
+	$(BUILD)/bin/soak --program=$(BUILD)/bin/ebonykeeld --seed=$(SEED) --seconds=$(SOAK_SECONDS)
--- a/packages/core/fleet/fleet_view_test.cc
+++ b/packages/core/fleet/fleet_view_test.cc
@@ -92,8 +92,8 @@
   FleetView& View(const std::string& aHost) { return *m_nodes[aHost]->m_view; }
   void Kill(const std::string& aHost) { m_nodes.erase(aHost); }
   void Cut(std::set<std::string> aHosts) { m_cut = std::move(aHosts); }
-  size_t Size() const { return m_nodes.size(); }
-  TimePoint Now() const { return m_now; }
+  [[nodiscard]] size_t Size() const { return m_nodes.size(); }
+  [[nodiscard]] TimePoint Now() const { return m_now; }
   size_t m_sent = 0;
 
 private:
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -442,7 +442,7 @@
     result.m_status =
       result.m_missing == 0 ? ForwardStatus::kWhole : ForwardStatus::kPartial;
     result.m_reason = inPlay == 0 ? "complete" : "early";
-    Finish(std::move(result));
+    Finish(result);
     return;
   }
   if (aNow >= m_timeoutAt) {
@@ -500,11 +500,11 @@
       aTimedOut ? ForwardStatus::kTimedOut : ForwardStatus::kFailed;
     result.m_reason = aTimedOut ? "timeout" : "upstream-broken";
   }
-  Finish(std::move(result));
+  Finish(result);
 }
 
 void
-ForwardRun::Finish(ForwardResult aResult)
+ForwardRun::Finish(const ForwardResult& aResult)
 {
   m_ended = true;
   m_port->Finish(aResult);
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -233,7 +233,7 @@
   void FinishGathered(TimePoint aNow);
   void FinishSingle(TimePoint aNow);
   void FinishFailed(bool aTimedOut);
-  void Finish(ForwardResult aResult);
+  void Finish(const ForwardResult& aResult);
   void CancelOpen();
 
   ForwardRequest m_request;
--- a/packages/runtime/http1/http1_test.cc
+++ b/packages/runtime/http1/http1_test.cc
@@ -57,7 +57,10 @@
     m_ended = true;
     m_reset = aReset;
   }
-  Address Where() const { return { "127.0.0.1", m_listener.Port() }; }
+  [[nodiscard]] Address Where() const
+  {
+    return { "127.0.0.1", m_listener.Port() };
+  }
 
   UvLoop& m_loop;
   TcpListener m_listener;
--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -84,7 +84,7 @@
 const http_parser_settings&
 Http1Parser::Settings()
 {
-  static const http_parser_settings settings = []() {
+  static const http_parser_settings kSettings = []() {
     http_parser_settings made{};
     made.on_url = [](http_parser* aParser, const char* aAt, size_t aLength) {
       Self(aParser).m_request.m_target.append(aAt, aLength);
@@ -109,7 +109,7 @@
     };
     return made;
   }();
-  return settings;
+  return kSettings;
 }
 
 Http1Parser&
--- a/packages/runtime/http1/server.cc
+++ b/packages/runtime/http1/server.cc
@@ -81,6 +81,13 @@
     m_stream->PauseReading(false);
   }
 
+  void BreakOff(std::string aBytes)
+  {
+    DropExchange(false);
+    m_stream->Write(std::move(aBytes));
+    Linger();
+  }
+
   // Returns whether nothing was read of a request.
   [[nodiscard]] bool IsIdle() const
   {
@@ -235,6 +242,14 @@
   }
 }
 
+void
+Http1Exchange::BreakOff(std::string aBytes)
+{
+  if (m_connection != nullptr) {
+    m_connection->BreakOff(std::move(aBytes));
+  }
+}
+
 void
 Http1Exchange::Detach(bool aGone)
 {
--- a/packages/runtime/http1/server.h
+++ b/packages/runtime/http1/server.h
@@ -35,6 +35,9 @@
   // Sends the answer; only the first call counts, and none after the caller
   // left.
   void Answer(const Http1Response& aResponse);
+  // Writes `aBytes` as they are and closes the connection; for stand-ins that
+  // misbehave.
+  void BreakOff(std::string aBytes);
 
 private:
   friend class Http1Connection;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -22,5 +22,5 @@
     --extra-arg=-Wno-unknown-warning-option "$file" 2>/dev/null && touch "$cache/$key"
 }
 export -f check_file
-git ls-files 'packages/*.cc' | xargs -P "$jobs" -I{} bash -c 'check_file {}'
+git ls-files 'packages/*.cc' 'platform/*.cc' | xargs -P "$jobs" -I{} bash -c 'check_file {}'
 echo "lint: clean"
