--- a/packages/core/forward/forward_run_test.cc
+++ b/packages/core/forward/forward_run_test.cc
@@ -82,8 +82,7 @@
                       .m_service = aShard,
                       .m_address = { "10.0.0.1", 80 },
                       .m_dataCentre = DataCentre(aDc),
-                      .m_slots = 2 },
-                    kStart);
+                      .m_slots = 2 });
   }
 
   ForwardRun& Start(Duration aRemaining = Milliseconds(600))
--- a/packages/core/replica/replica_catalogue.cc
+++ b/packages/core/replica/replica_catalogue.cc
@@ -6,22 +6,20 @@
 namespace ebonykeel {
 
 void
-ReplicaCatalogue::Put(Replica aReplica, TimePoint aNow)
+ReplicaCatalogue::Put(Replica aReplica)
 {
   std::string id = aReplica.m_id;
   std::string service = aReplica.m_service;
   auto found = m_replicas.find(id);
   if (found != m_replicas.end()) {
-    if (*found->second.m_replica == aReplica) {
+    if (*found->second == aReplica) {
       return;
     }
-    if (found->second.m_replica->m_service != service) {
+    if (found->second->m_service != service) {
       Remove(id);
     }
   }
-  TimePoint coldUntil = aNow + aReplica.m_coldFor;
-  m_replicas[id] = { std::make_shared<const Replica>(std::move(aReplica)),
-                     coldUntil };
+  m_replicas[id] = std::make_shared<const Replica>(std::move(aReplica));
   m_idsByService[service].insert(id);
   Rebuild(service);
 }
@@ -33,7 +31,7 @@
   if (found == m_replicas.end()) {
     return;
   }
-  std::string service = found->second.m_replica->m_service;
+  std::string service = found->second->m_service;
   m_idsByService[service].erase(std::string(aId));
   m_replicas.erase(found);
   Rebuild(service);
@@ -61,30 +59,6 @@
   return found->second;
 }
 
-bool
-ReplicaCatalogue::IsUsable(const Replica& aReplica) const
-{
-  auto found = m_replicas.find(aReplica.m_id);
-  return found != m_replicas.end() &&
-         found->second.m_replica->m_bornMs == aReplica.m_bornMs &&
-         found->second.m_replica->m_service == aReplica.m_service &&
-         Accepts(*found->second.m_replica);
-}
-
-bool
-ReplicaCatalogue::IsKnown(std::string_view aService) const
-{
-  auto found = m_idsByService.find(aService);
-  return found != m_idsByService.end() && !found->second.empty();
-}
-
-TimePoint
-ReplicaCatalogue::ColdUntil(std::string_view aId) const
-{
-  auto found = m_replicas.find(aId);
-  return found == m_replicas.end() ? TimePoint{} : found->second.m_coldUntil;
-}
-
 std::map<DataCentre, size_t>
 ReplicaCatalogue::CountByDataCentre(
   std::span<const std::string> aServices) const
@@ -111,7 +85,7 @@
   std::vector<ReplicaPtr>& usable = m_usable[aService];
   usable.clear();
   for (const std::string& id : m_idsByService[aService]) {
-    const ReplicaPtr& replica = m_replicas.at(id).m_replica;
+    const ReplicaPtr& replica = m_replicas.at(id);
     if (Accepts(*replica)) {
       usable.push_back(replica);
     }
--- a/packages/core/replica/replica_catalogue.h
+++ b/packages/core/replica/replica_catalogue.h
@@ -1,7 +1,7 @@
 // Which searchers may get requests, by service.
 //
 //   ReplicaCatalogue catalogue;
-//   catalogue.Put(replica, now);
+//   catalogue.Put(replica);
 //   for (const ReplicaPtr& replica : catalogue.Usable("shard-07")) { ... }
 #pragma once
 
@@ -22,7 +22,7 @@
 {
 public:
   // Adds a registration or replaces the one of the same id.
-  void Put(Replica aReplica, TimePoint aNow);
+  void Put(Replica aReplica);
   // Forgets a registration; nothing happens if the id is unknown.
   void Remove(std::string_view aId);
   // Names the data centres whose searchers get nothing.
@@ -31,29 +31,16 @@
   // Returns the usable searchers of a service. Valid until the next change.
   [[nodiscard]] std::span<const ReplicaPtr> Usable(
     std::string_view aService) const;
-  // Returns whether `aReplica` is still what is registered, and usable.
-  [[nodiscard]] bool IsUsable(const Replica& aReplica) const;
-  // Returns whether any searcher of the service is registered in any state.
-  [[nodiscard]] bool IsKnown(std::string_view aService) const;
-  // Returns until when a searcher is in cold start; the epoch if it is not.
-  [[nodiscard]] TimePoint ColdUntil(std::string_view aId) const;
-
   [[nodiscard]] size_t Count() const { return m_replicas.size(); }
   // Counts usable searchers a data centre, over the named services.
   [[nodiscard]] std::map<DataCentre, size_t> CountByDataCentre(
     std::span<const std::string> aServices) const;
 
 private:
-  struct Entry
-  {
-    ReplicaPtr m_replica;
-    TimePoint m_coldUntil;
-  };
-
   [[nodiscard]] bool Accepts(const Replica& aReplica) const;
   void Rebuild(const std::string& aService);
 
-  std::map<std::string, Entry, std::less<>> m_replicas;
+  std::map<std::string, ReplicaPtr, std::less<>> m_replicas;
   std::map<std::string, std::set<std::string>, std::less<>> m_idsByService;
   std::map<std::string, std::vector<ReplicaPtr>, std::less<>> m_usable;
   std::set<DataCentre> m_excluded;
--- a/packages/core/replica/replica_catalogue_test.cc
+++ b/packages/core/replica/replica_catalogue_test.cc
@@ -5,8 +5,6 @@
 namespace ebonykeel {
 namespace {
 
-constexpr TimePoint kStart{ Seconds(100) };
-
 Replica
 ReplicaNamed(const char* aId, const char* aService, const char* aDataCentre)
 {
@@ -21,20 +19,19 @@
 {
   ReplicaCatalogue catalogue;
   Replica replica = ReplicaNamed("a", "s", "north");
-  catalogue.Put(replica, kStart);
+  catalogue.Put(replica);
   DOCTEST_CHECK(catalogue.Usable("s").size() == 1);
   replica.m_state = ReplicaState::kDraining;
-  catalogue.Put(replica, kStart);
+  catalogue.Put(replica);
   DOCTEST_CHECK(catalogue.Usable("s").empty());
-  DOCTEST_CHECK(catalogue.IsKnown("s"));
-  DOCTEST_CHECK_FALSE(catalogue.IsUsable(replica));
+  DOCTEST_CHECK(catalogue.Count() == 1);
 }
 
 DOCTEST_TEST_CASE("an id that moves to another service leaves the first")
 {
   ReplicaCatalogue catalogue;
-  catalogue.Put(ReplicaNamed("a", "s", "north"), kStart);
-  catalogue.Put(ReplicaNamed("a", "t", "north"), kStart);
+  catalogue.Put(ReplicaNamed("a", "s", "north"));
+  catalogue.Put(ReplicaNamed("a", "t", "north"));
   DOCTEST_CHECK(catalogue.Usable("s").empty());
   DOCTEST_CHECK(catalogue.Usable("t").size() == 1);
   catalogue.Remove("a");
@@ -44,8 +41,8 @@
 DOCTEST_TEST_CASE("a data centre that is taken out and back")
 {
   ReplicaCatalogue catalogue;
-  catalogue.Put(ReplicaNamed("a", "s", "north"), kStart);
-  catalogue.Put(ReplicaNamed("b", "s", "south"), kStart);
+  catalogue.Put(ReplicaNamed("a", "s", "north"));
+  catalogue.Put(ReplicaNamed("b", "s", "south"));
   catalogue.SetExcluded({ DataCentre("north") });
   DOCTEST_CHECK(catalogue.Usable("s").size() == 1);
   DOCTEST_CHECK(catalogue.Usable("s")[0]->m_id == "b");
@@ -53,16 +50,16 @@
   DOCTEST_CHECK(catalogue.Usable("s").size() == 2);
 }
 
-DOCTEST_TEST_CASE("another life of the same id is another searcher")
+DOCTEST_TEST_CASE("another life of the same id takes the place of the first")
 {
   ReplicaCatalogue catalogue;
   Replica first = ReplicaNamed("a", "s", "north");
-  catalogue.Put(first, kStart);
+  catalogue.Put(first);
   Replica second = first;
   second.m_bornMs = 2;
-  catalogue.Put(second, kStart);
-  DOCTEST_CHECK_FALSE(catalogue.IsUsable(first));
-  DOCTEST_CHECK(catalogue.IsUsable(second));
+  catalogue.Put(second);
+  DOCTEST_REQUIRE(catalogue.Usable("s").size() == 1);
+  DOCTEST_CHECK(catalogue.Usable("s")[0]->m_bornMs == 2);
 }
 
 } // namespace
--- a/packages/node/entry/traffic_state.cc
+++ b/packages/node/entry/traffic_state.cc
@@ -105,7 +105,7 @@
   if (replica->m_coldFor > Duration{}) {
     m_load.SetColdUntil(*replica, aNow + replica->m_coldFor);
   }
-  m_catalogue.Put(*std::move(replica), aNow);
+  m_catalogue.Put(*std::move(replica));
 }
 
 void
