Answer early by the caller's time, not by the time since reading

Cause: an early answer left at the target counted from the moment at which the request was read.

Ruled out: processor (0.039 of a core at most), the answers' margin (requests on kept connections were in time).

Change: CallerDeadlines learns what a route's callers start with; what is missing of it is taken off the time until the early answer.

--- /dev/null
+++ b/packages/core/forward/caller_deadlines.h
@@ -0,0 +1,43 @@
+// How much of its time a caller had used before its request was read.
+//
+// Callers state the time that they have left. Those of one route mostly start
+// with the same time, so what is missing from it went into a new connection, a
+// queue on the way or an earlier attempt.
+//
+//   CallerDeadlines deadlines;
+//   deadlines.Add("search", Milliseconds(600));
+//   Duration spent = deadlines.Spent("search", Milliseconds(592));  // 8 ms
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+class CallerDeadlines
+{
+public:
+  // Tells that a request of a route was read with `aRemaining` left.
+  void Add(const std::string& aRoute, Duration aRemaining);
+  // Returns what a caller with `aRemaining` left had spent; zero while too
+  // little is known of its route.
+  [[nodiscard]] Duration Spent(const std::string& aRoute,
+                               Duration aRemaining) const;
+
+private:
+  // The latest remaining times of a route's requests, in a ring.
+  struct Samples
+  {
+    std::vector<Duration> m_values;
+    size_t m_next = 0;
+  };
+
+  std::unordered_map<std::string, Samples> m_routes;
+};
+
+} // namespace ebonykeel
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -94,14 +94,21 @@
   Duration wait = std::min(route.m_timeout, m_request.m_remaining);
   m_timeoutAt = m_request.m_receivedAt + wait;
   m_answerAt = m_timeoutAt;
-  const ForwardOptions& options = m_environment->m_options;
-  if (IsGathered() && options.m_earlyAnswers) {
-    Duration target = route.m_targetLatency - options.m_answerMargin;
-    m_answerAt =
-      std::min(m_timeoutAt, m_request.m_receivedAt + std::max(target, {}));
+  if (IsGathered() && m_environment->m_options.m_earlyAnswers) {
+    m_answerAt = std::min(m_timeoutAt, AnswerDue());
   }
 }
 
+TimePoint
+ForwardRun::AnswerDue() const
+{
+  Duration target = m_request.m_route->m_targetLatency;
+  // A caller whose target has passed gains nothing from haste.
+  Duration spent = m_request.m_spent < target ? m_request.m_spent : Duration{};
+  Duration left = target - m_environment->m_options.m_answerMargin - spent;
+  return m_request.m_receivedAt + std::max(left, Duration{});
+}
+
 void
 ForwardRun::Start(TimePoint aNow)
 {
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -158,6 +158,8 @@
   TimePoint m_receivedAt;
   // What was left of the caller's time then.
   Duration m_remaining{};
+  // What the caller had waited before: for its connection or earlier attempts.
+  Duration m_spent{};
 };
 
 class ForwardRun
@@ -205,6 +207,8 @@
 
   [[nodiscard]] bool IsGathered() const;
   [[nodiscard]] uint32_t Needed() const;
+  // Returns when an answer has to leave to be there within the target.
+  [[nodiscard]] TimePoint AnswerDue() const;
   // Returns when the service's first searcher may be tried again; nothing if
   // one may be tried now.
   [[nodiscard]] std::optional<TimePoint> BlockedUntil(
--- a/packages/core/forward/forward_run_test.cc
+++ b/packages/core/forward/forward_run_test.cc
@@ -85,12 +85,14 @@
                       .m_slots = 2 });
   }
 
-  ForwardRun& Start(Duration aRemaining = Milliseconds(600))
+  ForwardRun& Start(Duration aRemaining = Milliseconds(600),
+                    Duration aSpent = {})
   {
     m_run.emplace(ForwardRequest{ .m_route = &m_route,
                                   .m_services = m_route.m_services,
                                   .m_receivedAt = kStart,
-                                  .m_remaining = aRemaining },
+                                  .m_remaining = aRemaining,
+                                  .m_spent = aSpent },
                   m_environment,
                   m_port);
     m_run->Start(kStart);
@@ -499,5 +501,33 @@
   DOCTEST_CHECK(world.m_port.m_result->m_status == ForwardStatus::kRefused);
 }
 
+DOCTEST_TEST_CASE("an early answer counts what the caller waited before")
+{
+  World world(4);
+  world.Start(Milliseconds(590), Milliseconds(10));
+  for (uint32_t leg = 0; leg < 3; ++leg) {
+    world.Answer(leg);
+  }
+  world.At(Milliseconds(41));
+  world.Fire();
+  DOCTEST_CHECK_FALSE(world.m_port.m_result.has_value());
+  world.At(Milliseconds(42));
+  world.Fire();
+  DOCTEST_REQUIRE(world.m_port.m_result.has_value());
+  DOCTEST_CHECK(world.m_port.m_result->m_status == ForwardStatus::kPartial);
+}
+
+DOCTEST_TEST_CASE("a caller that comes back after its target is not hurried")
+{
+  World world(4);
+  world.Start(Milliseconds(500), Milliseconds(100));
+  for (uint32_t leg = 0; leg < 3; ++leg) {
+    world.Answer(leg);
+  }
+  world.At(Milliseconds(51));
+  world.Fire();
+  DOCTEST_CHECK_FALSE(world.m_port.m_result.has_value());
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -57,7 +57,8 @@
     m_run.emplace(ForwardRequest{ .m_route = &m_route,
                                   .m_services = m_service.ServicesOf(m_route),
                                   .m_receivedAt = m_exchange->ReceivedAt(),
-                                  .m_remaining = m_remaining },
+                                  .m_remaining = m_remaining,
+                                  .m_spent = SpentBefore() },
                   m_service.m_environment,
                   *this);
     m_run->Start(m_service.m_loop.Now());
@@ -175,6 +176,17 @@
     return m_exchange->ReceivedAt() + std::min(m_remaining, m_route.m_timeout);
   }
 
+  // Returns what the caller had waited before its request was read.
+  [[nodiscard]] Duration SpentBefore()
+  {
+    if (!m_caller.m_remaining) {
+      return {};
+    }
+    CallerDeadlines& deadlines = m_service.m_deadlines;
+    deadlines.Add(m_route.m_name, *m_caller.m_remaining);
+    return deadlines.Spent(m_route.m_name, *m_caller.m_remaining);
+  }
+
   Try& TryOf(uint32_t aLeg, uint32_t aAttempt)
   {
     return *std::ranges::find_if(m_tries, [&](const Try& aTry) {
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/forward/caller_deadlines.h"
 #include "core/forward/forward_run.h"
 #include "core/traffic/weighted_choice.h"
 #include "node/entry/forward_stats.h"
@@ -106,6 +107,7 @@
   ReplicaLoad& m_load;
   LineLog& m_log;
   ForwardServiceOptions m_options;
+  CallerDeadlines m_deadlines;
   LatencyModel m_latencies;
   ForwardEnvironment m_environment;
   std::map<std::string, WeightedChoice> m_splits;
