Foresee the stalls of searchers that pause at regular intervals

The log shows that a searcher's stalls lie whole intervals of 4.5 s apart (one: requests held up from 13.23, 17.77, 22.30, 26.73 and 31.17 s), and that one stall made its searcher look slow for about 3 s.

Change: StallForecast learns the interval from all searchers and each one's turn from its own stalls; ReplicaLoad adds the rest of a foreseen stall to what it predicts, and does not count a foreseen stall as slowness. A metric shows the interval; forward.foresee_stalls switches it off.

Tests fail first: without the added stall, and with foreseen stalls counted as slowness (replica_load_test).

--- a/packages/core/config/forward_settings.cc
+++ b/packages/core/config/forward_settings.cc
@@ -102,6 +102,8 @@
   aSettings.m_hedging = table->Boolean("hedging", aSettings.m_hedging);
   aSettings.m_earlyAnswers =
     table->Boolean("early_answers", aSettings.m_earlyAnswers);
+  aSettings.m_foreseeStalls =
+    table->Boolean("foresee_stalls", aSettings.m_foreseeStalls);
   aSettings.m_grace = Milliseconds(table->Integer(
     "grace_ms", kMillisecondRange, ToMilliseconds(aSettings.m_grace)));
   aSettings.m_answerLifetime =
--- a/packages/core/config/forward_settings.h
+++ b/packages/core/config/forward_settings.h
@@ -62,6 +62,7 @@
   // Switches for comparisons.
   bool m_hedging = true;
   bool m_earlyAnswers = true;
+  bool m_foreseeStalls = true;
 };
 
 struct ForwardSettingsResult
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -16,6 +16,10 @@
 // How late an unanswered request has to be, as a multiple of the usual latency,
 // before it speaks against its searcher.
 constexpr double kOverdueFactor = 2;
+// What an answer takes that a stall held up: as a multiple of the usual
+// latency, and beyond it.
+constexpr int kStallFactor = 2;
+constexpr Duration kLeastStall = Milliseconds(40);
 // The shortest latency that is told apart from none.
 constexpr Duration kLeastTypical = Milliseconds(1);
 // Added to a searcher that is down: above any latency of a live one.
@@ -80,7 +84,10 @@
         predicted, static_cast<double>((age + typical * (1 + queue)).count()));
     }
   }
-  return Duration(static_cast<int64_t>(predicted));
+  Duration work(static_cast<int64_t>(predicted));
+  std::optional<TimePoint> stalledUntil =
+    m_forecast.EndOfStall(state->m_stalls, aNow, work);
+  return stalledUntil ? *stalledUntil - aNow + work : work;
 }
 
 bool
@@ -130,13 +137,19 @@
   state.m_errorRate =
     state.m_errorRate * Decay(state.m_errorAt, aNow) * (1 - kSampleWeight);
   state.m_errorAt = aNow;
-  double typical =
-    static_cast<double>(std::max(aTypical, kLeastTypical).count());
-  double observed = static_cast<double>((aNow - aSentAt).count()) / typical;
-  observed = std::clamp(observed, kLeastFactor, kGreatestFactor);
-  double factor = Factor(state, aNow);
-  state.m_factor = factor + kSampleWeight * (observed - factor);
-  state.m_factorAt = aNow;
+  if (!LearnStall(state, aSentAt, aTypical, aNow)) {
+    Sample(state, aNow - aSentAt, aTypical, aNow);
+  }
+}
+
+void
+ReplicaLoad::OnGivenUp(const Replica& aReplica,
+                       TimePoint aSentAt,
+                       Duration aTypical,
+                       TimePoint aNow)
+{
+  OnDropped(aReplica, aSentAt);
+  Sample(Touch(aReplica), aNow - aSentAt, aTypical, aNow);
 }
 
 void
@@ -222,6 +235,38 @@
   return 1 + (aState.m_factor - 1) * Decay(aState.m_factorAt, aNow);
 }
 
+void
+ReplicaLoad::Sample(State& aState,
+                    Duration aTook,
+                    Duration aTypical,
+                    TimePoint aNow) const
+{
+  double typical =
+    static_cast<double>(std::max(aTypical, kLeastTypical).count());
+  double observed = static_cast<double>(aTook.count()) / typical;
+  observed = std::clamp(observed, kLeastFactor, kGreatestFactor);
+  double factor = Factor(aState, aNow);
+  aState.m_factor = factor + kSampleWeight * (observed - factor);
+  aState.m_factorAt = aNow;
+}
+
+bool
+ReplicaLoad::LearnStall(State& aState,
+                        TimePoint aSentAt,
+                        Duration aTypical,
+                        TimePoint aNow)
+{
+  Duration took = aNow - aSentAt;
+  bool slow = took > aTypical * kStallFactor && took > aTypical + kLeastStall;
+  if (!slow || !m_options.m_foreseeStalls) {
+    return false;
+  }
+  bool foreseen =
+    m_forecast.EndOfStall(aState.m_stalls, aSentAt, aTypical).has_value();
+  m_forecast.OnSlowAnswer(aState.m_stalls, aSentAt, aNow);
+  return foreseen;
+}
+
 Duration
 ReplicaLoad::Cost(const Replica& aReplica,
                   Duration aTypical,
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -4,7 +4,8 @@
 // A searcher's latency is kept as a factor on what its route usually takes, so
 // that samples of fast and slow routes count alike. A request that is overdue
 // raises the factor while it is still unanswered: a searcher that pauses is
-// avoided before its first late answer.
+// avoided before its first late answer. Stalls at regular intervals are
+// foreseen.
 //
 //   ReplicaLoad load(options);
 //   const ReplicaPtr* best = load.Choose(candidates, typical, nullptr, now);
@@ -21,6 +22,7 @@
 #include <unordered_map>
 
 #include "core/replica/replica.h"
+#include "core/replica/stall_forecast.h"
 
 namespace ebonykeel {
 
@@ -43,6 +45,8 @@
   size_t m_mostQueued = 4;
   // The time after which half of a searcher's slowness is forgotten.
   Duration m_halfLife = Milliseconds(1500);
+  // Switches the forecast of stalls off, for comparison.
+  bool m_foreseeStalls = true;
 };
 
 class ReplicaLoad
@@ -73,12 +77,23 @@
   [[nodiscard]] std::optional<TimePoint> DownUntil(const Replica& aReplica,
                                                    TimePoint aNow) const;
 
+  // Returns how often searchers stall; zero while that is unknown.
+  [[nodiscard]] Duration StallInterval() const
+  {
+    return m_forecast.Interval().value_or(Duration{});
+  }
+
   void OnSent(const Replica& aReplica, TimePoint aNow);
   // Tells that a request came back whole. `aTypical` as in `Choose`.
   void OnAnswered(const Replica& aReplica,
                   TimePoint aSentAt,
                   Duration aTypical,
                   TimePoint aNow);
+  // Tells that a request was given up unanswered, much later than usual.
+  void OnGivenUp(const Replica& aReplica,
+                 TimePoint aSentAt,
+                 Duration aTypical,
+                 TimePoint aNow);
   // Tells that a request ended without an answer that says anything of the
   // searcher: it was cancelled or not sent.
   void OnDropped(const Replica& aReplica, TimePoint aSentAt);
@@ -109,18 +124,30 @@
     uint32_t m_unreachable = 0;
     TimePoint m_downUntil;
     TimePoint m_coldUntil;
+    StallForecast::History m_stalls;
   };
 
   [[nodiscard]] const State* Find(const Replica& aReplica) const;
   State& Touch(const Replica& aReplica);
   [[nodiscard]] double Decay(TimePoint aSince, TimePoint aNow) const;
   [[nodiscard]] double Factor(const State& aState, TimePoint aNow) const;
+  // Counts an observed latency.
+  void Sample(State& aState,
+              Duration aTook,
+              Duration aTypical,
+              TimePoint aNow) const;
+  // Takes in a slow answer; returns whether a foreseen stall explains it.
+  bool LearnStall(State& aState,
+                  TimePoint aSentAt,
+                  Duration aTypical,
+                  TimePoint aNow);
   [[nodiscard]] Duration Cost(const Replica& aReplica,
                               Duration aTypical,
                               TimePoint aNow) const;
 
   ReplicaLoadOptions m_options;
   std::unordered_map<std::string, State> m_states;
+  StallForecast m_forecast;
   // Turns the choice among equals.
   uint64_t m_turn = 0;
 };
--- a/packages/core/replica/replica_load_test.cc
+++ b/packages/core/replica/replica_load_test.cc
@@ -104,5 +104,35 @@
   DOCTEST_CHECK_FALSE(fixture.m_load.DownUntil(reborn, kStart).has_value());
 }
 
+// Searchers that pause for 200 ms each 4.5 s, as those of the users' shards do:
+// before, each pause cost the first request that met it and, for seconds after
+// it, the preference for its searcher.
+DOCTEST_TEST_CASE("a searcher is left before a stall that is foreseen")
+{
+  constexpr Duration kInterval = Milliseconds(4500);
+  constexpr Duration kStall = Milliseconds(200);
+  Fixture fixture;
+  std::vector<ReplicaPtr> others{ ReplicaIn("a", "here"),
+                                  ReplicaIn("b", "here"),
+                                  ReplicaIn("c", "here"),
+                                  fixture.m_replicas[0] };
+  auto meet = [&](TimePoint aBegin) {
+    for (const ReplicaPtr& replica : others) {
+      TimePoint sent = aBegin + Milliseconds(10);
+      fixture.m_load.OnSent(*replica, sent);
+      fixture.m_load.OnAnswered(*replica, sent, kTypical, aBegin + kStall);
+    }
+  };
+  for (int count = 0; count < 3; ++count) {
+    meet(kStart + kInterval * count);
+  }
+  TimePoint next = kStart + kInterval * 3;
+  DOCTEST_CHECK(fixture.ChosenAt(next + Milliseconds(20)) == "far");
+  DOCTEST_CHECK(fixture.ChosenAt(next + Milliseconds(150)) == "far");
+  // One that met it all the same does not make its searcher look slow.
+  meet(next);
+  DOCTEST_CHECK(fixture.ChosenAt(next + Seconds(1)) == "near");
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -103,7 +103,8 @@
   , m_suspended(aLoop.Suspended())
   , m_searcherClient(aLoop, {})
   , m_controlClient(aLoop, {})
-  , m_load({ .m_dataCentre = m_settings.m_dataCentre })
+  , m_load({ .m_dataCentre = m_settings.m_dataCentre,
+             .m_foreseeStalls = m_settings.m_foreseeStalls })
   , m_budget({ .m_share = m_settings.m_extraShare,
                .m_burst = static_cast<double>(m_settings.m_extraBurst),
                .m_window = m_settings.m_extraWindow })
@@ -442,6 +443,8 @@
   gauge("ebonykeel_replicas", m_state.Catalogue().Count());
   gauge("ebonykeel_replicas_age_seconds",
         ToMillisecondsF(ReplicasAge()) / 1000);
+  gauge("ebonykeel_stall_interval_seconds",
+        ToMillisecondsF(m_load.StallInterval()) / 1000);
   gauge("ebonykeel_configuration_version",
         m_state.Routes() == nullptr ? 0
                                     : m_state.Routes()->Config()->m_version);
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -498,7 +498,7 @@
   TimePoint now = m_loop.Now();
   bool slow = now - aSending->m_sentAt > aSending->m_typical * kSlowFactor;
   if (slow) {
-    m_load.OnAnswered(
+    m_load.OnGivenUp(
       *aSending->m_replica, aSending->m_sentAt, aSending->m_typical, now);
   } else {
     m_load.OnDropped(*aSending->m_replica, aSending->m_sentAt);
