Serve callers sooner after a restart

Change, two parts for the one cause: after a restart (the template passes on whether it is the whole system's first start) an instance that hears nobody reads after 40 to 400 ms evenly spread, in place of mostly long waits; and requests that come while an instance starts wait up to 400 ms after its start (core/forward/StartQueue) before they are refused.

--- a/packages/core/config/forward_settings.cc
+++ b/packages/core/config/forward_settings.cc
@@ -123,6 +123,7 @@
   settings.m_id = InstanceId(aRoot.Text("id", NonEmptyRule()));
   settings.m_dataCentre = DataCentre(aRoot.Text("data_centre", NonEmptyRule()));
   settings.m_host = aRoot.Text("host", IpRule());
+  settings.m_firstStart = aRoot.Boolean("first_start", settings.m_firstStart);
   constexpr double kMostProcessors = 1024;
   settings.m_processors = aRoot.Number(
     "processor_share", { .m_min = 0, .m_max = 1 }, settings.m_processors);
--- a/packages/core/config/forward_settings.h
+++ b/packages/core/config/forward_settings.h
@@ -42,6 +42,8 @@
   DataCentre m_dataCentre;
   // The IP number by which other instances reach this one.
   std::string m_host;
+  // The whole system starts for the first time: nobody has what it needs yet.
+  bool m_firstStart = false;
   // The processors that this instance may use.
   double m_processors = 1;
   ForwardListenSettings m_listen;
--- a/packages/core/config/forward_settings_test.cc
+++ b/packages/core/config/forward_settings_test.cc
@@ -15,6 +15,7 @@
 data_centre = "north"
 host = "10.0.0.1"
 seeds = "10.0.0.2:70,10.0.0.3"
+first_start = true
 processor_share = 0.17
 processor_speed = 2
 
@@ -45,6 +46,7 @@
                 std::vector<std::string>{ "10.0.0.2", "10.0.0.3" });
   DOCTEST_CHECK(settings.m_processors == doctest::Approx(0.34));
   DOCTEST_CHECK(settings.m_listen.m_callers.m_port == 80);
+  DOCTEST_CHECK(settings.m_firstStart);
   DOCTEST_CHECK(settings.m_extraBurst == 126);
   DOCTEST_CHECK(settings.m_extraWindow == Seconds(5));
   DOCTEST_CHECK(settings.m_grace == Seconds(6));
--- a/packages/core/fleet/read_duty.cc
+++ b/packages/core/fleet/read_duty.cc
@@ -38,18 +38,21 @@
 } // namespace
 
 bool
-MayReadYet(Duration aAge, bool aInContact, std::string_view aHost)
+MayReadYet(Duration aAge,
+           bool aInContact,
+           std::string_view aHost,
+           bool aFirstStart)
 {
   if (aInContact) {
     return aAge >= kStartTogether;
   }
-  // The root makes short waits rare: few of many hosts read, and one of few
-  // still comes early.
   constexpr uint64_t kSteps = 1'000'000;
-  double place = std::sqrt(static_cast<double>(StableHash(aHost) % kSteps) /
-                           static_cast<double>(kSteps));
+  double place = static_cast<double>(StableHash(aHost) % kSteps) /
+                 static_cast<double>(kSteps);
+  // The root makes short waits rare.
+  double rank = aFirstStart ? std::sqrt(place) : place;
   double spread = static_cast<double>((kStartAloneMost - kStartAlone).count());
-  return aAge >= kStartAlone + Duration(static_cast<int64_t>(spread * place));
+  return aAge >= kStartAlone + Duration(static_cast<int64_t>(spread * rank));
 }
 
 bool
--- a/packages/core/fleet/read_duty.h
+++ b/packages/core/fleet/read_duty.h
@@ -27,9 +27,13 @@
 // first gives others the time to answer: one that is in contact can fetch what
 // they have. One that hears nobody reads by itself, soon, since after a loss of
 // power all are in that state; hosts wait for different times, so that the
-// first of them serves the others.
+// first of them serves the others. At the whole system's first start no caller
+// waits yet, and fewer of them read.
 [[nodiscard]] bool
-MayReadYet(Duration aAge, bool aInContact, std::string_view aHost);
+MayReadYet(Duration aAge,
+           bool aInContact,
+           std::string_view aHost,
+           bool aFirstStart);
 
 // Returns whether the instance fetches copies of the store's objects from other
 // data centres; the others fetch them within their own. `aSelf` is one of
--- a/packages/core/fleet/read_duty_test.cc
+++ b/packages/core/fleet/read_duty_test.cc
@@ -70,25 +70,29 @@
 // 21: started at 34.94 s, first configuration at 35.29 s).
 DOCTEST_TEST_CASE("of instances that hear nobody a few read at once")
 {
-  auto reading = [](int aHosts, Duration aAge) {
+  auto reading = [](int aHosts, Duration aAge, bool aFirstStart) {
     int count = 0;
     for (int host = 1; host <= aHosts; ++host) {
       std::string name = "10.0.0." + std::to_string(host);
-      count += MayReadYet(aAge, false, name) ? 1 : 0;
+      count += MayReadYet(aAge, false, name, aFirstStart) ? 1 : 0;
     }
     return count;
   };
-  DOCTEST_CHECK(reading(130, Milliseconds(39)) == 0);
-  DOCTEST_CHECK(reading(130, Milliseconds(100)) >= 1);
-  DOCTEST_CHECK(reading(130, Milliseconds(100)) <= 13);
-  DOCTEST_CHECK(reading(13, Milliseconds(200)) >= 1);
-  DOCTEST_CHECK(reading(130, Milliseconds(400)) == 130);
+  DOCTEST_CHECK(reading(130, Milliseconds(39), true) == 0);
+  DOCTEST_CHECK(reading(130, Milliseconds(100), true) >= 1);
+  DOCTEST_CHECK(reading(130, Milliseconds(100), true) <= 13);
+  DOCTEST_CHECK(reading(13, Milliseconds(200), true) >= 1);
+  DOCTEST_CHECK(reading(130, Milliseconds(400), true) == 130);
+  // Callers wait while instances come back.
+  DOCTEST_CHECK(reading(130, Milliseconds(39), false) == 0);
+  DOCTEST_CHECK(reading(13, Milliseconds(100), false) >= 1);
+  DOCTEST_CHECK(reading(130, Milliseconds(100), false) <= 40);
 }
 
 DOCTEST_TEST_CASE("an instance in contact waits for what the others have")
 {
-  DOCTEST_CHECK_FALSE(MayReadYet(Milliseconds(50), true, "10.0.0.1"));
-  DOCTEST_CHECK(MayReadYet(Milliseconds(60), true, "10.0.0.1"));
+  DOCTEST_CHECK_FALSE(MayReadYet(Milliseconds(50), true, "10.0.0.1", false));
+  DOCTEST_CHECK(MayReadYet(Milliseconds(60), true, "10.0.0.1", false));
 }
 
 } // namespace
--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -14,7 +14,7 @@
 // Between two looks at duties, budgets and the log.
 constexpr Duration kTick = Milliseconds(100);
 // The same while the instance is not ready: it starts.
-constexpr Duration kStartTick = Milliseconds(20);
+constexpr Duration kStartTick = Milliseconds(10);
 // The age that is assumed of a copy that does not exist.
 constexpr Duration kNoCopy = Seconds(3600);
 // A jump of the clocks beyond this means that the machine was suspended.
@@ -269,7 +269,11 @@
 {
   FleetState state =
     m_stoppingSince ? FleetState::kLeaving : FleetState::kAlive;
-  m_fleet.SetSelf(state, IsReady(), m_storeReachable);
+  bool ready = IsReady();
+  if (ready) {
+    m_forward.OnStarted();
+  }
+  m_fleet.SetSelf(state, ready, m_storeReachable);
 }
 
 void
@@ -384,8 +388,10 @@
 bool
 EntryNode::MayRead() const
 {
-  return MayReadYet(
-    m_loop.Now() - m_startedAt, m_fleet.InContact(), m_settings.m_host);
+  return MayReadYet(m_loop.Now() - m_startedAt,
+                    m_fleet.InContact(),
+                    m_settings.m_host,
+                    m_settings.m_firstStart);
 }
 
 bool
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -373,6 +373,8 @@
                    .m_latencies = m_latencies,
                    .m_budget = aBudget,
                    .m_options = aOptions.m_run }
+  , m_startQueue(aLoop.Now(), {})
+  , m_startTimer(aLoop, [this]() { EndWaiting(); })
   , m_lateTimer(aLoop, [this]() { SweepLate(); })
 {
 }
@@ -381,6 +383,55 @@
 
 void
 ForwardService::OnRequest(std::shared_ptr<Http1Exchange> aExchange)
+{
+  if (m_started || !WaitForStart(aExchange)) {
+    Serve(std::move(aExchange));
+  }
+}
+
+void
+ForwardService::OnStarted()
+{
+  if (!std::exchange(m_started, true)) {
+    EndWaiting();
+  }
+}
+
+bool
+ForwardService::WaitForStart(const std::shared_ptr<Http1Exchange>& aExchange)
+{
+  uint64_t id = m_nextWaiting++;
+  if (!m_startQueue.Add(id, m_loop.Now())) {
+    return false;
+  }
+  m_waiting[id] = aExchange;
+  aExchange->OnGone([this, id]() {
+    m_startQueue.Remove(id);
+    m_waiting.erase(id);
+  });
+  m_startTimer.Set(m_startQueue.NextTimer());
+  return true;
+}
+
+void
+ForwardService::EndWaiting()
+{
+  std::vector<uint64_t> ids = m_startQueue.TakeAll();
+  if (!ids.empty()) {
+    m_log.Write(Event::kForwardStarted,
+                { { "waiting", absl::StrCat(ids.size()) },
+                  { "started", m_started ? "1" : "0" } });
+  }
+  for (uint64_t id : ids) {
+    auto waiting = m_waiting.extract(id);
+    if (!waiting.empty()) {
+      Serve(std::move(waiting.mapped()));
+    }
+  }
+}
+
+void
+ForwardService::Serve(std::shared_ptr<Http1Exchange> aExchange)
 {
   CallerRequest caller = m_protocol.ReadCaller(aExchange->Request());
   std::shared_ptr<const RouteTable> routes = m_state.Routes();
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -11,6 +11,7 @@
 
 #include "core/forward/caller_deadlines.h"
 #include "core/forward/forward_run.h"
+#include "core/forward/start_queue.h"
 #include "core/traffic/weighted_choice.h"
 #include "node/entry/forward_stats.h"
 #include "node/entry/protocol.h"
@@ -62,6 +63,8 @@
   ~ForwardService() override;
 
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
+  // The instance can route: requests that waited for that are served.
+  void OnStarted();
 
   [[nodiscard]] const ForwardStats& Stats() const { return m_stats; }
 
@@ -87,6 +90,11 @@
     SendingPtr m_sending;
   };
 
+  // Lets a request wait for the start; returns false if it is not to.
+  [[nodiscard]] bool WaitForStart(
+    const std::shared_ptr<Http1Exchange>& aExchange);
+  void EndWaiting();
+  void Serve(std::shared_ptr<Http1Exchange> aExchange);
   void RejectWithoutRoute(Http1Exchange& aExchange,
                           const CallerRequest& aCaller);
   [[nodiscard]] std::vector<std::string> ServicesOf(const Route& aRoute);
@@ -112,6 +120,11 @@
   ForwardEnvironment m_environment;
   std::map<std::string, WeightedChoice> m_splits;
   ForwardStats m_stats;
+  bool m_started = false;
+  StartQueue m_startQueue;
+  std::map<uint64_t, std::shared_ptr<Http1Exchange>> m_waiting;
+  uint64_t m_nextWaiting = 1;
+  UvTimer m_startTimer;
   std::deque<Late> m_late;
   UvTimer m_lateTimer;
 };
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -217,6 +217,12 @@
              "forward_no_route",
              "No route matches a request, or no configuration is known.",
              "request host path version status" },
+  EventInfo{ Event::kForwardStarted,
+             Severity::kInfo,
+             "forward_started",
+             "Requests that waited for the start are served, or refused if it "
+             "takes too long.",
+             "waiting started" },
 };
 
 const EventInfo&
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -55,6 +55,7 @@
   kForwardEnded = 1901,
   kForwardAbandoned = 1902,
   kForwardNoRoute = 1903,
+  kForwardStarted = 1904,
 };
 
 enum class Severity
