Tell a request's story from the logs: ebonykeel explain

On-call engineers had to read the sendings of a forward_ended line by eye. The command reads instances' logs, from files or standard input, says how a request ended, lists the legs that were not answered at once, what else was logged of their searchers within a second, and what is missing.

--- a/packages/cli/command_line.cc
+++ b/packages/cli/command_line.cc
@@ -27,6 +27,7 @@
   ebonykeel rollback GENERATION [options]
   ebonykeel report [options]
   ebonykeel load FILE [options]
+  ebonykeel explain ID [FILE...] [options]
   ebonykeel --help
   ebonykeel --version
 
@@ -43,6 +44,8 @@
   rollback     Publish the services of an old generation again.
   report       Show how the services burn their service levels.
   load         Run an experiment file: open-loop load and scheduled faults.
+  explain      Tell from instances' logs (or standard input) what became of a
+               request in the forward mode.
 
 Options:
   --admin=HOST:PORT    Administration address of a node [default: 127.0.0.1:7002].
@@ -165,6 +168,7 @@
       { "rollback", Command::kRollback, "" },
       { "report", Command::kReport, "" },
       { "load", Command::kLoad, "" },
+      { "explain", Command::kExplain, "ID" },
     };
     for (const Form& form : kForms) {
       if (IsSet(m_values, form.m_name)) {
--- a/packages/cli/command_line.h
+++ b/packages/cli/command_line.h
@@ -33,6 +33,7 @@
   kRollback,
   kReport,
   kLoad,
+  kExplain,
 };
 
 enum class OutputFormat
@@ -45,10 +46,10 @@
 {
   Command m_command = Command::kCheck;
   OutputFormat m_output = OutputFormat::kText;
-  // The service files of `check`.
+  // The service files of `check`, the logs of `explain`.
   std::vector<std::string> m_files;
   // The folder of `publish`, the service of `where` and `file`, the data
-  // centre, the upstream, or the text of `query`.
+  // centre, the upstream, the text of `query`, or the request of `explain`.
   std::string m_subject;
   // "out" or "in"; "drain" or "restore"; the operation of `file`.
   std::string m_verb;
--- /dev/null
+++ b/packages/cli/explain.cc
@@ -0,0 +1,356 @@
+#include "cli/explain.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace ebonykeel::cli {
+namespace {
+
+// Other lines count as being of the same time within this.
+constexpr int64_t kAroundMs = 1000;
+// Lines about a request's searchers that are shown.
+constexpr size_t kMostRelated = 20;
+// The fields of one sending: leg, replica, reason, outcome, start, duration.
+constexpr size_t kSendingFields = 6;
+
+// One sending of a `forward_ended` line.
+struct SendingText
+{
+  std::string m_leg;
+  std::string m_replica;
+  std::string m_reason;
+  std::string m_outcome;
+  int64_t m_sentMs = 0;
+  int64_t m_tookMs = 0;
+};
+
+struct Sendings
+{
+  std::vector<SendingText> m_all;
+  // The line was cut: not every sending can be read.
+  bool m_cut = false;
+};
+
+std::string
+Field(const LogLine& aLine, std::string_view aName)
+{
+  auto found = aLine.m_fields.find(aName);
+  return found == aLine.m_fields.end() ? "" : found->second;
+}
+
+Sendings
+ReadSendings(const LogLine& aLine)
+{
+  Sendings sendings;
+  std::string text = Field(aLine, "sends");
+  for (absl::string_view part : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+    std::vector<std::string> fields = absl::StrSplit(part, ':');
+    SendingText sending;
+    bool whole = fields.size() == kSendingFields &&
+                 absl::SimpleAtoi(fields[4], &sending.m_sentMs) &&
+                 absl::SimpleAtoi(fields[5], &sending.m_tookMs);
+    if (!whole) {
+      sendings.m_cut = true;
+      continue;
+    }
+    sending.m_leg = fields[0];
+    sending.m_replica = fields[1];
+    sending.m_reason = fields[2];
+    sending.m_outcome = fields[3];
+    sendings.m_all.push_back(std::move(sending));
+  }
+  return sendings;
+}
+
+// Returns what a status and its reason mean, in a sentence.
+std::string
+DescribeEnd(const LogLine& aLine)
+{
+  std::string status = Field(aLine, "status");
+  std::string reason = Field(aLine, "reason");
+  std::string missing = Field(aLine, "missing");
+  if (aLine.m_event == "forward_abandoned") {
+    return "the caller left before its answer; its sendings were cancelled";
+  }
+  if (aLine.m_event == "forward_no_route") {
+    return status == "404"
+             ? "no route matches it: 404"
+             : "this instance did not know the configuration, or only an old "
+               "one: 503, not run";
+  }
+  if (status == "whole") {
+    return "answered whole";
+  }
+  if (status == "partial") {
+    return reason == "early"
+             ? absl::StrCat("answered when the target neared, with ",
+                            missing,
+                            " shards still open")
+             : absl::StrCat("answered with ",
+                            missing,
+                            " shards missing: no searcher of theirs could");
+  }
+  if (status == "refused") {
+    return reason == "no-replica"
+             ? "refused, not run: too few searchers are registered and "
+               "reachable"
+             : "refused, not run: every searcher that was tried rejected it or "
+               "could not be reached";
+  }
+  if (status == "timed-out") {
+    return "timed out while searchers were at work; it may have run";
+  }
+  if (status == "upstream-failure") {
+    return "a searcher's own failure was passed on";
+  }
+  return "failed; it may have run";
+}
+
+// Returns the legs, in order, that did not succeed at once.
+std::set<std::string>
+TroubledLegs(const Sendings& aSendings)
+{
+  std::map<std::string, size_t> counts;
+  std::set<std::string> troubled;
+  for (const SendingText& sending : aSendings.m_all) {
+    if (++counts[sending.m_leg] > 1 || sending.m_outcome != "success") {
+      troubled.insert(sending.m_leg);
+    }
+  }
+  return troubled;
+}
+
+class Story
+{
+public:
+  Story(std::string_view aId, std::vector<LogLine> aLines)
+    : m_id(aId)
+    , m_lines(std::move(aLines))
+  {
+  }
+
+  Explanation Tell()
+  {
+    for (const LogLine& line : m_lines) {
+      if (Field(line, "request") == m_id) {
+        m_found = true;
+        TellEnd(line);
+      }
+    }
+    if (!m_found) {
+      absl::StrAppend(
+        &m_text,
+        "no line names request ",
+        m_id,
+        ": it reached none of these instances, or was rejected as malformed, "
+        "or its line was dropped (see lines_dropped)\n");
+    }
+    return { m_found, m_text };
+  }
+
+private:
+  void TellEnd(const LogLine& aLine)
+  {
+    absl::StrAppend(&m_text,
+                    "request ",
+                    m_id,
+                    " at ",
+                    aLine.m_source,
+                    ", ",
+                    aLine.m_ms,
+                    " ms after its start\n  ",
+                    DescribeEnd(aLine),
+                    "\n");
+    for (const char* name :
+         { "route", "version", "took_ms", "remaining_ms", "replicas_age_ms" }) {
+      std::string value = Field(aLine, name);
+      if (!value.empty()) {
+        absl::StrAppend(&m_text, "  ", name, " ", value, "\n");
+      }
+    }
+    Sendings sendings = ReadSendings(aLine);
+    TellSendings(sendings);
+    TellSearchers(aLine, sendings);
+  }
+
+  void TellSendings(const Sendings& aSendings)
+  {
+    std::set<std::string> troubled = TroubledLegs(aSendings);
+    absl::StrAppend(&m_text,
+                    "  ",
+                    aSendings.m_all.size(),
+                    " sendings, ",
+                    troubled.size(),
+                    " legs not answered at once\n");
+    for (const SendingText& sending : aSendings.m_all) {
+      if (!troubled.contains(sending.m_leg)) {
+        continue;
+      }
+      absl::StrAppend(&m_text,
+                      "    leg ",
+                      sending.m_leg,
+                      ": ",
+                      sending.m_reason,
+                      " to ",
+                      sending.m_replica,
+                      " at ",
+                      sending.m_sentMs,
+                      " ms: ",
+                      sending.m_outcome,
+                      " after ",
+                      sending.m_tookMs,
+                      " ms\n");
+    }
+    if (aSendings.m_cut) {
+      absl::StrAppend(&m_text, "    the line was cut: others are missing\n");
+    }
+  }
+
+  // Says what else is known of the searchers that did not answer at once.
+  void TellSearchers(const LogLine& aEnd, const Sendings& aSendings)
+  {
+    std::set<std::string> replicas;
+    for (const SendingText& sending : aSendings.m_all) {
+      if (sending.m_outcome != "success") {
+        replicas.insert(sending.m_replica);
+      }
+    }
+    size_t shown = 0;
+    std::map<std::string, size_t> alsoOpen;
+    for (const LogLine& line : m_lines) {
+      bool near = line.m_source == aEnd.m_source &&
+                  std::abs(line.m_ms - aEnd.m_ms) <= kAroundMs;
+      if (!near) {
+        continue;
+      }
+      if (replicas.contains(Field(line, "replica")) && shown < kMostRelated) {
+        ++shown;
+        TellRelated(line);
+      }
+      if (Field(line, "request") != m_id) {
+        CountOpen(line, replicas, alsoOpen);
+      }
+    }
+    for (const auto& [replica, count] : alsoOpen) {
+      absl::StrAppend(&m_text,
+                      "  ",
+                      replica,
+                      " did not answer ",
+                      count,
+                      " other requests within a second of it\n");
+    }
+  }
+
+  void TellRelated(const LogLine& aLine)
+  {
+    absl::StrAppend(&m_text, "  ", aLine.m_ms, " ms ", aLine.m_event);
+    for (const auto& [name, value] : aLine.m_fields) {
+      absl::StrAppend(&m_text, " ", name, "=", value);
+    }
+    absl::StrAppend(&m_text, "\n");
+  }
+
+  static void CountOpen(const LogLine& aLine,
+                        const std::set<std::string>& aReplicas,
+                        std::map<std::string, size_t>& aCounts)
+  {
+    for (const SendingText& sending : ReadSendings(aLine).m_all) {
+      if (sending.m_outcome != "success" &&
+          aReplicas.contains(sending.m_replica)) {
+        ++aCounts[sending.m_replica];
+      }
+    }
+  }
+
+  std::string m_id;
+  std::vector<LogLine> m_lines;
+  bool m_found = false;
+  std::string m_text;
+};
+
+// Reads "name=value" pairs; a value in quotes may hold spaces.
+void
+ReadFields(std::string_view aText, LogLine& aLine)
+{
+  while (!aText.empty()) {
+    size_t equals = aText.find('=');
+    if (equals == std::string_view::npos) {
+      return;
+    }
+    std::string name(aText.substr(0, equals));
+    aText.remove_prefix(equals + 1);
+    bool quoted = !aText.empty() && aText.front() == '"';
+    if (quoted) {
+      aText.remove_prefix(1);
+    }
+    size_t end = std::min(aText.find(quoted ? '"' : ' '), aText.size());
+    aLine.m_fields[name] = std::string(aText.substr(0, end));
+    aText.remove_prefix(end);
+    size_t next = aText.find(' ');
+    aText.remove_prefix(next == std::string_view::npos ? aText.size()
+                                                       : next + 1);
+  }
+}
+
+} // namespace
+
+std::optional<LogLine>
+ParseLogLine(std::string_view aLine, std::string_view aName)
+{
+  size_t at = aLine.starts_with("ms=") ? 0 : aLine.find(" ms=");
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string before(aLine.substr(0, at));
+  LogLine line{ .m_source = std::string(absl::StripAsciiWhitespace(before)) };
+  if (line.m_source.empty()) {
+    line.m_source = std::string(aName);
+  } else {
+    // The bench puts its own time before the instance's name.
+    std::vector<std::string> words =
+      absl::StrSplit(line.m_source, ' ', absl::SkipEmpty());
+    line.m_source = words.back();
+  }
+  std::string_view rest = aLine.substr(aLine.find("ms=", at) + 3);
+  size_t space = rest.find(' ');
+  size_t name =
+    space == std::string_view::npos ? space : rest.find(' ', space + 1);
+  std::string time(rest.substr(0, space));
+  if (name == std::string_view::npos ||
+      !rest.substr(space + 1).starts_with("EK") ||
+      !absl::SimpleAtoi(time, &line.m_ms)) {
+    return std::nullopt;
+  }
+  rest.remove_prefix(name + 1);
+  size_t end = std::min(rest.find(' '), rest.size());
+  line.m_event = std::string(rest.substr(0, end));
+  rest.remove_prefix(std::min(end + 1, rest.size()));
+  ReadFields(rest, line);
+  return line;
+}
+
+Explanation
+ExplainRequest(std::string_view aId, std::span<const LogText> aLogs)
+{
+  std::vector<LogLine> lines;
+  for (const LogText& log : aLogs) {
+    std::string_view text = log.m_text;
+    while (!text.empty()) {
+      size_t end = std::min(text.find('\n'), text.size());
+      if (std::optional<LogLine> line =
+            ParseLogLine(text.substr(0, end), log.m_name)) {
+        lines.push_back(*std::move(line));
+      }
+      text.remove_prefix(std::min(end + 1, text.size()));
+    }
+  }
+  return Story(aId, std::move(lines)).Tell();
+}
+
+} // namespace ebonykeel::cli
--- /dev/null
+++ b/packages/cli/explain_test.cc
@@ -0,0 +1,86 @@
+#include "cli/explain.h"
+
+#include <doctest/doctest.h>
+
+namespace ebonykeel::cli {
+namespace {
+
+constexpr const char* kLog =
+  "ms=100 EK1301 configuration_in_force generation=7 author=\"\" "
+  "summary=\"18 routes, revision 64\"\n"
+  "ms=900 EK1902 replica_unreachable replica=i-2 outcome=not-sent\n"
+  "ms=1000 EK1901 forward_ended request=q1 route=r version=7 status=partial "
+  "outcome=sent reason=early missing=1 remaining_ms=590 took_ms=52 "
+  "replicas_age_ms=274 "
+  "sends=0:i-1:first:success:0:17,1:i-2:first:open:0:52,1:i-3:hedge:open:30:"
+  "22\n"
+  "ms=1200 EK1901 forward_ended request=q2 route=r version=7 status=refused "
+  "outcome=not-run reason=no-replica missing=2 took_ms=0 sends=\n"
+  "ms=1300 EK1901 forward_ended request=q3 status=whole reason=complete "
+  "missing=0 took_ms=90 "
+  "sends=1:i-2:first:open:0:90,1:i-1:hedge:success:30:20\n";
+
+bool
+Has(const std::string& aText, std::string_view aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+DOCTEST_TEST_CASE("a line is read with its source, time, event and fields")
+{
+  auto line = ParseLogLine(
+    "  34.9409 front-1 ms=12 EK1301 configuration_in_force generation=7 "
+    "summary=\"18 routes, x\" author=\"\"",
+    "log");
+  DOCTEST_REQUIRE(line.has_value());
+  DOCTEST_CHECK(line->m_source == "front-1");
+  DOCTEST_CHECK(line->m_ms == 12);
+  DOCTEST_CHECK(line->m_event == "configuration_in_force");
+  DOCTEST_CHECK(line->m_fields["summary"] == "18 routes, x");
+  DOCTEST_CHECK(line->m_fields["author"].empty());
+  DOCTEST_CHECK(line->m_fields["generation"] == "7");
+  DOCTEST_CHECK_FALSE(ParseLogLine("no event at all", "log").has_value());
+  DOCTEST_CHECK_FALSE(ParseLogLine("ms=1", "log").has_value());
+}
+
+DOCTEST_TEST_CASE("a partial answer leads to the searchers that were late")
+{
+  std::vector<LogText> logs{ { "node-1.log", kLog } };
+  Explanation told = ExplainRequest("q1", logs);
+  DOCTEST_CHECK(told.m_found);
+  DOCTEST_CHECK(Has(told.m_text, "request q1 at node-1.log"));
+  DOCTEST_CHECK(Has(told.m_text, "with 1 shards still open"));
+  DOCTEST_CHECK(
+    Has(told.m_text, "leg 1: first to i-2 at 0 ms: open after 52 ms"));
+  DOCTEST_CHECK_FALSE(Has(told.m_text, "leg 0"));
+  DOCTEST_CHECK(Has(told.m_text, "replica_unreachable"));
+  DOCTEST_CHECK(Has(told.m_text, "i-2 did not answer 1 other requests"));
+}
+
+DOCTEST_TEST_CASE("a refusal says why")
+{
+  std::vector<LogText> logs{ { "node-1.log", kLog } };
+  DOCTEST_CHECK(Has(ExplainRequest("q2", logs).m_text,
+                    "too few searchers are registered and reachable"));
+}
+
+DOCTEST_TEST_CASE("a request that no line names is said to be missing")
+{
+  std::vector<LogText> logs{ { "node-1.log", kLog } };
+  Explanation told = ExplainRequest("q9", logs);
+  DOCTEST_CHECK_FALSE(told.m_found);
+  DOCTEST_CHECK(Has(told.m_text, "no line names request q9"));
+}
+
+DOCTEST_TEST_CASE("a line that was cut is told as such")
+{
+  std::vector<LogText> logs{
+    { "log",
+      "ms=5 EK1901 forward_ended request=q1 status=whole "
+      "sends=0:i-1:first:success:0:17,1:i-2:fir" }
+  };
+  DOCTEST_CHECK(Has(ExplainRequest("q1", logs).m_text, "the line was cut"));
+}
+
+} // namespace
+} // namespace ebonykeel::cli
--- a/packages/cli/requests.cc
+++ b/packages/cli/requests.cc
@@ -175,6 +175,7 @@
     case Command::kCheck:
     case Command::kPublish:
     case Command::kLoad:
+    case Command::kExplain:
       break;
   }
   return MakeStatusRequest(aLine, aContext);
--- a/packages/cli/runner.cc
+++ b/packages/cli/runner.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
+#include "cli/explain.h"
 #include "cli/text_view.h"
 #include "core/base/finding.h"
 
@@ -17,6 +18,7 @@
 
 constexpr Duration kPollInterval = Milliseconds(100);
 constexpr int kBarWidth = 30;
+constexpr char kStandardInput[] = "/dev/stdin";
 constexpr int kFirstHttpError = 400;
 
 std::string
@@ -71,6 +73,9 @@
   if (aLine.m_command == Command::kCheck) {
     return Check(aLine);
   }
+  if (aLine.m_command == Command::kExplain) {
+    return Explain(aLine);
+  }
   std::optional<RequestContext> context = MakeContext(aLine, aUnixMs);
   if (!context) {
     m_console.PrintError(absl::StrCat(aLine.m_tokenFile, ": cannot be read\n"));
@@ -112,6 +117,27 @@
   return context;
 }
 
+ExitCode
+Runner::Explain(const CommandLine& aLine)
+{
+  std::vector<std::string> paths = aLine.m_files;
+  if (paths.empty()) {
+    paths.emplace_back(kStandardInput);
+  }
+  std::vector<LogText> logs;
+  for (const std::string& path : paths) {
+    std::optional<std::string> text = m_files.Read(path);
+    if (!text) {
+      m_console.PrintError(absl::StrCat(path, ": cannot be read\n"));
+      return ExitCode::kUsage;
+    }
+    logs.push_back({ path, *std::move(text) });
+  }
+  Explanation told = ExplainRequest(aLine.m_subject, logs);
+  m_console.Print(told.m_text);
+  return told.m_found ? ExitCode::kOk : ExitCode::kRefused;
+}
+
 ExitCode
 Runner::Check(const CommandLine& aLine)
 {
--- a/packages/cli/runner.h
+++ b/packages/cli/runner.h
@@ -47,6 +47,7 @@
 
 private:
   ExitCode Check(const CommandLine& aLine);
+  ExitCode Explain(const CommandLine& aLine);
   ExitCode Publish(const CommandLine& aLine, const RequestContext& aContext);
   ExitCode Send(const CommandLine& aLine,
                 const RequestContext& aContext,
--- a/packages/cli/text_view.cc
+++ b/packages/cli/text_view.cc
@@ -233,6 +233,7 @@
       return RenderReport(aAnswer);
     case Command::kCheck:
     case Command::kLoad:
+    case Command::kExplain:
       break;
   }
   return {};
