Lead callers away from an instance that reaches too few searchers

Cause: each shard has searchers in two of three data centres.

Change: ServiceReach (core/fleet) tells a lasting lack of searchers and holds it until other data centres are heard; such an instance offers no capacity to callers, and its directory names instances elsewhere that it lost within 5.5 s. The count of blocked shards is core/forward/Coverage now, used for refusals too. Event EK1905.

--- a/packages/core/fleet/fleet_message.h
+++ b/packages/core/fleet/fleet_message.h
@@ -38,7 +38,8 @@
   bool m_ready = false;
   // The store answers it.
   bool m_storeReachable = true;
-  // Its share of processors, in thousandths of one.
+  // What it offers callers, in thousandths of a processor; 0 while it reaches
+  // too few searchers.
   uint32_t m_capacity = 0;
 
   friend bool operator==(const FleetRecord&, const FleetRecord&) = default;
--- a/packages/core/fleet/fleet_view.cc
+++ b/packages/core/fleet/fleet_view.cc
@@ -180,6 +180,17 @@
   Notify();
 }
 
+void
+FleetView::SetCapacity(uint32_t aCapacity)
+{
+  if (m_self.m_capacity == aCapacity) {
+    return;
+  }
+  m_self.m_capacity = aCapacity;
+  ++m_self.m_incarnation;
+  Notify();
+}
+
 void
 FleetView::Notify()
 {
@@ -220,6 +231,36 @@
   return dead;
 }
 
+std::vector<FleetRecord>
+FleetView::LostElsewhere(Duration aFor, TimePoint aNow) const
+{
+  std::vector<FleetRecord> lost;
+  for (const auto& [host, member] : m_members) {
+    FleetState state = member.m_record.m_state;
+    bool recent = aNow - member.m_since < aFor;
+    if (!IsNear(host) && recent &&
+        (state == FleetState::kSuspect || state == FleetState::kDead)) {
+      lost.push_back(member.m_record);
+    }
+  }
+  return lost;
+}
+
+bool
+FleetView::HearsElsewhere() const
+{
+  bool known = false;
+  for (const auto& [host, member] : m_members) {
+    if (!IsNear(host)) {
+      known = true;
+      if (member.m_record.m_state == FleetState::kAlive) {
+        return true;
+      }
+    }
+  }
+  return !known;
+}
+
 bool
 FleetView::InContact(TimePoint aNow) const
 {
--- a/packages/core/fleet/fleet_view.h
+++ b/packages/core/fleet/fleet_view.h
@@ -92,6 +92,7 @@
   void AddSeeds(std::span<const std::string> aHosts);
   // Changes what others are told of this instance, at once.
   void SetSelf(FleetState aState, bool aReady, bool aStoreReachable);
+  void SetCapacity(uint32_t aCapacity);
   // Tells others at once that this instance's copies have changed.
   void Notify();
 
@@ -102,6 +103,13 @@
   // Returns the instances that have been dead for at least `aFor`.
   [[nodiscard]] std::vector<std::string> DeadFor(Duration aFor,
                                                  TimePoint aNow) const;
+  // Returns the instances of other data centres that have been suspected or
+  // dead for less than `aFor`.
+  [[nodiscard]] std::vector<FleetRecord> LostElsewhere(Duration aFor,
+                                                       TimePoint aNow) const;
+  // Returns whether an instance of another data centre is alive; true if none
+  // is known.
+  [[nodiscard]] bool HearsElsewhere() const;
   // Returns whether another instance was heard of lately.
   [[nodiscard]] bool InContact(TimePoint aNow) const;
 
--- /dev/null
+++ b/packages/core/fleet/service_reach.h
@@ -0,0 +1,37 @@
+// Whether an instance reaches enough searchers to serve its callers.
+//
+// An instance that is cut off from other data centres lives, and its callers
+// reach it, but it has too few searchers; those callers mostly reach instances
+// elsewhere.
+//
+//   ServiceReach reach;
+//   reach.Update(covered, hearsOthers, now);
+//   if (reach.IsImpaired()) { ... lead callers to others ... }
+#pragma once
+
+#include <optional>
+
+#include "core/base/time.h"
+
+namespace ebonykeel {
+
+class ServiceReach
+{
+public:
+  // `aCovered` says whether the searchers that count as reachable are enough
+  // for every gathered route, `aHearsOthers` whether an instance of another
+  // data centre is heard, if there is one.
+  void Update(bool aCovered, bool aHearsOthers, TimePoint aNow);
+
+  // Stays set while other data centres are not heard: without requests nothing
+  // else shows that searchers are reached again.
+  [[nodiscard]] bool IsImpaired() const { return m_impaired; }
+
+private:
+  bool m_impaired = false;
+  // Since when, and until when at last, searchers were too few.
+  std::optional<TimePoint> m_uncoveredSince;
+  TimePoint m_uncoveredAt;
+};
+
+} // namespace ebonykeel
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -1,9 +1,10 @@
 #include "core/forward/forward_run.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "core/forward/coverage.h"
+
 namespace ebonykeel {
 namespace {
 
@@ -217,48 +218,24 @@
 uint32_t
 ForwardRun::Needed() const
 {
-  // Rounding must not ask for one shard more than the share does.
-  constexpr double kRounding = 1e-9;
-  auto legs = static_cast<double>(m_legs.size());
-  double needed = std::ceil(m_request.m_route->m_minShare * legs - kRounding);
-  return std::max(1U, static_cast<uint32_t>(needed));
-}
-
-std::optional<TimePoint>
-ForwardRun::BlockedUntil(const std::string& aService, TimePoint aNow) const
-{
-  std::optional<TimePoint> until;
-  for (const ReplicaPtr& replica :
-       m_environment->m_catalogue.Usable(aService)) {
-    std::optional<TimePoint> down =
-      m_environment->m_load.DownUntil(*replica, aNow);
-    if (!down) {
-      return std::nullopt;
-    }
-    until = std::min(until.value_or(*down), *down);
-  }
-  return until.value_or(aNow + m_environment->m_options.m_absentRetryAfter);
+  return NeededLegs(m_request.m_route->m_minShare, m_legs.size());
 }
 
 bool
 ForwardRun::RefuseIfBlocked(TimePoint aNow)
 {
-  uint32_t needed = IsGathered() ? Needed() : 1;
-  std::vector<TimePoint> blocked;
-  for (const Leg& leg : m_legs) {
-    if (std::optional<TimePoint> until = BlockedUntil(leg.m_service, aNow)) {
-      blocked.push_back(*until);
-    }
-  }
-  if (m_legs.size() - blocked.size() >= needed) {
+  size_t needed = IsGathered() ? Needed() : 1;
+  Coverage coverage(m_request.m_services,
+                    m_environment->m_catalogue,
+                    m_environment->m_load,
+                    m_environment->m_options.m_absentRetryAfter,
+                    aNow);
+  if (coverage.Allows(needed)) {
     return false;
   }
-  // The request can be served once enough of the blocked legs are back.
-  std::ranges::sort(blocked);
-  size_t lacking = needed - (m_legs.size() - blocked.size());
   Finish({ .m_status = ForwardStatus::kRefused,
-           .m_missing = static_cast<uint32_t>(blocked.size()),
-           .m_retryAfter = blocked[lacking - 1] - aNow,
+           .m_missing = static_cast<uint32_t>(coverage.Blocked()),
+           .m_retryAfter = coverage.AllowedAt(needed) - aNow,
            .m_reason = "no-replica" });
   return true;
 }
@@ -381,7 +358,12 @@
 bool
 ForwardRun::IsServed(const std::string& aService, TimePoint aNow) const
 {
-  return !BlockedUntil(aService, aNow).has_value();
+  return !BlockedUntil(aService,
+                       m_environment->m_catalogue,
+                       m_environment->m_load,
+                       m_environment->m_options.m_absentRetryAfter,
+                       aNow)
+            .has_value();
 }
 
 void
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -209,11 +209,6 @@
   [[nodiscard]] uint32_t Needed() const;
   // Returns when an answer has to leave to be there within the target.
   [[nodiscard]] TimePoint AnswerDue() const;
-  // Returns when the service's first searcher may be tried again; nothing if
-  // one may be tried now.
-  [[nodiscard]] std::optional<TimePoint> BlockedUntil(
-    const std::string& aService,
-    TimePoint aNow) const;
   bool RefuseIfBlocked(TimePoint aNow);
   void SendTo(uint32_t aLeg,
               const ReplicaPtr& aReplica,
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -184,6 +184,7 @@
   Duration backoff = m_options.m_shortestBackoff *
                      (1U << std::min(state.m_unreachable, kMostDoublings));
   state.m_downUntil = aNow + std::min(backoff, m_options.m_longestBackoff);
+  m_anyDown = std::max(m_anyDown, state.m_downUntil);
   ++state.m_unreachable;
 }
 
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -77,6 +77,8 @@
   [[nodiscard]] std::optional<TimePoint> DownUntil(const Replica& aReplica,
                                                    TimePoint aNow) const;
 
+  // Returns whether any searcher counts as unreachable.
+  [[nodiscard]] bool AnyDown(TimePoint aNow) const { return aNow < m_anyDown; }
   // Returns how often searchers stall; zero while that is unknown.
   [[nodiscard]] Duration StallInterval() const
   {
@@ -148,6 +150,8 @@
   ReplicaLoadOptions m_options;
   std::unordered_map<std::string, State> m_states;
   StallForecast m_forecast;
+  // Until when some searcher counts as unreachable, at the latest.
+  TimePoint m_anyDown;
   // Turns the choice among equals.
   uint64_t m_turn = 0;
 };
--- a/packages/node/entry/entry_node.cc
+++ b/packages/node/entry/entry_node.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "core/fleet/read_duty.h"
+#include "core/forward/coverage.h"
 
 namespace ebonykeel {
 namespace {
@@ -21,6 +22,8 @@
 constexpr Duration kLeastSuspension = Milliseconds(300);
 // Instances that are dead for so long are taken out of the store's list.
 constexpr Duration kUnregisterAfter = Seconds(60);
+// Instances elsewhere that were lost for longer are not named to callers.
+constexpr Duration kLostFor = Milliseconds(5500);
 // Some callers keep the directory's answer for so many of its lifetimes.
 constexpr int kKeptLifetimes = 3;
 // The end of a stop leaves this much of the grace for the process's own end.
@@ -32,6 +35,12 @@
 
 constexpr double kThousand = 1000;
 
+uint32_t
+CapacityOf(const ForwardSettings& aSettings)
+{
+  return static_cast<uint32_t>(aSettings.m_processors * kThousand);
+}
+
 FleetServiceOptions
 FleetOptionsFrom(const ForwardSettings& aSettings)
 {
@@ -42,8 +51,7 @@
   return { .m_self = { .m_host = aSettings.m_host,
                        .m_incarnation = seconds * kPerSecond,
                        .m_dataCentre = aSettings.m_dataCentre,
-                       .m_capacity = static_cast<uint32_t>(
-                         aSettings.m_processors * kThousand) },
+                       .m_capacity = CapacityOf(aSettings) },
            .m_seeds = aSettings.m_seeds,
            .m_port = aSettings.m_listen.m_peerPort };
 }
@@ -256,6 +264,7 @@
   CheckSuspension();
   UpdateDuty();
   KeepInstanceList();
+  UpdateReach();
   UpdateBudget();
   if (m_stoppingSince) {
     ContinueStop();
@@ -288,6 +297,21 @@
   m_reader.SetOnDuty(MayRead() && chosen);
 }
 
+void
+EntryNode::UpdateReach()
+{
+  bool before = m_reach.IsImpaired();
+  bool hearsOthers = m_fleet.View().HearsElsewhere();
+  m_reach.Update(ReachesSearchers(), hearsOthers, m_loop.Now());
+  if (m_reach.IsImpaired() == before) {
+    return;
+  }
+  m_log.Write(Event::kReachChanged,
+              { { "impaired", m_reach.IsImpaired() ? "1" : "0" },
+                { "hears_others", hearsOthers ? "1" : "0" } });
+  m_fleet.SetCapacity(m_reach.IsImpaired() ? 0 : CapacityOf(m_settings));
+}
+
 void
 EntryNode::UpdateBudget()
 {
@@ -385,6 +409,41 @@
   }
 }
 
+bool
+EntryNode::ReachesSearchers() const
+{
+  const std::shared_ptr<const RouteTable>& routes = m_state.Routes();
+  TimePoint now = m_loop.Now();
+  if (routes == nullptr || !m_load.AnyDown(now)) {
+    return true;
+  }
+  return std::ranges::all_of(
+    routes->Config()->m_routes, [&](const Route& aRoute) {
+      Coverage coverage(
+        aRoute.m_services, m_state.Catalogue(), m_load, {}, now);
+      return aRoute.m_target != RouteTarget::kShards ||
+             coverage.Allows(
+               NeededLegs(aRoute.m_minShare, aRoute.m_services.size()));
+    });
+}
+
+std::vector<FleetRecord>
+EntryNode::CallerCandidates() const
+{
+  const FleetView& view = m_fleet.View();
+  if (m_reach.IsImpaired() && !view.HearsElsewhere()) {
+    // Callers may reach what this instance does not.
+    std::vector<FleetRecord> lost = view.LostElsewhere(kLostFor, m_loop.Now());
+    for (FleetRecord& record : lost) {
+      record.m_state = FleetState::kAlive;
+    }
+    if (!lost.empty()) {
+      return lost;
+    }
+  }
+  return view.Living();
+}
+
 bool
 EntryNode::MayRead() const
 {
@@ -406,11 +465,11 @@
 Http1Response
 EntryNode::AnswerDirectory(const DirectoryQuestion& aQuestion)
 {
-  std::vector<FleetRecord> living = m_fleet.View().Living();
+  std::vector<FleetRecord> candidates = CallerCandidates();
   std::vector<Address> addresses;
   std::ranges::transform(
     ChooseForCaller(
-      living, aQuestion.m_dataCentre, m_searchers, DirectoryOptions()),
+      candidates, aQuestion.m_dataCentre, m_searchers, DirectoryOptions()),
     std::back_inserter(addresses),
     [&](const std::string& aHost) {
       return Address{ aHost, m_settings.m_listen.m_callers.m_port };
--- a/packages/node/entry/entry_node.h
+++ b/packages/node/entry/entry_node.h
@@ -10,6 +10,7 @@
 #include "core/config/forward_settings.h"
 #include "core/feed/object_feed.h"
 #include "core/fleet/caller_directory.h"
+#include "core/fleet/service_reach.h"
 #include "core/forward/extra_budget.h"
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
@@ -58,6 +59,7 @@
   void Tick();
   void UpdateSelf();
   void UpdateDuty();
+  void UpdateReach();
   void UpdateBudget();
   void ApplyLimits();
   void CheckSuspension();
@@ -65,6 +67,10 @@
   // others when its seeds are gone: those that read the store are on it.
   void KeepInstanceList();
   void ContinueStop();
+  // Whether enough searchers for every gathered route count as reachable.
+  [[nodiscard]] bool ReachesSearchers() const;
+  // The instances that callers may be led to.
+  [[nodiscard]] std::vector<FleetRecord> CallerCandidates() const;
   [[nodiscard]] bool MayRead() const;
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] CallerDirectoryOptions DirectoryOptions() const;
@@ -95,6 +101,7 @@
   Http1Server m_metrics;
   UvTimer m_tick;
   std::map<DataCentre, size_t> m_searchers;
+  ServiceReach m_reach;
   bool m_storeReachable = true;
   bool m_listRead = false;
   std::vector<std::string> m_listed;
--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -92,6 +92,12 @@
   m_view.SetSelf(aState, aReady, aStoreReachable);
 }
 
+void
+FleetService::SetCapacity(uint32_t aCapacity)
+{
+  m_view.SetCapacity(aCapacity);
+}
+
 void
 FleetService::Announce()
 {
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -62,6 +62,7 @@
   [[nodiscard]] bool InContact() const;
   void AddSeeds(std::span<const std::string> aHosts);
   void SetSelf(FleetState aState, bool aReady, bool aStoreReachable);
+  void SetCapacity(uint32_t aCapacity);
   // Tells others that this instance's copies have changed.
   void Announce();
 
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -223,6 +223,12 @@
              "Requests that waited for the start are served, or refused if it "
              "takes too long.",
              "waiting started" },
+  EventInfo{ Event::kReachChanged,
+             Severity::kWarning,
+             "reach_changed",
+             "This instance reaches too few searchers for its callers, which "
+             "are led to others, or enough again.",
+             "impaired hears_others" },
 };
 
 const EventInfo&
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -56,6 +56,7 @@
   kForwardAbandoned = 1902,
   kForwardNoRoute = 1903,
   kForwardStarted = 1904,
+  kReachChanged = 1905,
 };
 
 enum class Severity
