Budget of extra requests: its sum does not depend on the number of instances

Cause: each instance held one whole request of each service however small its part of the burst was, and a new account started with one.

Change: the share is earned and spent by each instance within a quarter of the window, so that nothing is saved up. The burst is divided into whole requests: if there are more instances that take callers than requests that may be held, only some of them get a part, chosen for each service by a hash. A new account is empty, and a change of the participants adds nothing at once.

--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -117,7 +117,8 @@
              .m_forecastStalls = m_settings.m_foreseeStalls })
   , m_budget({ .m_share = m_settings.m_extraShare,
                .m_burst = static_cast<double>(m_settings.m_extraBurst),
-               .m_window = m_settings.m_extraWindow })
+               .m_window = m_settings.m_extraWindow },
+             m_settings.m_host)
   , m_routing(aStore, m_load, aLog)
   , m_reader(aLoop,
              m_controlClient,
@@ -323,11 +324,10 @@
   if (!m_fleet.InContact()) {
     return;
   }
-  std::set<std::string> offered = InstancesForAllCallers(
-    m_fleet.View().LiveMembers(), m_upstreamCounts, DirectoryOptions());
-  bool isOffered = offered.contains(m_settings.m_host);
-  m_budget.SetBurstFraction(
-    isOffered ? 1.0 / static_cast<double>(offered.size()) : 0);
+  m_budget.SetParticipants(InstancesForAllCallers(m_fleet.View().LiveMembers(),
+                                                  m_upstreamCounts,
+                                                  DirectoryOptions()),
+                           m_loop.Now());
 }
 
 CallerDirectoryOptions
