Caller deadlines: two requests of a route are enough for an estimate

Cause: the time that a caller had used before its request was read was taken as zero until an instance had seen eight requests of the route.

Change: from two samples on, the greatest is the reference; from ten on, as before, the one at a tenth.

--- a/packages/core/forward/caller_deadlines.cc
+++ b/packages/core/forward/caller_deadlines.cc
@@ -7,8 +7,10 @@
 
 // The number of samples that are kept for each route.
 constexpr size_t kMaxSamples = 64;
-// Fewer samples say too little about the time budget of the route's callers.
-constexpr size_t kMinSamples = 8;
+// A single request does not show what its caller started with. From two on, the
+// greatest is used until there are enough to pass over outliers: in a large
+// fleet an instance sees few requests of a route.
+constexpr size_t kMinSamples = 2;
 // One of this many callers may start with a larger time budget than the others
 // without being taken as typical.
 constexpr size_t kOutlierDivisor = 10;
