HTTP/1.1: bounded memory for endless answers; a stop spares new connections

Causes, both shown by tests that were red before: - An answer's body was bounded at 16 MB for each call, and nothing bounded all calls together: eight endless bodies held 134 MB, more than the smallest machines have. - A stop closed connections that had been accepted and had not yet sent their first request; the request was then read and dropped.

Change: the client holds at most 32 MB of incomplete answers for all calls and breaks off the longest beyond that; the call counts as broken and is retried within the budget. The test of a shutdown closes a connection that had a request, as it meant to.

Measured: endless bytes in seven forms (no HTTP, a header line, bodies without a length, with a great one and in chunks, a trailer, interim answers) end within the call's timeout; peak 1.06 MB with a limit of 1 MB (134 MB before); a sound server beside them is answered.

--- a/packages/runtime/http1/client.cc
+++ b/packages/runtime/http1/client.cc
@@ -45,6 +45,9 @@
     , m_timer(aClient.m_loop, [this]() { OnTimer(); })
   {
   }
+  ~Http1ClientConnection() override { SetBufferedBytes(0); }
+  Http1ClientConnection(const Http1ClientConnection&) = delete;
+  Http1ClientConnection& operator=(const Http1ClientConnection&) = delete;
 
   void Run(uint64_t aId, Http1Call aCall)
   {
@@ -99,6 +102,8 @@
         return;
       }
     }
+    SetBufferedBytes(m_parser.BufferedBytes());
+    m_client.LimitBufferedBytes();
   }
 
   void OnEnd(bool aReset) override
@@ -119,8 +124,12 @@
     Finish(Http1Outcome::kBroken, aReset ? "reset" : "closed");
   }
 
+  // Ends the call because too many bytes are held.
+  void BreakOff() { Finish(Http1Outcome::kBroken, "too-long"); }
+
   void MarkIdle(TimePoint aNow)
   {
+    SetBufferedBytes(0);
     m_id = 0;
     m_idleSince = aNow;
     m_timer.Set(std::nullopt);
@@ -128,6 +137,7 @@
 
   [[nodiscard]] const Address& RemoteAddress() const { return m_address; }
   [[nodiscard]] TimePoint IdleSince() const { return m_idleSince; }
+  [[nodiscard]] size_t BufferedBytes() const { return m_bufferedBytes; }
   [[nodiscard]] bool IsIdleTimeoutOver(TimePoint aNow) const
   {
     return aNow - m_idleSince > m_idleTimeout;
@@ -155,6 +165,12 @@
     return true;
   }
 
+  void SetBufferedBytes(size_t aBytes)
+  {
+    m_client.m_bufferedBytes += aBytes - m_bufferedBytes;
+    m_bufferedBytes = aBytes;
+  }
+
   void FinishAnswered()
   {
     Duration margin = m_client.m_options.m_idleMargin;
@@ -198,6 +214,8 @@
   // Whether bytes were received that do not belong to the answer, or the stream
   // ended: the connection is then not used again.
   bool m_receivedStrayBytes = false;
+  // The bytes of the incomplete answer.
+  size_t m_bufferedBytes = 0;
   TimePoint m_idleSince;
   Duration m_idleTimeout{};
 };
@@ -282,6 +300,19 @@
   node.mapped().m_callback(std::move(aResult));
 }
 
+void
+Http1Client::LimitBufferedBytes()
+{
+  if (m_bufferedBytes <= m_options.m_maxBufferedBytes) {
+    return;
+  }
+  auto longest =
+    std::ranges::max_element(m_running, {}, [](const auto& aEntry) {
+      return aEntry.second.m_connection->BufferedBytes();
+    });
+  longest->second.m_connection->BreakOff();
+}
+
 void
 Http1Client::RemoveIdle(Connection& aConnection)
 {
--- a/packages/runtime/http1/client.h
+++ b/packages/runtime/http1/client.h
@@ -72,6 +72,10 @@
   Duration m_idleMargin = Milliseconds(600);
   // The maximum number of idle connections for each address.
   size_t m_maxIdlePerAddress = 16;
+  // The maximum number of bytes of incomplete answers that are held for all
+  // calls together, apart from the last bytes read. Beyond it, the call with
+  // the longest incomplete answer is broken off.
+  size_t m_maxBufferedBytes = size_t{ 32 } << 20;
 };
 
 // The loop must outlive the client. Callbacks are called in a later turn of the
@@ -92,6 +96,8 @@
   // Closes the idle connections to an address.
   void CloseIdle(const Address& aAddress);
 
+  // Returns the number of bytes of incomplete answers that are held.
+  [[nodiscard]] size_t BufferedBytes() const { return m_bufferedBytes; }
   // Returns the number of connections opened since the start.
   [[nodiscard]] uint64_t ConnectionsOpened() const
   {
@@ -105,6 +111,9 @@
   std::unique_ptr<Connection> TakeIdle(const Address& aAddress,
                                        Duration aMaxIdleTime);
   void OnCallFinished(uint64_t aCall, bool aReusable, Http1Result aResult);
+  // Breaks off the call with the longest incomplete answer if too many bytes
+  // are held.
+  void LimitBufferedBytes();
   void RemoveIdle(Connection& aConnection);
   void Sweep();
 
@@ -113,6 +122,7 @@
   UvTimer m_sweep;
   uint64_t m_nextCall = 1;
   uint64_t m_connectionsOpened = 0;
+  size_t m_bufferedBytes = 0;
   struct Running
   {
     std::unique_ptr<Connection> m_connection;
--- a/packages/runtime/http1/http1_test.cc
+++ b/packages/runtime/http1/http1_test.cc
@@ -1,5 +1,7 @@
 // Tests the client and the server against each other and against raw TCP peers,
 // on one event loop over loopback. Each wait is for a condition.
+#include <algorithm>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -199,6 +201,11 @@
   RawPeer busy(fixture.m_loop, fixture.m_server.Port());
   RawPeer idle(fixture.m_loop, fixture.m_server.Port());
   fixture.RunUntil([&]() { return busy.m_connected && idle.m_connected; });
+  idle.m_stream->Write("GET / HTTP/1.1\r\n\r\n");
+  fixture.RunUntil([&]() { return !fixture.m_handler.m_held.empty(); });
+  fixture.m_handler.m_held[0]->Answer({ .m_status = 200 });
+  fixture.m_handler.m_held.clear();
+  fixture.RunUntil([&]() { return !idle.m_bytes.empty(); });
   busy.m_stream->Write("GET / HTTP/1.1\r\n\r\n");
   fixture.RunUntil([&]() {
     return !fixture.m_handler.m_held.empty() &&
@@ -212,6 +219,39 @@
   DOCTEST_CHECK(busy.m_bytes.ends_with("last"));
 }
 
+// A caller that has just connected sends its request in a moment: it must not
+// be cut off without an answer.
+DOCTEST_TEST_CASE("a shutdown does not cut off a connection that is new")
+{
+  Fixture fixture;
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  RawPeer caller(fixture.m_loop, fixture.m_server.Port());
+  fixture.RunUntil([&]() { return fixture.m_server.Connections() == 1; });
+  fixture.m_server.BeginShutdown(true);
+  fixture.RunUntil([&]() { return caller.m_connected; });
+  caller.m_stream->Write("GET / HTTP/1.1\r\n\r\n");
+  fixture.RunUntil(
+    [&]() { return !fixture.m_handler.m_held.empty() || caller.m_ended; });
+  DOCTEST_REQUIRE(fixture.m_handler.m_held.size() == 1);
+  fixture.m_handler.m_held[0]->Answer({ .m_status = 200, .m_body = "last" });
+  fixture.RunUntil([&]() { return caller.m_ended; });
+  DOCTEST_CHECK(caller.m_bytes.ends_with("last"));
+}
+
+DOCTEST_TEST_CASE("a shutdown closes a new connection that stays silent")
+{
+  Fixture fixture;
+  DOCTEST_REQUIRE(fixture.m_server.Listen(kLoopback).empty());
+  RawPeer caller(fixture.m_loop, fixture.m_server.Port());
+  fixture.RunUntil([&]() { return fixture.m_server.Connections() == 1; });
+  TimePoint start = fixture.m_loop.Now();
+  fixture.RunUntil([&]() {
+    fixture.m_server.BeginShutdown(true);
+    return caller.m_ended;
+  });
+  DOCTEST_CHECK(fixture.m_loop.Now() - start < Seconds(1));
+}
+
 DOCTEST_TEST_CASE(
   "an answer without a length is complete after an orderly close")
 {
@@ -342,5 +382,140 @@
   }
 }
 
+// Sends bytes without end to each connection, until the other end closes it.
+class EndlessPeer final : public TcpObserver
+{
+public:
+  EndlessPeer(UvLoop& aLoop, std::string aStart, std::string aRepeated)
+    : m_loop(aLoop)
+    , m_start(std::move(aStart))
+    , m_repeated(std::move(aRepeated))
+    , m_listener(aLoop, [this](uv_stream_t* aListener) {
+      m_stream = TcpStream::Accept(m_loop, aListener, *this);
+    })
+  {
+    DOCTEST_REQUIRE(m_listener.Listen(kLoopback).empty());
+    // As in the programs: a write to a closed connection is just an error.
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+
+  void OnConnected(bool /*aConnected*/) override {}
+  void OnBytes(std::string_view /*aBytes*/) override
+  {
+    m_stream->Write(m_start);
+    m_sending = true;
+  }
+  void OnEnd(bool /*aReset*/) override
+  {
+    m_ended = true;
+    m_sending = false;
+  }
+  // Sends more once the connection has taken what was sent before.
+  void SendMore()
+  {
+    if (m_sending && m_stream->UnsentBytes() == 0) {
+      m_stream->Write(m_repeated);
+      m_sent += m_repeated.size();
+    }
+  }
+  [[nodiscard]] Address ListenAddress() const
+  {
+    return { "127.0.0.1", m_listener.Port() };
+  }
+
+  UvLoop& m_loop;
+  std::string m_start;
+  std::string m_repeated;
+  TcpListener m_listener;
+  std::unique_ptr<TcpStream> m_stream;
+  bool m_sending = false;
+  bool m_ended = false;
+  size_t m_sent = 0;
+};
+
+// Bytes that are no answer and come without end: each call ends in bounded time
+// with a bounded number of bytes held, the connections are closed, and a call
+// to a sound server beside them is answered.
+DOCTEST_TEST_CASE("endless bytes are cut off within bounds of time and memory")
+{
+  constexpr size_t kBlock = 65536;
+  constexpr size_t kMaxBufferedBytes = size_t{ 1 } << 20;
+  constexpr Duration kTimeout = Milliseconds(500);
+  struct Case
+  {
+    const char* m_name;
+    std::string m_start;
+    std::string m_repeated;
+  };
+  const std::string block(kBlock, 'x');
+  const std::string manyInterim = [] {
+    std::string text;
+    while (text.size() < kBlock) {
+      text += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    return text;
+  }();
+  const std::vector<Case> cases{
+    { "no HTTP", "", block },
+    { "header line", "HTTP/1.1 200 OK\r\nX: ", block },
+    { "body without a length", "HTTP/1.1 200 OK\r\n\r\n", block },
+    { "body with a great length",
+      "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+      block },
+    { "chunks",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "10000\r\n" + block + "\r\n" },
+    { "trailer",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
+      block },
+    { "interim answers", "", manyInterim },
+  };
+  for (const Case& testCase : cases) {
+    DOCTEST_CAPTURE(testCase.m_name);
+    Fixture fixture;
+    Http1Client client(fixture.m_loop,
+                       { .m_maxBufferedBytes = kMaxBufferedBytes });
+    std::vector<std::unique_ptr<EndlessPeer>> peers;
+    std::vector<Http1Result> results;
+    for (int i = 0; i < 8; ++i) {
+      peers.push_back(std::make_unique<EndlessPeer>(
+        fixture.m_loop, testCase.m_start, testCase.m_repeated));
+      client.Send(
+        { .m_address = peers.back()->ListenAddress(),
+          .m_bytes = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+          .m_timeout = kTimeout },
+        [&](Http1Result aResult) { results.push_back(std::move(aResult)); });
+    }
+    RawPeer sound(fixture.m_loop);
+    std::optional<Http1Result> answer;
+    client.Send({ .m_address = sound.ListenAddress(),
+                  .m_bytes = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+                  .m_timeout = kTimeout },
+                [&](Http1Result aResult) { answer = std::move(aResult); });
+    TimePoint start = fixture.m_loop.Now();
+    size_t peak = 0;
+    bool answered = false;
+    fixture.RunUntil([&]() {
+      std::ranges::for_each(peers, [](auto& aPeer) { aPeer->SendMore(); });
+      peak = std::max(peak, client.BufferedBytes());
+      if (!answered && !sound.m_bytes.empty() &&
+          fixture.m_loop.Now() - start > kTimeout / 2) {
+        sound.m_stream->Write(Ok("sound"));
+        answered = true;
+      }
+      return answer && results.size() == peers.size() &&
+             std::ranges::all_of(peers,
+                                 [](auto& aPeer) { return aPeer->m_ended; });
+    });
+    DOCTEST_CHECK(fixture.m_loop.Now() - start < kTimeout * 2);
+    DOCTEST_CHECK(peak <= kMaxBufferedBytes + kBlock);
+    DOCTEST_CHECK(client.BufferedBytes() == 0);
+    DOCTEST_CHECK(answer->m_response.m_body == "sound");
+    DOCTEST_CHECK(std::ranges::all_of(results, [](const Http1Result& aResult) {
+      return aResult.m_outcome == Http1Outcome::kBroken;
+    }));
+  }
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -81,6 +81,14 @@
   return expect && EqualIgnoringCase(*expect, "100-continue");
 }
 
+size_t
+Http1Parser::BufferedBytes() const
+{
+  size_t body = m_kind == Kind::kRequest ? m_request.m_body.size()
+                                         : m_response.m_body.size();
+  return m_headerBytesRead + body;
+}
+
 const http_parser_settings&
 Http1Parser::Settings()
 {
--- a/packages/runtime/http1/parser.h
+++ b/packages/runtime/http1/parser.h
@@ -65,6 +65,8 @@
   // body.
   [[nodiscard]] bool ExpectsContinue() const;
 
+  // Returns the number of bytes of the message that are held.
+  [[nodiscard]] size_t BufferedBytes() const;
   // The message as far as it was parsed; complete in the state `kComplete`.
   [[nodiscard]] Http1Request& Request() { return m_request; }
   [[nodiscard]] Http1Response& Response() { return m_response; }
--- a/packages/runtime/http1/server.cc
+++ b/packages/runtime/http1/server.cc
@@ -11,6 +11,9 @@
 constexpr size_t kMaxPipelinedBytes = 262144;
 // The interval between checks for connections that have timed out.
 constexpr Duration kSweepInterval = Milliseconds(250);
+// A connection without any request is closed by a shutdown only if it is older:
+// its caller may be about to send its first request.
+constexpr Duration kFirstRequestGrace = Milliseconds(500);
 // How long the server still reads from a connection whose sending side it has
 // closed, so that the caller gets the last answer instead of a reset.
 constexpr Duration kLingerTimeout = Seconds(1);
@@ -89,10 +92,13 @@
     Linger();
   }
 
-  // Returns whether the connection has no request and no bytes of one.
+  // Returns whether the connection has no request and no bytes of one, and is
+  // not so new that its first request may be on its way.
   [[nodiscard]] bool IsIdle() const
   {
-    return m_exchange == nullptr && !m_lingering &&
+    bool isNew =
+      !m_hadRequest && m_server.m_loop.Now() - m_waitStart < kFirstRequestGrace;
+    return m_exchange == nullptr && !m_lingering && !isNew &&
            m_parser.State() == Http1Parser::Progress::kIdle &&
            m_pipelined.empty();
   }
@@ -181,6 +187,7 @@
     m_exchange = std::make_shared<Http1Exchange>(std::move(m_parser.Request()),
                                                  m_server.m_loop.Now());
     m_exchange->m_connection = this;
+    m_hadRequest = true;
     ++m_server.m_inFlight;
     std::shared_ptr<Http1Exchange> exchange = m_exchange;
     m_server.m_handler.OnRequest(std::move(exchange));
@@ -219,6 +226,7 @@
   std::string m_pipelined;
   bool m_lingering = false;
   bool m_reading = false;
+  bool m_hadRequest = false;
   // When the current wait began: for a request, its headers, progress of its
   // body, or the caller's end.
   TimePoint m_waitStart;
--- a/packages/runtime/http1/server.h
+++ b/packages/runtime/http1/server.h
@@ -80,8 +80,9 @@
   // The new limits apply to requests that begin later.
   void SetOptions(Http1ServerOptions aOptions);
   // Makes each further answer close its connection. With `aCloseIdle`, also
-  // closes the connections that are idle now. The server accepts new
-  // connections until `StopListening`.
+  // closes the connections that are idle now, apart from new ones that have had
+  // no request yet; call it again for these. The server accepts new connections
+  // until `StopListening`.
   void BeginShutdown(bool aCloseIdle);
   void StopListening();
 
