--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 
 # The first command of the README runs `demo`, the second `test`.
-.PHONY: soak demo programs plots deps configure build test sanitize lint format generate clean fault-matrix
+.PHONY: regression soak demo programs plots deps configure build test sanitize lint format generate clean fault-matrix
 
 deps:
 	tools/install_deps.sh
@@ -61,3 +61,8 @@
 soak: configure
 	cmake --build $(BUILD) -j $(JOBS) --target soak ebonykeeld
 	$(BUILD)/bin/soak --program=$(BUILD)/bin/ebonykeeld --seed=$(SEED) --seconds=$(SOAK_SECONDS)
+
+# Plays the users' deployments and compares with tools/regression_figures.txt.
+# Needs their kit: make regression KIT=FOLDER BENCH=PROGRAM
+regression:
+	KIT="$(KIT)" BENCH="$(BENCH)" tools/regression.sh
