Forward: what overloaded shards cannot answer in time is refused at once

Change: a gathered request is refused before anything is sent if the shards that it needs are not expected to answer before its deadline. The expectation is the predicted latency of each shard's best reachable upstream, and what waits on this instance ahead of it. Retry-After is the time by which that exceeds the deadline. Nothing was sent, so the refusal's statement is true.

--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -15,6 +15,9 @@
 // A request to one service waits for capacity before its first attempt for at
 // most the target latency divided by this.
 constexpr int kCapacityWaitDivisor = 5;
+// The shortest retry delay after a refusal for overload: a queue takes this
+// long to become noticeably shorter.
+constexpr Duration kMinOverloadRetryAfter = Milliseconds(50);
 // A failed attempt is not retried with less remaining time than this: no
 // upstream could use it.
 constexpr Duration kMinDeadline = Milliseconds(2);
@@ -119,7 +122,7 @@
 void
 ForwardRun::Start(TimePoint aNow)
 {
-  if (RefuseIfUnavailable(aNow)) {
+  if (RefuseIfUnavailable(aNow) || RefuseIfOverloaded(aNow)) {
     return;
   }
   for (uint32_t subRequest = 0; subRequest < m_subRequests.size();
@@ -193,7 +196,7 @@
     return;
   }
   CancelOpenAttempts();
-  m_ended = true;
+  End();
 }
 
 std::optional<TimePoint>
@@ -254,6 +257,52 @@
   return true;
 }
 
+bool
+ForwardRun::RefuseIfOverloaded(TimePoint aNow)
+{
+  if (!IsGathered()) {
+    return false;
+  }
+  Duration expected = ExpectedLatency(Required(), aNow);
+  Duration remaining = m_timeoutAt - aNow;
+  if (expected <= remaining) {
+    return false;
+  }
+  Finish(
+    { .m_status = ForwardStatus::kRefused,
+      .m_missing = static_cast<uint32_t>(m_subRequests.size()),
+      .m_retryAfter = std::max(expected - remaining, kMinOverloadRetryAfter),
+      .m_reason = "overloaded" });
+  return true;
+}
+
+Duration
+ForwardRun::ExpectedLatency(size_t aRequired, TimePoint aNow) const
+{
+  const ReplicaLoad& load = m_environment->m_load;
+  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  std::vector<Duration> latencies;
+  for (const std::string& service : m_request.m_services) {
+    Duration best = Duration::max();
+    for (const ReplicaPtr& replica :
+         m_environment->m_catalogue.Usable(service)) {
+      if (load.UnreachableUntil(*replica, aNow)) {
+        continue;
+      }
+      // The requests that wait here are ahead of this one.
+      Duration latency = load.PredictLatency(*replica, typical, aNow);
+      auto ahead =
+        static_cast<int64_t>(m_environment->m_waiters.Count(service));
+      auto inFlight = static_cast<int64_t>(load.InFlight(*replica));
+      best = std::min(best, latency + latency * ahead / (inFlight + 1));
+    }
+    latencies.push_back(best);
+  }
+  auto last = latencies.begin() + static_cast<ptrdiff_t>(aRequired) - 1;
+  std::ranges::nth_element(latencies, last);
+  return *last;
+}
+
 void
 ForwardRun::SendTo(uint32_t aSubRequest,
                    const ReplicaPtr& aReplica,
@@ -350,11 +399,22 @@
 void
 ForwardRun::WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow)
 {
-  aSubRequest.m_waitingForCapacity = true;
+  if (!aSubRequest.m_waitingForCapacity) {
+    aSubRequest.m_waitingForCapacity = true;
+    m_environment->m_waiters.Enter(aSubRequest.m_service);
+  }
   aSubRequest.m_nextCapacityCheck =
     aNow + m_environment->m_options.m_capacityRecheckInterval;
 }
 
+void
+ForwardRun::StopWaiting(SubRequest& aSubRequest)
+{
+  if (std::exchange(aSubRequest.m_waitingForCapacity, false)) {
+    m_environment->m_waiters.Leave(aSubRequest.m_service);
+  }
+}
+
 void
 ForwardRun::SendWaitingSubRequests(TimePoint aNow)
 {
@@ -368,7 +428,7 @@
     bool first = subRequest.m_attempts.empty();
     if (replica != nullptr && (first || m_environment->m_budget.TryTake(
                                           subRequest.m_service, aNow))) {
-      subRequest.m_waitingForCapacity = false;
+      StopWaiting(subRequest);
       SendTo(index,
              *replica,
              first ? AttemptReason::kFirst : AttemptReason::kRetry,
@@ -376,7 +436,7 @@
     } else if (HasReachableReplica(subRequest.m_service, aNow)) {
       WaitForCapacity(subRequest, aNow);
     } else {
-      subRequest.m_waitingForCapacity = false;
+      StopWaiting(subRequest);
       subRequest.m_failed = true;
     }
   }
@@ -530,10 +590,19 @@
 void
 ForwardRun::Finish(const ForwardResult& aResult)
 {
-  m_ended = true;
+  End();
   m_port->Finish(aResult);
 }
 
+void
+ForwardRun::End()
+{
+  std::ranges::for_each(m_subRequests, [this](SubRequest& aSubRequest) {
+    StopWaiting(aSubRequest);
+  });
+  m_ended = true;
+}
+
 void
 ForwardRun::CancelOpenAttempts()
 {
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -15,7 +15,9 @@
 // Each upstream gets a limited number of concurrent requests from one instance.
 // A sub-request whose upstreams are all full, or that was shed, waits here for
 // capacity: after a burst, or when all callers return at once, requests that
-// pile up at the upstreams would only be shed there.
+// pile up at the upstreams would only be shed there. If too many shards get
+// more than they can answer, new requests are refused at once: admitted, all of
+// them would wait until their deadline.
 //
 // A sub-request is the part of the request that goes to one service. A route to
 // one service has one sub-request, a gathered route one for each shard.
@@ -27,6 +29,7 @@
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/forward/capacity_waiters.h"
 #include "core/forward/extra_budget.h"
 #include "core/forward/latency_model.h"
 #include "core/replica/replica_catalogue.h"
@@ -152,6 +155,7 @@
   LatencyModel& m_latencies;
   ExtraBudget& m_budget;
   ForwardOptions m_options;
+  CapacityWaiters m_waiters{};
 };
 
 struct ForwardRequest
@@ -220,6 +224,12 @@
   // latency.
   [[nodiscard]] TimePoint EarlyAnswerTime() const;
   bool RefuseIfUnavailable(TimePoint aNow);
+  // Refuses a gathered request that would not be answered in time.
+  bool RefuseIfOverloaded(TimePoint aNow);
+  // Returns the time until `aRequired` sub-requests are expected to be
+  // answered, if each is sent now to its fastest upstream.
+  [[nodiscard]] Duration ExpectedLatency(size_t aRequired,
+                                         TimePoint aNow) const;
   void SendTo(uint32_t aSubRequest,
               const ReplicaPtr& aReplica,
               AttemptReason aReason,
@@ -235,6 +245,7 @@
                        TimePoint aNow);
   // Makes a sub-request wait until an upstream may receive another request.
   void WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow);
+  void StopWaiting(SubRequest& aSubRequest);
   void SendWaitingSubRequests(TimePoint aNow);
   // Returns whether the service has an upstream that does not count as
   // unreachable.
@@ -247,6 +258,7 @@
   void FinishSingle(TimePoint aNow);
   void FinishWithoutAnswer(bool aTimedOut);
   void Finish(const ForwardResult& aResult);
+  void End();
   void CancelOpenAttempts();
 
   ForwardRequest m_request;
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -92,19 +92,23 @@
   return stallEnd ? *stallEnd - aNow + work : work;
 }
 
+size_t
+ReplicaLoad::InFlight(const Replica& aReplica) const
+{
+  const State* state = Find(aReplica);
+  return state == nullptr ? 0 : state->m_outstanding.size();
+}
+
 bool
 ReplicaLoad::HasFreeSlot(const Replica& aReplica) const
 {
-  const State* state = Find(aReplica);
-  return state == nullptr || state->m_outstanding.size() < aReplica.m_slots;
+  return InFlight(aReplica) < aReplica.m_slots;
 }
 
 bool
 ReplicaLoad::HasQueueCapacity(const Replica& aReplica) const
 {
-  const State* state = Find(aReplica);
-  return state == nullptr ||
-         state->m_outstanding.size() < aReplica.m_slots + m_options.m_maxQueued;
+  return InFlight(aReplica) < aReplica.m_slots + m_options.m_maxQueued;
 }
 
 std::optional<TimePoint>
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -68,6 +68,9 @@
   [[nodiscard]] Duration PredictLatency(const Replica& aReplica,
                                         Duration aTypicalLatency,
                                         TimePoint aNow) const;
+  // Returns the number of this instance's requests that the upstream has not
+  // answered.
+  [[nodiscard]] size_t InFlight(const Replica& aReplica) const;
   // Returns whether the upstream has a free slot, counting only requests of
   // this instance.
   [[nodiscard]] bool HasFreeSlot(const Replica& aReplica) const;
