--- a/packages/cli/explain.cc
+++ b/packages/cli/explain.cc
@@ -69,6 +69,21 @@
   return attempts;
 }
 
+// Returns a sentence that explains why a request was refused.
+std::string
+RefusalText(std::string_view aReason)
+{
+  if (aReason == "no-replica") {
+    return "refused, not run: too few upstreams are registered and reachable";
+  }
+  if (aReason == "overloaded") {
+    return "refused, not run: too many shards were not expected to answer "
+           "before its deadline";
+  }
+  return "refused, not run: every upstream that was tried rejected the request "
+         "or could not be reached";
+}
+
 // Returns a sentence that explains the status and reason of the line.
 std::string
 DescribeEnd(const LogLine& aLine)
@@ -101,11 +116,7 @@
                  " shards missing: none of their upstreams could answer");
   }
   if (status == "refused") {
-    return reason == "no-replica"
-             ? "refused, not run: too few upstreams are registered and "
-               "reachable"
-             : "refused, not run: every upstream that was tried rejected the "
-               "request or could not be reached";
+    return RefusalText(reason);
   }
   if (status == "timed-out") {
     return "timed out while upstreams were still working; it may have run";
--- a/packages/cli/explain_test.cc
+++ b/packages/cli/explain_test.cc
@@ -43,6 +43,17 @@
   DOCTEST_CHECK_FALSE(ParseLogLine("ms=1", "log").has_value());
 }
 
+DOCTEST_TEST_CASE("a refusal for overload is explained")
+{
+  std::vector<LogText> logs{
+    { "node-1.log",
+      "ms=1200 EK1901 forward_ended request=q4 route=r status=refused "
+      "outcome=not-run reason=overloaded missing=20 took_ms=0 sends=\n" }
+  };
+  DOCTEST_CHECK(Contains(ExplainRequest("q4", logs).m_text,
+                         "not expected to answer before its deadline"));
+}
+
 DOCTEST_TEST_CASE("a partial answer is explained by its late upstreams")
 {
   std::vector<LogText> logs{ { "node-1.log", kLog } };
