--- a/packages/core/forward/extra_budget.cc
+++ b/packages/core/forward/extra_budget.cc
@@ -93,7 +93,7 @@
     // burst each time.
     Account account{ .m_earned = ExpiringTokens(m_limit.m_window /
                                                 kEarnedLifetimesPerWindow) };
-    found = m_accounts.emplace(aService, std::move(account)).first;
+    found = m_accounts.emplace(aService, account).first;
   }
   Account& account = found->second;
   if (account.m_participantsVersion != m_participantsVersion) {
