--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -57,7 +57,7 @@
     searchers.back()->Start("127.0.0.1");
     store.Put("servers", searchers.back()->Id(), searchers.back()->Entry());
   }
-  Fleet fleet(aRoot, { "east", "west", "south" }, storeAddress, record);
+  Fleet fleet(aRoot, { "east", "west", "south" }, { storeAddress }, record);
   if (!fleet.PortsAreFree()) {
     return kCouldNotRun;
   }
@@ -96,13 +96,12 @@
   }
   // Whatever still runs shall end before the judgement.
   std::this_thread::sleep_for(std::chrono::seconds(6));
-  std::map<std::string, std::vector<std::string>> runs = ledger.Runs();
   std::map<int, size_t> statuses;
   size_t twice = 0;
   size_t refused = 0;
   for (const AttemptResult& attempt : attempts) {
     ++statuses[attempt.m_status];
-    size_t count = runs.contains(attempt.m_id) ? runs[attempt.m_id].size() : 0;
+    size_t count = ledger.RunsOf(attempt.m_id).size();
     bool promised = attempt.m_status == 429 || attempt.m_status == 503 ||
                     attempt.m_status == 408 || attempt.m_status == 421;
     if (count > 1) {
@@ -123,7 +122,7 @@
   record.Note(summary);
   record.Note("ran more than once: " + std::to_string(twice) +
               "; refused and run: " + std::to_string(refused));
-  if (runs.empty()) {
+  if (ledger.Count() == 0) {
     return kCouldNotRun;
   }
   return twice + refused > 0 ? kBroken : kHeld;
--- a/review/harness/client.h
+++ b/review/harness/client.h
@@ -24,6 +24,8 @@
   Milliseconds m_deadline{ 5000 };
   // Whether the route's requests may be repeated.
   bool m_safe = true;
+  // The instance to which requests are sent directly; the directory's if empty.
+  std::string m_instance;
 };
 
 // The answer to one attempt; status 0 if there was none.
@@ -130,6 +132,12 @@
   // one of them.
   bool Connect()
   {
+    if (!m_options.m_instance.empty()) {
+      m_connectedTo = Address{ m_options.m_instance, kFrontPort }.Text();
+      m_connection = Connection::Open({ m_options.m_instance, kFrontPort },
+                                      Milliseconds(1000));
+      return m_connection != nullptr;
+    }
     constexpr int kMaxDirectories = 3;
     for (int i = 0; i < kMaxDirectories; ++i) {
       std::vector<std::string> addresses =
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -70,10 +70,12 @@
 class Fleet
 {
 public:
-  // `aZones` holds the zone of each instance. `aRoot` is the repository.
+  // `aZones` holds the zone of each instance, `aStores` the address at which
+  // each reaches the store: one for all or one for each. `aRoot` is the
+  // repository.
   Fleet(std::string aRoot,
         std::vector<std::string> aZones,
-        const Address& aStore,
+        const std::vector<Address>& aStores,
         Record& aRecord)
     : m_root(std::move(aRoot))
     , m_zones(std::move(aZones))
@@ -84,7 +86,8 @@
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     m_folder = mkdtemp(pattern.data());
     for (size_t i = 0; i < m_zones.size(); ++i) {
-      std::ofstream(SettingsPath(i)) << MakeSettings(i, aStore);
+      std::ofstream(SettingsPath(i))
+        << MakeSettings(i, aStores[i % aStores.size()]);
     }
   }
   ~Fleet()
--- a/review/harness/http.h
+++ b/review/harness/http.h
@@ -16,6 +16,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -143,6 +144,19 @@
     return true;
   }
 
+  // Waits for bytes; returns false at the end of the connection.
+  bool ReadSome(std::string& aBytes)
+  {
+    pollfd poller{ .fd = m_descriptor, .events = POLLIN, .revents = 0 };
+    poll(&poller, 1, -1);
+    char bytes[16384];
+    ssize_t count = recv(m_descriptor, bytes, sizeof(bytes), 0);
+    aBytes.assign(bytes, static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    return count > 0;
+  }
+
+  void ShutDown() { shutdown(m_descriptor, SHUT_RDWR); }
+
   // Reads a request; returns false at the end of the connection.
   bool Read(Request& aRequest, TimePoint aDeadline)
   {
--- a/review/harness/searcher.h
+++ b/review/harness/searcher.h
@@ -12,24 +12,36 @@
 
 namespace review {
 
-// What the searchers of a case did, by `Attempt-Id`.
+// One execution of a request.
+struct SearcherRun
+{
+  std::string m_searcher;
+  TimePoint m_at;
+};
+
+// What the searchers of a case ran, by `Attempt-Id`.
 class Ledger
 {
 public:
   void Add(const std::string& aAttempt, const std::string& aSearcher)
   {
     std::lock_guard lock(m_mutex);
-    m_runs[aAttempt].push_back(aSearcher);
+    m_runs[aAttempt].push_back({ aSearcher, Clock::now() });
   }
-  [[nodiscard]] std::map<std::string, std::vector<std::string>> Runs()
+  [[nodiscard]] std::vector<SearcherRun> RunsOf(const std::string& aAttempt)
   {
     std::lock_guard lock(m_mutex);
-    return m_runs;
+    return m_runs[aAttempt];
+  }
+  [[nodiscard]] size_t Count()
+  {
+    std::lock_guard lock(m_mutex);
+    return m_runs.size();
   }
 
 private:
   std::mutex m_mutex;
-  std::map<std::string, std::vector<std::string>> m_runs;
+  std::map<std::string, std::vector<SearcherRun>> m_runs;
 };
 
 struct SearcherOptions
@@ -69,6 +81,9 @@
       aHost, [this](Connection& aConnection) { Serve(aConnection); });
   }
 
+  // Ends the searcher: it closes its connections and runs nothing any more.
+  void End() { m_ended = true; }
+
   [[nodiscard]] const std::string& Id() const { return m_options.m_id; }
 
   // Returns the entry that the searcher writes to the store.
@@ -88,6 +103,9 @@
     Request request;
     std::string secondCopy;
     while (aConnection.Read(request, Clock::now() + std::chrono::hours(1))) {
+      if (m_ended) {
+        return;
+      }
       std::this_thread::sleep_for(m_options.m_linkDelay * 2);
       if (!secondCopy.empty()) {
         m_record.Line(m_options.m_id + " sends its last answer again");
@@ -169,6 +187,7 @@
   Server m_server;
   Address m_address;
   TimePoint m_start = Clock::now();
+  std::atomic<bool> m_ended = false;
   std::mutex m_mutex;
   std::condition_variable m_slotFreed;
   std::mt19937_64 m_random;
