--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -43,14 +43,14 @@
 int
 Run(const std::string& aRoot, const std::string& aFolder)
 {
-  Record record(aFolder + "/record.txt");
-  Store store;
+  auto& record = MakeLasting<Record>(aFolder + "/record.txt");
+  auto& store = MakeLasting<Store>();
   Address storeAddress = store.Start("127.0.0.1");
   store.Put("config", "main", kConfiguration);
-  Ledger ledger;
-  std::vector<std::unique_ptr<Searcher>> searchers;
+  auto& ledger = MakeLasting<Ledger>();
+  std::vector<Searcher*> searchers;
   auto addSearcher = [&](const std::string& aId, const std::string& aZone) {
-    searchers.push_back(std::make_unique<Searcher>(
+    searchers.push_back(&MakeLasting<Searcher>(
       SearcherOptions{ .m_id = aId, .m_service = "entry", .m_zone = aZone },
       ledger,
       record));
--- a/review/harness/http.h
+++ b/review/harness/http.h
@@ -273,6 +273,15 @@
   return text + "\r\n" + aResponse.m_body;
 }
 
+// Makes an object that lives until the process ends, as the threads of servers
+// do.
+template<typename Type, typename... Arguments>
+Type&
+MakeLasting(Arguments&&... aArguments)
+{
+  return *new Type(std::forward<Arguments>(aArguments)...);
+}
+
 // Serves each connection with a thread of its own. Runs until the process ends.
 class Server
 {
--- a/review/harness/record.h
+++ b/review/harness/record.h
@@ -26,7 +26,7 @@
       std::chrono::duration<double>(Clock::now() - m_start).count();
     char time[32];
     std::snprintf(time, sizeof(time), "%8.3f ", seconds);
-    m_file << time << aText << "\n";
+    m_file << time << aText << std::endl;
   }
 
   // Also prints the line.
@@ -37,12 +37,6 @@
     std::fflush(stdout);
   }
 
-  void Flush()
-  {
-    std::lock_guard lock(m_mutex);
-    m_file.flush();
-  }
-
 private:
   std::mutex m_mutex;
   std::ofstream m_file;
