--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,11 +1,10 @@
-// Instances that were never disturbed go on sending to a searcher whose entry
-// was removed, because they fetched the changes from one that had just
-// restarted.
-#include <array>
+// After a short silent cut of one instance's link to the store, the others miss
+// the next version of the configuration for good.
 #include <memory>
 
 #include "client.h"
 #include "fleet.h"
+#include "link.h"
 #include "searcher.h"
 #include "store.h"
 
@@ -13,32 +12,32 @@
 
 using namespace review;
 
-constexpr size_t kRounds = 8;
-// The instances that are killed at the same moment, and those that are judged:
-// nothing happens to them.
-constexpr std::array<size_t, 2> kKilled{ 0, 1 };
-constexpr std::array<size_t, 3> kJudged{ 2, 3, 4 };
-// `drainTimeoutMs` of the deployment.
-constexpr Milliseconds kDrain{ 3000 };
-// How long a searcher still serves after its entry was removed.
-constexpr Milliseconds kLastService{ 7000 };
-constexpr Milliseconds kRequestInterval{ 25 };
+constexpr size_t kRounds = 5;
+// The instance whose link is cut: it reads the store for the others.
+constexpr size_t kReader = 0;
+constexpr Milliseconds kCutLength{ 1500 };
+// `configApplyMs` of the deployment.
+constexpr Milliseconds kConfigApply{ 3000 };
+constexpr Milliseconds kCheckLength{ 4000 };
+constexpr Milliseconds kCheckInterval{ 50 };
 
-constexpr char kConfiguration[] =
-  R"({"version":1,"routes":[{"name":"entry","host":"desk.example",)"
-  R"("pathPrefix":"/entry/","kind":"safe","timeoutMs":5000,)"
-  R"("targetLatencyMs":500,"priority":1,"service":"entry","maxAttempts":2}],)"
-  R"("services":[{"name":"entry","healthCheckPath":"/health",)"
-  R"("maxConnections":82,"warmupS":3.0,"warmupPerS":0.0}],)"
-  R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
-  R"("headerTimeoutMs":5000,"idleTimeoutMs":15000}})";
-
-// An attempt and the judged instance to which it was sent.
-struct JudgedAttempt
+// Returns a version whose route leads to `aService`.
+std::string
+Configuration(int aVersion, const std::string& aService, int aTimeoutMs)
 {
-  std::string m_id;
-  size_t m_instance = 0;
-};
+  return R"({"version":)" + std::to_string(aVersion) +
+         R"(,"routes":[{"name":"entry","host":"desk.example",)"
+         R"("pathPrefix":"/entry/","kind":"safe","timeoutMs":)" +
+         std::to_string(aTimeoutMs) +
+         R"(,"targetLatencyMs":500,"priority":1,"service":")" + aService +
+         R"(","maxAttempts":2}],"services":[)"
+         R"({"name":"blue","healthCheckPath":"/health","maxConnections":82,)"
+         R"("warmupS":3.0,"warmupPerS":0.0},)"
+         R"({"name":"green","healthCheckPath":"/health","maxConnections":82,)"
+         R"("warmupS":3.0,"warmupPerS":0.0}],)"
+         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+         R"("headerTimeoutMs":5000,"idleTimeoutMs":15000}})";
+}
 
 int
 Run(const std::string& aRoot, const std::string& aFolder)
@@ -46,24 +45,36 @@
   auto& record = MakeLasting<Record>(aFolder + "/record.txt");
   auto& store = MakeLasting<Store>();
   Address storeAddress = store.Start("127.0.0.1");
-  store.Put("config", "main", kConfiguration);
+  std::vector<std::string> zones{ "east", "east", "west", "west", "south" };
+  std::vector<Link*> links;
+  std::vector<Address> storeAddresses;
+  for (size_t i = 0; i < zones.size(); ++i) {
+    links.push_back(&MakeLasting<Link>());
+    storeAddresses.push_back(links.back()->Start("127.0.0.1", storeAddress));
+  }
+  int version = 1;
+  auto putVersion = [&](const std::string& aService, int aTimeoutMs) {
+    store.Put("config", "main", Configuration(version, aService, aTimeoutMs));
+    record.Line("version " + std::to_string(version) +
+                " acknowledged: /entry/ to " + aService);
+    ++version;
+  };
+  putVersion("blue", 5000);
   auto& ledger = MakeLasting<Ledger>();
   std::vector<Searcher*> searchers;
-  auto addSearcher = [&](const std::string& aId, const std::string& aZone) {
-    searchers.push_back(&MakeLasting<Searcher>(
-      SearcherOptions{ .m_id = aId, .m_service = "entry", .m_zone = aZone },
-      ledger,
-      record));
-    searchers.back()->Start("127.0.0.1");
-    store.Put("servers", aId, searchers.back()->Entry());
-    record.Line(aId + " registers");
-  };
-  addSearcher("stays-east", "east");
-  addSearcher("stays-west", "west");
-  Fleet fleet(aRoot,
-              { "east", "east", "west", "east", "east" },
-              { storeAddress },
-              record);
+  for (const std::string service : { "blue", "green" }) {
+    for (const std::string zone : { "east", "west" }) {
+      searchers.push_back(&MakeLasting<Searcher>(
+        SearcherOptions{ .m_id = "searcher-" + service + "-" + zone,
+                         .m_service = service,
+                         .m_zone = zone },
+        ledger,
+        record));
+      searchers.back()->Start("127.0.0.1");
+      store.Put("servers", searchers.back()->Id(), searchers.back()->Entry());
+    }
+  }
+  Fleet fleet(aRoot, zones, storeAddresses, record);
   if (!fleet.PortsAreFree()) {
     return kCouldNotRun;
   }
@@ -74,80 +85,63 @@
     record.Note("the instances did not become ready");
     return kCouldNotRun;
   }
+  // All are in touch after this.
   std::this_thread::sleep_for(std::chrono::seconds(5));
-  std::mutex mutex;
-  std::vector<JudgedAttempt> sent;
-  std::atomic<bool> ends = false;
-  std::vector<std::thread> clients;
-  for (size_t i : kJudged) {
-    clients.emplace_back([&, i]() {
-      Client client({ .m_path = "/entry/7", .m_instance = fleet.Host(i) },
-                    fleet,
-                    i,
-                    record);
-      while (!ends) {
+  size_t checked = 0;
+  size_t stale = 0;
+  for (size_t round = 0; round < kRounds; ++round) {
+    std::string before = round % 2 == 0 ? "blue" : "green";
+    std::string after = round % 2 == 0 ? "green" : "blue";
+    if (IsTroubled()) {
+      links[kReader]->SetCut(true);
+      record.Line("the link of instance 0 to the store is cut");
+    }
+    std::this_thread::sleep_for(Milliseconds(300));
+    putVersion(before, 4900);
+    std::this_thread::sleep_for(Milliseconds(400));
+    putVersion(before, 5000);
+    std::this_thread::sleep_for(kCutLength - Milliseconds(700));
+    links[kReader]->SetCut(false);
+    record.Line("the link of instance 0 to the store works");
+    std::this_thread::sleep_for(Milliseconds(1000));
+    putVersion(after, 5000);
+    std::this_thread::sleep_for(kConfigApply + Milliseconds(200));
+    TimePoint end = Clock::now() + kCheckLength;
+    while (Clock::now() < end) {
+      // The instance whose link was cut isn't judged.
+      for (size_t i = 0; i < fleet.Count(); ++i) {
+        if (i == kReader) {
+          continue;
+        }
+        Client client({ .m_path = "/entry/7", .m_instance = fleet.Host(i) },
+                      fleet,
+                      i,
+                      record);
         std::vector<AttemptResult> attempts = client.Send();
-        std::this_thread::sleep_for(kRequestInterval);
-        std::lock_guard lock(mutex);
         for (const AttemptResult& attempt : attempts) {
-          sent.push_back({ attempt.m_id, i });
+          std::vector<SearcherRun> runs = ledger.RunsOf(attempt.m_id);
+          for (const SearcherRun& run : runs) {
+            ++checked;
+            if (!run.m_searcher.starts_with("searcher-" + after)) {
+              ++stale;
+              record.Line("CONFIG: instance " + std::to_string(i) + " sent " +
+                          attempt.m_id + " to " + run.m_searcher +
+                          " over 3 s after a version gave its route to " +
+                          after);
+            }
+          }
         }
       }
-    });
-  }
-  std::map<std::string, TimePoint> removedAt;
-  for (size_t round = 1; round <= kRounds; ++round) {
-    std::string leaving = "leaves-" + std::to_string(round);
-    addSearcher(leaving, "east");
-    std::this_thread::sleep_for(Milliseconds(1500));
-    if (IsTroubled()) {
-      for (size_t i : kKilled) {
-        fleet.Kill(i);
-      }
-    }
-    std::this_thread::sleep_for(Milliseconds(150));
-    store.Remove("servers", leaving);
-    removedAt[leaving] = Clock::now();
-    record.Line("the entry of " + leaving + " is removed; it still serves");
-    // Processes that ended start again after a short delay.
-    std::this_thread::sleep_for(Milliseconds(200));
-    if (IsTroubled()) {
-      for (size_t i : kKilled) {
-        fleet.Start(i);
-      }
+      std::this_thread::sleep_for(kCheckInterval);
     }
-    std::this_thread::sleep_until(removedAt[leaving] + kLastService);
-    searchers.back()->End();
-    record.Line(leaving + " ends");
-  }
-  ends = true;
-  for (std::thread& client : clients) {
-    client.join();
-  }
-  std::map<std::string, size_t> late;
-  size_t total = 0;
-  for (const JudgedAttempt& attempt : sent) {
-    for (const SearcherRun& run : ledger.RunsOf(attempt.m_id)) {
-      auto removed = removedAt.find(run.m_searcher);
-      if (removed != removedAt.end() && run.m_at > removed->second + kDrain) {
-        ++total;
-        ++late[run.m_searcher];
-        record.Line("DRAIN: instance " + std::to_string(attempt.m_instance) +
-                    " sent " + attempt.m_id + " to " + run.m_searcher +
-                    " over 3 s after its entry was removed");
-      }
-    }
-  }
-  for (const auto& [searcher, count] : late) {
-    record.Note(searcher + " ran " + std::to_string(count) +
-                " requests later than 3 s after its entry was removed");
+    record.Note("round " + std::to_string(round + 1) + ": " +
+                std::to_string(stale) + " of " + std::to_string(checked) +
+                " requests so far ran as only an older version allows");
   }
-  record.Note(std::to_string(total) + " of " + std::to_string(sent.size()) +
-              " requests at instances that were never disturbed");
-  if (sent.empty()) {
+  if (checked == 0) {
     return kCouldNotRun;
   }
-  return total > 0 ? kBroken : kHeld;
+  return stale > 0 ? kBroken : kHeld;
 }
 
 } // namespace
--- a/review/harness/client.h
+++ b/review/harness/client.h
@@ -33,6 +33,7 @@
 {
   std::string m_id;
   int m_status = 0;
+  Headers m_headers;
 };
 
 inline std::string
@@ -114,6 +115,7 @@
     if (m_connection->Write(Serialize(request)) &&
         m_connection->Read(response, aDeadline)) {
       result.m_status = response.m_status;
+      result.m_headers = response.m_headers;
       aRetryAfter = std::chrono::duration<double>(
         std::atof(FindHeader(response.m_headers, "retry-after").c_str()));
     }
--- a/review/harness/searcher.h
+++ b/review/harness/searcher.h
@@ -59,6 +59,8 @@
   // The share of the answers of which a second copy is sent: late, where the
   // next answer on the connection is expected.
   double m_extraAnswers = 0;
+  // Whether second copies break off somewhere.
+  bool m_breaksOffCopies = false;
   // The fault lasts for this long, and comes again after the pause.
   Milliseconds m_faultLength{ 5000 };
   Milliseconds m_faultPause{ 2000 };
@@ -122,7 +124,7 @@
         return;
       }
       if (IsChosenForSecondCopy()) {
-        secondCopy = bytes;
+        secondCopy = m_options.m_breaksOffCopies ? BreakOff(bytes) : bytes;
       }
     }
   }
@@ -137,6 +139,12 @@
              m_options.m_extraAnswers;
   }
 
+  std::string BreakOff(const std::string& aBytes)
+  {
+    std::lock_guard lock(m_mutex);
+    return aBytes.substr(0, 1 + m_random() % (aBytes.size() - 1));
+  }
+
   Response Answer(const Request& aRequest)
   {
     std::string attempt = FindHeader(aRequest.m_headers, "attempt-id");
