Client: an attempt does not use the connection of an earlier one of its request

Cause: an upstream rejects a request, and the retry goes to it on the same connection. A late second copy of the rejection arrives first. All attempts of a request have the caller's identifier, so the copy passed as the answer to the retry: the instance refused a request that ran, or sent it again.

Change: a call can exclude connections by their number, and a retry excludes those that carried earlier attempts of its sub-request. A copy then meets an idle connection, which is closed, or a request with another identifier, which skips it. Idempotent routes had the same fault and share the change.

--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -119,6 +119,9 @@
     if (!m_route.m_idempotent) {
       call.m_maxIdleTime = m_service.m_options.m_maxIdleForNonIdempotent;
     }
+    if (aAttempt > 0) {
+      call.m_excludedConnections = UsedConnections(aSubRequest);
+    }
     call.m_acceptsResponse =
       [protocol = &m_service.m_protocol,
        id = m_caller.m_attemptId](const Http1Response& aResponse) {
@@ -201,6 +204,22 @@
     });
   }
 
+  // Returns the connections that carried earlier attempts of a sub-request. All
+  // attempts have the caller's identifier, by which upstreams mark their
+  // answers.
+  [[nodiscard]] std::vector<uint64_t> UsedConnections(
+    uint32_t aSubRequest) const
+  {
+    std::vector<uint64_t> connections;
+    for (const AttemptRecord& record : m_attempts) {
+      if (record.m_subRequest == aSubRequest &&
+          record.m_upstreamAttempt->m_connection != 0) {
+        connections.push_back(record.m_upstreamAttempt->m_connection);
+      }
+    }
+    return connections;
+  }
+
   // Adds the signature of a part; returns false if the request already has it,
   // since each part counts once.
   bool AddSignature(const UpstreamAnswer& aAnswer)
@@ -512,6 +531,7 @@
       break;
   }
   aAttempt->m_httpCall = 0;
+  aAttempt->m_connection = aResult.m_connection;
   RecordOutcome(*aAttempt, answer.m_outcome, aResult.m_problem);
   if (std::shared_ptr<RequestJob> job = aAttempt->m_job.lock()) {
     job->OnOutcome(aAttempt->m_subRequest,
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -83,6 +83,8 @@
     TimePoint m_sentAt;
     // The HTTP client's call; 0 once it has ended.
     uint64_t m_httpCall = 0;
+    // The connection that carried the call; 0 until the call has ended.
+    uint64_t m_connection = 0;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
   };
--- a/packages/runtime/http1/client.cc
+++ b/packages/runtime/http1/client.cc
@@ -38,8 +38,11 @@
 class Http1ClientConnection final : public TcpObserver
 {
 public:
-  Http1ClientConnection(Http1Client& aClient, Address aAddress)
+  Http1ClientConnection(Http1Client& aClient,
+                        uint64_t aNumber,
+                        Address aAddress)
     : m_client(aClient)
+    , m_number(aNumber)
     , m_address(std::move(aAddress))
     , m_parser(Http1Parser::Kind::kResponse, aClient.m_options.m_limits)
     , m_timer(aClient.m_loop, [this]() { OnTimer(); })
@@ -135,6 +138,7 @@
     m_timer.Set(std::nullopt);
   }
 
+  [[nodiscard]] uint64_t Number() const { return m_number; }
   [[nodiscard]] const Address& RemoteAddress() const { return m_address; }
   [[nodiscard]] TimePoint IdleSince() const { return m_idleSince; }
   [[nodiscard]] size_t BufferedBytes() const { return m_bufferedBytes; }
@@ -182,13 +186,17 @@
     m_client.OnCallFinished(m_id,
                             reusable,
                             { .m_outcome = Http1Outcome::kAnswered,
-                              .m_response = std::move(m_parser.Response()) });
+                              .m_response = std::move(m_parser.Response()),
+                              .m_connection = m_number });
   }
 
   void Finish(Http1Outcome aOutcome, std::string_view aProblem)
   {
-    m_client.OnCallFinished(
-      m_id, false, { .m_outcome = aOutcome, .m_problem = aProblem });
+    m_client.OnCallFinished(m_id,
+                            false,
+                            { .m_outcome = aOutcome,
+                              .m_problem = aProblem,
+                              .m_connection = m_number });
   }
 
   void OnTimer()
@@ -201,6 +209,7 @@
   }
 
   Http1Client& m_client;
+  uint64_t m_number;
   Address m_address;
   std::unique_ptr<TcpStream> m_stream;
   Http1Parser m_parser;
@@ -233,11 +242,11 @@
 Http1Client::Send(Http1Call aCall, Callback aCallback)
 {
   uint64_t id = m_nextCall++;
-  std::unique_ptr<Connection> connection =
-    TakeIdle(aCall.m_address, aCall.m_maxIdleTime);
+  std::unique_ptr<Connection> connection = TakeIdle(aCall);
   if (connection == nullptr) {
     ++m_connectionsOpened;
-    connection = std::make_unique<Connection>(*this, aCall.m_address);
+    connection =
+      std::make_unique<Connection>(*this, m_connectionsOpened, aCall.m_address);
   }
   Connection* pointer = connection.get();
   m_running[id] = { std::move(connection), std::move(aCallback) };
@@ -258,21 +267,28 @@
 }
 
 std::unique_ptr<Http1Client::Connection>
-Http1Client::TakeIdle(const Address& aAddress, Duration aMaxIdleTime)
+Http1Client::TakeIdle(const Http1Call& aCall)
 {
-  auto found = m_idle.find(FormatAddress(aAddress));
+  auto found = m_idle.find(FormatAddress(aCall.m_address));
   if (found == m_idle.end()) {
     return nullptr;
   }
   TimePoint now = m_loop.Now();
   std::vector<std::unique_ptr<Connection>>& kept = found->second;
-  while (!kept.empty()) {
-    std::unique_ptr<Connection> connection = std::move(kept.back());
-    kept.pop_back();
+  // Excluded connections stay for other calls.
+  auto mayTake = [&](const std::unique_ptr<Connection>& aKept) {
+    return std::ranges::find(aCall.m_excludedConnections, aKept->Number()) ==
+           aCall.m_excludedConnections.end();
+  };
+  auto last = std::ranges::find_if(kept.rbegin(), kept.rend(), mayTake);
+  while (last != kept.rend()) {
+    std::unique_ptr<Connection> connection = std::move(*last);
+    kept.erase(std::next(last).base());
     if (!connection->IsIdleTimeoutOver(now) &&
-        now - connection->IdleSince() <= aMaxIdleTime) {
+        now - connection->IdleSince() <= aCall.m_maxIdleTime) {
       return connection;
     }
+    last = std::ranges::find_if(kept.rbegin(), kept.rend(), mayTake);
   }
   return nullptr;
 }
--- a/packages/runtime/http1/client.h
+++ b/packages/runtime/http1/client.h
@@ -42,6 +42,9 @@
   Http1Response m_response;
   // If there is no answer, a stable word for logs, such as "reset".
   std::string_view m_problem;
+  // The number of the connection that carried the call, which identifies it for
+  // the lifetime of the client; never 0.
+  uint64_t m_connection = 0;
 };
 
 struct Http1Call
@@ -57,6 +60,10 @@
   Duration m_timeout = Seconds(5);
   // Connections that were idle for longer are not used.
   Duration m_maxIdleTime = Seconds(60);
+  // The numbers of connections that are not used. A repeated request that has
+  // the same identifier as the first one needs another connection: on the old
+  // one, a second copy of the first answer would look like the answer to it.
+  std::vector<uint64_t> m_excludedConnections;
   // Returns whether an answer belongs to this request. Other answers are
   // skipped, and the connection is then not used again. If empty, any answer is
   // accepted.
@@ -108,8 +115,9 @@
   friend class Http1ClientConnection;
   using Connection = class Http1ClientConnection;
 
-  std::unique_ptr<Connection> TakeIdle(const Address& aAddress,
-                                       Duration aMaxIdleTime);
+  // Returns the idle connection that the call can use and that was used last;
+  // null if there is none.
+  std::unique_ptr<Connection> TakeIdle(const Http1Call& aCall);
   void OnCallFinished(uint64_t aCall, bool aReusable, Http1Result aResult);
   // Breaks off the call with the longest incomplete answer if too many bytes
   // are held.
