Feeds: no statement of the store gets a revision that it did not state

Cause: a watch's events got at least the revision after the one to which the feed was complete when the answer arrived. If a peer had brought the feed further while the answer was on its way, the old version got a newer revision than the peer's, and the version that truly has this revision was dropped by all instances as known, for good.

Change: an object holds as of the revision of the answer that states it, and an answer or a peer's feed that is older than what the feed is complete to changes nothing, nor the feed's age. Removals get the answer's revision: the revision after the watch's start was too low for peers that were complete beyond it. A change that a watch has missed gets a later revision, so that complete peers fetch it. Unseen changes are counted from where the watch began.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -1,7 +1,6 @@
 #include "core/feed/object_feed.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace ebonykeel {
@@ -13,7 +12,30 @@
 } // namespace
 
 bool
-ObjectFeed::Apply(FeedObject aObject)
+ObjectFeed::Apply(FeedObject aObject, uint64_t aAsOf)
+{
+  const FeedObject* known = Find(aObject.m_name);
+  uint64_t statedAt = aObject.m_deleted ? aAsOf : aObject.m_revision;
+  bool older = known != nullptr && statedAt < known->m_revision;
+  if (aAsOf < m_completeTo || older) {
+    return false;
+  }
+  // Other instances count as complete up to this feed's revision and fetch only
+  // later changes. A change that was missed until now gets a later revision.
+  bool missed = statedAt <= m_completeTo;
+  aObject.m_revision = missed ? aAsOf : statedAt;
+  std::string name = aObject.m_name;
+  if (!Store(std::move(aObject))) {
+    return false;
+  }
+  if (aAsOf == m_completeTo) {
+    m_missedChanges.insert(std::move(name));
+  }
+  return true;
+}
+
+bool
+ObjectFeed::Store(FeedObject aObject)
 {
   auto found = m_objects.find(aObject.m_name);
   if (found != m_objects.end()) {
@@ -47,7 +69,7 @@
     }
   }
   for (const std::string& name : removed) {
-    Apply({ .m_name = name, .m_revision = aRevision, .m_deleted = true });
+    Store({ .m_name = name, .m_revision = aRevision, .m_deleted = true });
   }
   return removed;
 }
@@ -59,10 +81,28 @@
   // empty, so that other instances can tell that it is complete.
   m_contentRevision =
     std::max(m_contentRevision, m_completeTo == 0 ? aRevision : 0);
-  m_completeTo = std::max(m_completeTo, aRevision);
+  if (aRevision < m_completeTo) {
+    return;
+  }
+  if (aRevision > m_completeTo) {
+    RestampMissedChanges(aRevision);
+  }
+  m_completeTo = aRevision;
   m_completeAsOf = std::max(m_completeAsOf.value_or(aNow), aNow);
 }
 
+void
+ObjectFeed::RestampMissedChanges(uint64_t aRevision)
+{
+  for (const std::string& name : std::exchange(m_missedChanges, {})) {
+    auto found = m_objects.find(name);
+    if (found != m_objects.end()) {
+      found->second.m_revision = std::max(found->second.m_revision, aRevision);
+      m_contentRevision = std::max(m_contentRevision, aRevision);
+    }
+  }
+}
+
 FeedDelta
 ObjectFeed::ChangesSince(uint64_t aRevision, TimePoint aNow) const
 {
@@ -84,14 +124,15 @@
                   TimePoint aNow,
                   const std::function<void(const FeedObject&)>& aChanged)
 {
-  // A feed that was never complete has nothing to merge.
-  if (aDelta.m_completeTo == 0) {
+  // A feed that was never complete has nothing to merge, and an older one has
+  // nothing new.
+  if (aDelta.m_completeTo == 0 || aDelta.m_completeTo < m_completeTo) {
     return;
   }
   for (const FeedObject& object : aDelta.m_objects) {
     const FeedObject* known = Find(object.m_name);
     bool newer = known == nullptr || known->m_revision < object.m_revision;
-    if (newer && Apply(object)) {
+    if (newer && Store(object)) {
       aChanged(object);
     }
   }
@@ -105,9 +146,7 @@
       aChanged(*Find(name));
     }
   }
-  if (aDelta.m_completeTo >= m_completeTo) {
-    MarkCompleteTo(aDelta.m_completeTo, aNow - aDelta.m_age);
-  }
+  MarkCompleteTo(aDelta.m_completeTo, aNow - aDelta.m_age);
 }
 
 void
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -5,8 +5,12 @@
 // merge deltas that they fetch from a reader or from each other. The payloads
 // of objects are opaque here.
 //
+// Each object states what it was like at a revision of the store. A statement
+// that is older than what the feed is complete to is ignored, whichever way it
+// comes: the feed holds it already, or something newer.
+//
 //   ObjectFeed feed;
-//   feed.Apply({ .m_name = "a", .m_revision = 7, .m_payload = "{}" });
+//   feed.Apply({ .m_name = "a", .m_revision = 7, .m_payload = "{}" }, 9);
 //   feed.MarkCompleteTo(9, now);
 //   FeedDelta delta = feed.ChangesSince(5, now);
 //   other.Merge(delta, now, [](const FeedObject& aObject) { ... });
@@ -16,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,7 +34,9 @@
 struct FeedObject
 {
   std::string m_name;
-  // The store's revision at which this content was first seen.
+  // The store's revision at which the object got this content, or a later one
+  // at which it had it. Never a revision that the store has not reached: it
+  // would hide the change that gets this revision.
   uint64_t m_revision = 0;
   bool m_deleted = false;
   std::string m_payload;
@@ -53,9 +60,10 @@
 class ObjectFeed
 {
 public:
-  // Applies an object that was read from the store; returns whether its content
-  // changed. `m_revision` must be the store's.
-  bool Apply(FeedObject aObject);
+  // Applies what the store stated about an object as of its revision `aAsOf`;
+  // returns whether the content changed. The revision of a removed object is
+  // not used: the store does not state when it removed it.
+  bool Apply(FeedObject aObject, uint64_t aAsOf);
   // Marks every object that is not in `aNames` as removed, at the revision of a
   // complete list; returns the names that were removed.
   std::vector<std::string> RemoveAllExcept(
@@ -69,7 +77,7 @@
   [[nodiscard]] FeedDelta ChangesSince(uint64_t aRevision,
                                        TimePoint aNow) const;
   // Merges another instance's changes; calls `aChanged` for each object whose
-  // content changed.
+  // content changed. Does nothing if this feed is complete to a later revision.
   void Merge(const FeedDelta& aDelta,
              TimePoint aNow,
              const std::function<void(const FeedObject&)>& aChanged);
@@ -90,6 +98,12 @@
   [[nodiscard]] std::optional<Duration> Age(TimePoint aNow) const;
 
 private:
+  // Stores an object unless it is known at a later revision; returns whether
+  // its content changed.
+  bool Store(FeedObject aObject);
+  // Gives the missed changes the revision `aRevision`, to which the feed is now
+  // complete, so that other instances fetch them.
+  void RestampMissedChanges(uint64_t aRevision);
   void Prune();
 
   std::map<std::string, FeedObject, std::less<>> m_objects;
@@ -98,6 +112,9 @@
   // Tombstones up to this revision have been pruned.
   uint64_t m_prunedTo = 0;
   size_t m_tombstoneCount = 0;
+  // Objects whose last change was seen when the feed already counted as
+  // complete to its revision.
+  std::set<std::string> m_missedChanges;
   std::optional<TimePoint> m_completeAsOf;
 };
 
--- a/packages/core/feed/object_feed_test.cc
+++ b/packages/core/feed/object_feed_test.cc
@@ -30,7 +30,7 @@
 {
   ObjectFeed reader;
   ObjectFeed other;
-  DOCTEST_CHECK(reader.Apply(Object("a", 3)));
+  DOCTEST_CHECK(reader.Apply(Object("a", 3), 3));
   reader.MarkCompleteTo(5, kStart);
   DOCTEST_CHECK(MergeFrom(other, reader) == std::vector<std::string>{ "a+" });
   DOCTEST_CHECK(other.CompleteRevision() == 5);
@@ -40,16 +40,16 @@
 DOCTEST_TEST_CASE("a new revision with the same content is not a change")
 {
   ObjectFeed feed;
-  DOCTEST_CHECK(feed.Apply(Object("a", 3)));
-  DOCTEST_CHECK_FALSE(feed.Apply(Object("a", 9)));
+  DOCTEST_CHECK(feed.Apply(Object("a", 3), 3));
+  DOCTEST_CHECK_FALSE(feed.Apply(Object("a", 9), 9));
   DOCTEST_CHECK(feed.ContentRevision() == 3);
 }
 
 DOCTEST_TEST_CASE("an older revision never replaces a newer one")
 {
   ObjectFeed feed;
-  DOCTEST_CHECK(feed.Apply(Object("a", 9, "new")));
-  DOCTEST_CHECK_FALSE(feed.Apply(Object("a", 3, "old")));
+  DOCTEST_CHECK(feed.Apply(Object("a", 9, "new"), 9));
+  DOCTEST_CHECK_FALSE(feed.Apply(Object("a", 3, "old"), 3));
   DOCTEST_CHECK(feed.Find("a")->m_payload == "new");
 }
 
@@ -57,8 +57,8 @@
 {
   ObjectFeed reader;
   ObjectFeed other;
-  (void)reader.Apply(Object("a", 3));
-  (void)reader.Apply(Object("b", 4));
+  (void)reader.Apply(Object("a", 3), 3);
+  (void)reader.Apply(Object("b", 4), 4);
   reader.MarkCompleteTo(4, kStart);
   (void)MergeFrom(other, reader);
   DOCTEST_CHECK(reader.RemoveAllExcept({ "b" }, 7) ==
@@ -67,7 +67,7 @@
   DOCTEST_CHECK(MergeFrom(other, reader) == std::vector<std::string>{ "a-" });
 
   ObjectFeed stale;
-  (void)stale.Apply(Object("c", 1));
+  (void)stale.Apply(Object("c", 1), 1);
   FeedDelta snapshot = reader.ChangesSince(0, kStart);
   std::vector<std::string> removed;
   stale.Merge(snapshot, kStart, [&](const FeedObject& aObject) {
@@ -81,10 +81,10 @@
 DOCTEST_TEST_CASE("an older snapshot removes nothing")
 {
   ObjectFeed fresh;
-  (void)fresh.Apply(Object("new", 9));
+  (void)fresh.Apply(Object("new", 9), 9);
   fresh.MarkCompleteTo(9, kStart);
   ObjectFeed old;
-  (void)old.Apply(Object("a", 3));
+  (void)old.Apply(Object("a", 3), 3);
   old.MarkCompleteTo(4, kStart);
   fresh.Merge(old.ChangesSince(0, kStart), kStart, [](const FeedObject&) {});
   DOCTEST_CHECK_FALSE(fresh.Find("new")->m_deleted);
@@ -96,7 +96,7 @@
   ObjectFeed reader;
   ObjectFeed other;
   DOCTEST_CHECK_FALSE(other.Age(kStart).has_value());
-  (void)reader.Apply(Object("a", 3));
+  (void)reader.Apply(Object("a", 3), 3);
   reader.MarkCompleteTo(3, kStart);
   (void)MergeFrom(other, reader, kStart + Milliseconds(400));
   DOCTEST_CHECK(other.Age(kStart + Milliseconds(500)) == Milliseconds(500));
@@ -121,5 +121,96 @@
   DOCTEST_CHECK(other.Age(kStart).has_value());
 }
 
+// Guards against a version of the configuration that is missed for good: a
+// watch's answer that came late got a newer revision than what peers had told.
+DOCTEST_TEST_CASE("a late statement of the store does not hide newer changes")
+{
+  ObjectFeed peer;
+  (void)peer.Apply(Object("main", 12, "B"), 12);
+  peer.MarkCompleteTo(12, kStart);
+  ObjectFeed feed;
+  (void)feed.Apply(Object("main", 10, "old"), 10);
+  feed.MarkCompleteTo(10, kStart);
+  (void)MergeFrom(feed, peer);
+
+  DOCTEST_CHECK_FALSE(feed.Apply(Object("main", 11, "A"), 11));
+  feed.MarkCompleteTo(11, kStart + Seconds(2));
+  DOCTEST_CHECK(feed.Find("main")->m_payload == "B");
+  DOCTEST_CHECK(feed.CompleteRevision() == 12);
+  DOCTEST_CHECK(feed.Age(kStart + Seconds(2)) == Seconds(2));
+
+  (void)peer.Apply(Object("main", 13, "C"), 13);
+  peer.MarkCompleteTo(13, kStart);
+  (void)MergeFrom(feed, peer);
+  DOCTEST_CHECK(feed.Find("main")->m_payload == "C");
+}
+
+DOCTEST_TEST_CASE("a late removal does not take back what peers told")
+{
+  ObjectFeed feed;
+  (void)feed.Apply(Object("zone", 9), 9);
+  feed.MarkCompleteTo(9, kStart);
+  // The peer saw the object removed at 11 and added again at 12.
+  ObjectFeed peer;
+  (void)peer.Apply(Object("zone", 12), 12);
+  peer.MarkCompleteTo(12, kStart);
+  (void)MergeFrom(feed, peer);
+  DOCTEST_CHECK_FALSE(
+    feed.Apply({ .m_name = "zone", .m_revision = 9, .m_deleted = true }, 11));
+  DOCTEST_CHECK_FALSE(feed.Find("zone")->m_deleted);
+}
+
+DOCTEST_TEST_CASE("a late delta of a peer does not bring an old state back")
+{
+  ObjectFeed late;
+  (void)late.Apply(Object("a", 7, "old"), 7);
+  late.MarkCompleteTo(7, kStart);
+  ObjectFeed feed;
+  (void)feed.Apply(Object("a", 5, "new"), 5);
+  feed.MarkCompleteTo(5, kStart);
+  FeedDelta delta = late.ChangesSince(5, kStart);
+  // The object has its first content again.
+  ObjectFeed peer;
+  (void)peer.Apply(Object("a", 9, "new"), 9);
+  peer.MarkCompleteTo(9, kStart);
+  (void)MergeFrom(feed, peer);
+  feed.Merge(delta, kStart, [](const FeedObject&) {});
+  DOCTEST_CHECK(feed.Find("a")->m_payload == "new");
+}
+
+DOCTEST_TEST_CASE(
+  "a removal reaches peers that are complete to its watch's start")
+{
+  ObjectFeed reader;
+  ObjectFeed other;
+  (void)reader.Apply(Object("a", 3), 3);
+  reader.MarkCompleteTo(5, kStart);
+  (void)MergeFrom(other, reader);
+  other.MarkCompleteTo(8, kStart);
+  (void)reader.Apply({ .m_name = "a", .m_revision = 3, .m_deleted = true }, 9);
+  reader.MarkCompleteTo(9, kStart);
+  DOCTEST_CHECK(MergeFrom(other, reader) == std::vector<std::string>{ "a-" });
+}
+
+DOCTEST_TEST_CASE("a change that a watch missed reaches complete peers")
+{
+  ObjectFeed reader;
+  ObjectFeed other;
+  (void)reader.Apply(Object("a", 3, "old"), 3);
+  reader.MarkCompleteTo(8, kStart);
+  (void)MergeFrom(other, reader);
+  // A list shows the change of revision 6.
+  DOCTEST_SUBCASE("the store has moved on")
+  {
+    (void)reader.Apply(Object("a", 6, "new"), 9);
+  }
+  DOCTEST_SUBCASE("the store has not changed since")
+  {
+    (void)reader.Apply(Object("a", 6, "new"), 8);
+  }
+  reader.MarkCompleteTo(9, kStart);
+  DOCTEST_CHECK(MergeFrom(other, reader) == std::vector<std::string>{ "a+" });
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -10,6 +10,26 @@
 
 constexpr int kOkStatus = 200;
 
+// Returns the last state of each object that the events name, in the order of
+// the names.
+std::vector<FeedObject>
+LastStates(std::vector<FeedObject> aEvents)
+{
+  std::map<std::string, FeedObject> last;
+  for (FeedObject& event : aEvents) {
+    FeedObject& state = last[event.m_name];
+    // The store states the revision of the last change before a removal.
+    if (event.m_revision >= state.m_revision) {
+      state = std::move(event);
+    }
+  }
+  std::vector<FeedObject> states;
+  for (auto& [name, state] : last) {
+    states.push_back(std::move(state));
+  }
+  return states;
+}
+
 } // namespace
 
 std::string_view
@@ -144,12 +164,13 @@
   Duration wait = aKind.m_kind == FeedKind::kReplicas
                     ? m_options.m_replicaWatchDuration
                     : m_options.m_watchDuration;
-  aKind.m_httpCall = Call(m_protocol.MakeWatchRequest(
-                            aKind.m_kind, Feed(aKind).CompleteRevision(), wait),
-                          m_options.m_callTimeout + wait,
-                          [this, &aKind](const Http1Result& aResult) {
-                            OnWatchAnswer(aKind, aResult);
-                          });
+  aKind.m_watchSinceRevision = Feed(aKind).CompleteRevision();
+  aKind.m_httpCall = Call(
+    m_protocol.MakeWatchRequest(aKind.m_kind, aKind.m_watchSinceRevision, wait),
+    m_options.m_callTimeout + wait,
+    [this, &aKind](const Http1Result& aResult) {
+      OnWatchAnswer(aKind, aResult);
+    });
 }
 
 void
@@ -197,7 +218,7 @@
     if (!object.m_deleted) {
       aKind.m_listedNames.push_back(object.m_name);
     }
-    changed = Apply(aKind, std::move(object)) || changed;
+    changed = Apply(aKind, std::move(object), page->m_asOfRevision) || changed;
   }
   aKind.m_listAfter = page->m_nextAfter;
   if (!aKind.m_listAfter.empty()) {
@@ -211,9 +232,8 @@
        Feed(aKind).ChangesSince(0, m_loop.Now()).m_objects) {
     if (!listed.contains(object.m_name)) {
       changed = Apply(aKind,
-                      { .m_name = object.m_name,
-                        .m_revision = aKind.m_listAsOfRevision,
-                        .m_deleted = true }) ||
+                      { .m_name = object.m_name, .m_deleted = true },
+                      aKind.m_listAsOfRevision) ||
                 changed;
     }
   }
@@ -244,17 +264,15 @@
     return;
   }
   HoldRemovalsAfterOutage(aKind);
-  uint64_t since = Feed(aKind).CompleteRevision();
   if (aKind.m_kind == FeedKind::kReplicas) {
-    DetectUnseenChanges(
-      since, events->m_asOfRevision, events->m_objects.size());
+    DetectUnseenChanges(aKind.m_watchSinceRevision,
+                        events->m_asOfRevision,
+                        events->m_objects.size());
   }
   bool changed = false;
-  for (FeedObject& object : events->m_objects) {
-    // A change that a watch reports happened after the revision at which the
-    // watch began, even if the object states the revision of an earlier change.
-    object.m_revision = std::max(object.m_revision, since + 1);
-    changed = Apply(aKind, std::move(object)) || changed;
+  for (FeedObject& object : LastStates(std::move(events->m_objects))) {
+    changed =
+      Apply(aKind, std::move(object), events->m_asOfRevision) || changed;
   }
   OnSuccess(aKind, events->m_asOfRevision, changed);
 }
@@ -272,8 +290,12 @@
 }
 
 bool
-StoreReader::Apply(KindState& aKind, FeedObject aObject)
+StoreReader::Apply(KindState& aKind, FeedObject aObject, uint64_t aAsOf)
 {
+  // Peers have told this state already, or a later one.
+  if (aAsOf < Feed(aKind).CompleteRevision()) {
+    return false;
+  }
   if (aKind.m_kind == FeedKind::kReplicas) {
     bool removal = aObject.m_deleted;
     const FeedObject* current = Feed(aKind).Find(aObject.m_name);
@@ -286,7 +308,7 @@
     m_heldRemovals.erase(aObject.m_name);
   }
   std::string name = aObject.m_name;
-  if (!Feed(aKind).Apply(std::move(aObject))) {
+  if (!Feed(aKind).Apply(std::move(aObject), aAsOf)) {
     return false;
   }
   m_observer.OnObjectChanged(aKind.m_kind, *Feed(aKind).Find(name));
@@ -305,8 +327,7 @@
               { { "count", absl::StrCat(held.size()) } });
   bool changed = false;
   for (auto& [name, object] : held) {
-    object.m_revision = aRevision;
-    changed = Apply(aKind, std::move(object)) || changed;
+    changed = Apply(aKind, std::move(object), aRevision) || changed;
   }
   return changed;
 }
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -101,6 +101,9 @@
     std::vector<std::string> m_listedNames;
     // The revision of the first page.
     uint64_t m_listAsOfRevision = 0;
+    // The revision at which the watch began. Peers may bring the feed further
+    // while the watch's answer is on its way.
+    uint64_t m_watchSinceRevision = 0;
     std::unique_ptr<UvTimer> m_timer;
   };
 
@@ -116,10 +119,10 @@
   // Holds removals back if the feed of registrations is old enough for an
   // outage: registrations that are missing now may have expired during it.
   void HoldRemovalsAfterOutage(const KindState& aKind);
-  // Applies an object to the feed or holds its removal back; returns whether
-  // the feed changed.
-  bool Apply(KindState& aKind, FeedObject aObject);
-  // Applies the held removals at `aRevision` once they need not be held any
+  // Applies an object, as of the store's revision `aAsOf`, to the feed or holds
+  // its removal back; returns whether the feed changed.
+  bool Apply(KindState& aKind, FeedObject aObject, uint64_t aAsOf);
+  // Applies the held removals as of `aRevision` once they need not be held any
   // longer; returns whether the feed changed.
   bool ReleaseHeldRemovals(KindState& aKind, uint64_t aRevision);
   void OnSuccess(KindState& aKind, uint64_t aAsOfRevision, bool aChanged);
