Client: an answer that does not state its request counts once, on a new connection

Change: such an answer is accepted only as the first one on its connection, and the connection is not used again; elsewhere it is skipped. A request without an identifier gets a connection of its own.

--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -122,10 +122,12 @@
     if (aAttempt > 0) {
       call.m_excludedConnections = UsedConnections(aSubRequest);
     }
-    call.m_acceptsResponse =
+    // Answers to requests without an identifier cannot be told apart.
+    call.m_mayReuseConnection = !m_caller.m_attemptId.empty();
+    call.m_matchAnswer =
       [protocol = &m_service.m_protocol,
        id = m_caller.m_attemptId](const Http1Response& aResponse) {
-        return protocol->BelongsToAttempt(aResponse, id);
+        return protocol->MatchAnswer(aResponse, id);
       };
     attempt->m_httpCall = m_service.m_client.Send(
       std::move(call), [service = &m_service, attempt](Http1Result aResult) {
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -19,6 +19,7 @@
 #include "core/forward/forward_run.h"
 #include "core/replica/replica.h"
 #include "core/traffic/traffic_config.h"
+#include "runtime/http1/client.h"
 #include "runtime/http1/message.h"
 
 namespace ebonykeel {
@@ -61,9 +62,9 @@
     const Http1Request& aRequest,
     const Replica& aReplica,
     Duration aDeadline) const = 0;
-  // Returns whether an answer belongs to the caller attempt `aAttemptId`. An
-  // answer without an identifier counts as belonging to it.
-  [[nodiscard]] virtual bool BelongsToAttempt(
+  // Returns whether an answer belongs to the caller attempt `aAttemptId`, which
+  // is empty if the caller gave no identifier.
+  [[nodiscard]] virtual Http1AnswerMatch MatchAnswer(
     const Http1Response& aResponse,
     std::string_view aAttemptId) const = 0;
   [[nodiscard]] virtual UpstreamAnswer ReadUpstreamAnswer(
--- a/packages/runtime/http1/client.cc
+++ b/packages/runtime/http1/client.cc
@@ -162,11 +162,15 @@
     if (response.m_status < kFirstFinalStatus) {
       return false;
     }
-    if (m_call.m_acceptsResponse && !m_call.m_acceptsResponse(response)) {
-      m_receivedStrayBytes = true;
-      return false;
+    bool isFirstAnswer = !std::exchange(m_hadAnswer, true);
+    Http1AnswerMatch match = m_call.m_matchAnswer
+                               ? m_call.m_matchAnswer(response)
+                               : Http1AnswerMatch::kThisRequest;
+    if (match == Http1AnswerMatch::kThisRequest) {
+      return true;
     }
-    return true;
+    m_receivedStrayBytes = true;
+    return match == Http1AnswerMatch::kUnknown && isFirstAnswer;
   }
 
   void SetBufferedBytes(size_t aBytes)
@@ -220,8 +224,10 @@
   TimePoint m_deadline;
   bool m_connected = false;
   bool m_sent = false;
-  // Whether bytes were received that do not belong to the answer, or the stream
-  // ended: the connection is then not used again.
+  // Whether a final answer was received.
+  bool m_hadAnswer = false;
+  // Whether bytes were received that do not certainly belong to the answer, or
+  // the stream ended: the connection is then not used again.
   bool m_receivedStrayBytes = false;
   // The bytes of the incomplete answer.
   size_t m_bufferedBytes = 0;
@@ -242,7 +248,8 @@
 Http1Client::Send(Http1Call aCall, Callback aCallback)
 {
   uint64_t id = m_nextCall++;
-  std::unique_ptr<Connection> connection = TakeIdle(aCall);
+  std::unique_ptr<Connection> connection =
+    aCall.m_mayReuseConnection ? TakeIdle(aCall) : nullptr;
   if (connection == nullptr) {
     ++m_connectionsOpened;
     connection =
--- a/packages/runtime/http1/client.h
+++ b/packages/runtime/http1/client.h
@@ -35,6 +35,15 @@
   kBroken,
 };
 
+// Which request an answer belongs to, as far as the answer states it.
+enum class Http1AnswerMatch
+{
+  kThisRequest,
+  kOtherRequest,
+  // The answer does not state its request.
+  kUnknown,
+};
+
 struct Http1Result
 {
   Http1Outcome m_outcome = Http1Outcome::kNotSent;
@@ -64,10 +73,14 @@
   // the same identifier as the first one needs another connection: on the old
   // one, a second copy of the first answer would look like the answer to it.
   std::vector<uint64_t> m_excludedConnections;
-  // Returns whether an answer belongs to this request. Other answers are
-  // skipped, and the connection is then not used again. If empty, any answer is
-  // accepted.
-  std::function<bool(const Http1Response&)> m_acceptsResponse;
+  // Whether a connection that carried other requests may be used.
+  bool m_mayReuseConnection = true;
+  // Returns which request an answer belongs to. An answer to another request is
+  // skipped. An answer that does not state its request is accepted only if it
+  // is the first one on its connection, otherwise it may be a copy of an
+  // earlier one. In both cases the connection is not used again. If empty, any
+  // answer is accepted.
+  std::function<Http1AnswerMatch(const Http1Response&)> m_matchAnswer;
 };
 
 struct Http1ClientOptions
--- a/packages/runtime/http1/http1_test.cc
+++ b/packages/runtime/http1/http1_test.cc
@@ -84,21 +84,23 @@
   }
 
   uint64_t Send(const Address& aTo,
-                std::function<bool(const Http1Response&)> aAccepts = nullptr)
+                std::function<Http1AnswerMatch(const Http1Response&)>
+                  aMatchAnswer = nullptr)
   {
     return m_client.Send(
       { .m_address = aTo,
         .m_bytes = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
-        .m_acceptsResponse = std::move(aAccepts) },
+        .m_matchAnswer = std::move(aMatchAnswer) },
       [this](Http1Result aResult) { m_results.push_back(std::move(aResult)); });
   }
 
   // Sends a request to `aPeer` and waits until its first bytes have arrived.
   void SendTo(RawPeer& aPeer,
-              std::function<bool(const Http1Response&)> aAccepts = nullptr)
+              std::function<Http1AnswerMatch(const Http1Response&)>
+                aMatchAnswer = nullptr)
   {
     aPeer.m_bytes.clear();
-    Send(aPeer.ListenAddress(), std::move(aAccepts));
+    Send(aPeer.ListenAddress(), std::move(aMatchAnswer));
     RunUntil([&]() { return !aPeer.m_bytes.empty(); });
   }
   Http1Result& NextResult()
@@ -332,13 +334,14 @@
 {
   Fixture fixture;
   RawPeer peer(fixture.m_loop);
-  auto accepts = [](const Http1Response& aResponse) {
-    return aResponse.m_body == "mine";
+  auto match = [](const Http1Response& aResponse) {
+    return aResponse.m_body == "mine" ? Http1AnswerMatch::kThisRequest
+                                      : Http1AnswerMatch::kOtherRequest;
   };
-  fixture.SendTo(peer, accepts);
+  fixture.SendTo(peer, match);
   peer.m_stream->Write(Ok("other") + Ok("mine"));
   DOCTEST_CHECK(fixture.NextResult().m_response.m_body == "mine");
-  fixture.SendTo(peer, accepts);
+  fixture.SendTo(peer, match);
   DOCTEST_CHECK(peer.m_accepted == 2);
 }
 
