Forward: a planned stop answers every request before the process ends

Cause: the process ends shortly before the stop timeout whatever is in flight; requests kept their own deadlines, which may be later.

Change: when a stop begins, every run gets a last moment 300 ms before the exit: it ends with the answer that there is then, and upstreams get no deadline beyond it. A request that comes when its target latency would not be over by then is refused at once, not run, with a short Retry-After.

--- a/packages/cli/explain.cc
+++ b/packages/cli/explain.cc
@@ -80,6 +80,9 @@
     return "refused, not run: too many shards were not expected to answer "
            "before its deadline";
   }
+  if (aReason == "stopping") {
+    return "refused, not run: the instance was about to stop";
+  }
   return "refused, not run: every upstream that was tried rejected the request "
          "or could not be reached";
 }
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -122,7 +122,8 @@
 void
 ForwardRun::Start(TimePoint aNow)
 {
-  if (RefuseIfUnavailable(aNow) || RefuseIfOverloaded(aNow)) {
+  if (RefuseIfStopping(aNow) || RefuseIfUnavailable(aNow) ||
+      RefuseIfOverloaded(aNow)) {
     return;
   }
   for (uint32_t subRequest = 0; subRequest < m_subRequests.size();
@@ -189,6 +190,14 @@
   FinishIfDue(aNow);
 }
 
+void
+ForwardRun::EndBy(TimePoint aEnd)
+{
+  m_endBy = aEnd;
+  m_timeoutAt = std::min(m_timeoutAt, aEnd);
+  m_earlyAnswerAt = std::min(m_earlyAnswerAt, aEnd);
+}
+
 void
 ForwardRun::Abandon()
 {
@@ -238,6 +247,19 @@
                              m_subRequests.size());
 }
 
+bool
+ForwardRun::RefuseIfStopping(TimePoint aNow)
+{
+  if (!m_endBy || *m_endBy - aNow >= m_request.m_route->m_targetLatency) {
+    return false;
+  }
+  Finish({ .m_status = ForwardStatus::kRefused,
+           .m_missing = static_cast<uint32_t>(m_subRequests.size()),
+           .m_retryAfter = m_environment->m_options.m_stopRetryAfter,
+           .m_reason = "stopping" });
+  return true;
+}
+
 bool
 ForwardRun::RefuseIfUnavailable(TimePoint aNow)
 {
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -141,6 +141,9 @@
   Duration m_capacityRecheckInterval = Milliseconds(8);
   // The retry delay that is given to callers of a service without upstreams.
   Duration m_noReplicaRetryAfter = Milliseconds(500);
+  // The retry delay that is given to callers while the process stops: other
+  // instances can serve them at once.
+  Duration m_stopRetryAfter = Milliseconds(10);
   // Whether late sub-requests are hedged. Off only for comparison.
   bool m_hedging = true;
   // Whether answers are returned without late shards. Off only for comparison.
@@ -187,6 +190,11 @@
                  AttemptOutcome aOutcome,
                  TimePoint aNow);
   void OnTimer(TimePoint aNow);
+  // Ends the run at `aEnd` at the latest, with the answer that it then has: the
+  // process is about to stop. Upstreams get no more time than that. A run that
+  // is started later refuses the request if its target latency would not be
+  // over by then.
+  void EndBy(TimePoint aEnd);
   // Called when the caller disconnected: cancels every open attempt and does
   // not call `Finish`.
   void Abandon();
@@ -223,6 +231,8 @@
   // Returns when an answer has to be sent in order to arrive within the target
   // latency.
   [[nodiscard]] TimePoint EarlyAnswerTime() const;
+  // Refuses a request that comes too late before the process stops.
+  bool RefuseIfStopping(TimePoint aNow);
   bool RefuseIfUnavailable(TimePoint aNow);
   // Refuses a gathered request that would not be answered in time.
   bool RefuseIfOverloaded(TimePoint aNow);
@@ -267,6 +277,8 @@
   std::vector<SubRequest> m_subRequests;
   TimePoint m_earlyAnswerAt;
   TimePoint m_timeoutAt;
+  // Set by `EndBy`.
+  std::optional<TimePoint> m_endBy;
   bool m_ended = false;
 };
 
--- a/packages/core/forward/forward_run_test.cc
+++ b/packages/core/forward/forward_run_test.cc
@@ -398,6 +398,65 @@
   DOCTEST_CHECK_FALSE(run.NextTimer().has_value());
 }
 
+DOCTEST_TEST_CASE("a run ends with what it has when the process stops")
+{
+  constexpr Duration kStop = Milliseconds(200);
+  DOCTEST_SUBCASE("enough shards")
+  {
+    Fixture fixture(4);
+    fixture.m_environment.m_options.m_earlyAnswers = false;
+    fixture.Start();
+    for (uint32_t subRequest : { 0, 1, 2 }) {
+      fixture.Succeed(subRequest);
+    }
+    fixture.m_run->EndBy(kStart + kStop);
+    DOCTEST_CHECK(*fixture.m_run->NextTimer() <= kStart + kStop);
+    fixture.SetTime(kStop);
+    fixture.RunTimer();
+    DOCTEST_REQUIRE(fixture.m_port.m_result.has_value());
+    DOCTEST_CHECK(fixture.m_port.m_result->m_status == ForwardStatus::kPartial);
+  }
+  DOCTEST_SUBCASE("no answer to a request that may have run")
+  {
+    Fixture fixture(1, RouteTarget::kService);
+    fixture.m_route.m_idempotent = false;
+    fixture.Start();
+    fixture.m_run->EndBy(kStart + kStop);
+    fixture.SetTime(kStop);
+    fixture.RunTimer();
+    DOCTEST_REQUIRE(fixture.m_port.m_result.has_value());
+    DOCTEST_CHECK(fixture.m_port.m_result->m_status ==
+                  ForwardStatus::kTimedOut);
+    DOCTEST_CHECK(fixture.m_port.m_cancelled.size() == 1);
+  }
+}
+
+DOCTEST_TEST_CASE(
+  "a request that comes when the process stops is served in time "
+  "or refused")
+{
+  Fixture fixture(1, RouteTarget::kService);
+  auto startBefore = [&](Duration aStop) {
+    fixture.m_run.emplace(
+      ForwardRequest{ .m_route = &fixture.m_route,
+                      .m_services = fixture.m_route.m_services,
+                      .m_receivedAt = kStart,
+                      .m_remaining = Milliseconds(600) },
+      fixture.m_environment,
+      fixture.m_port);
+    fixture.m_run->EndBy(kStart + aStop);
+    fixture.m_run->Start(kStart);
+  };
+  startBefore(Milliseconds(60));
+  DOCTEST_REQUIRE(fixture.m_port.m_sent.size() == 1);
+  DOCTEST_CHECK(fixture.m_port.m_sent[0].m_deadline == Milliseconds(60));
+  startBefore(Milliseconds(59));
+  DOCTEST_CHECK(fixture.m_port.m_sent.size() == 1);
+  DOCTEST_REQUIRE(fixture.m_port.m_result.has_value());
+  DOCTEST_CHECK(fixture.m_port.m_result->m_status == ForwardStatus::kRefused);
+  DOCTEST_CHECK(fixture.m_port.m_result->m_retryAfter > Duration{});
+}
+
 DOCTEST_TEST_CASE("hedges and early answers can be switched off")
 {
   Fixture fixture(4);
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -30,6 +30,9 @@
 constexpr int kMaxCachedTtls = 3;
 // The part of the stop timeout that is reserved for the exit of the process.
 constexpr Duration kExitMargin = Milliseconds(400);
+// The part of the stop timeout before that, in which the last answers reach
+// their callers.
+constexpr Duration kLastAnswersMargin = Milliseconds(300);
 
 constexpr int kOkStatus = 200;
 constexpr int kNotFoundStatus = 404;
@@ -204,6 +207,8 @@
   m_reader.SetActive(false);
   UpdateSelf();
   m_callerServer.BeginShutdown(false);
+  m_forward.StopBy(*m_stoppingSince + m_settings.m_stopTimeout - kExitMargin -
+                   kLastAnswersMargin);
 }
 
 void
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -54,6 +54,7 @@
   void Start()
   {
     m_self = shared_from_this();
+    m_service.m_jobs.insert(this);
     m_exchange->OnCallerDisconnect([this]() { OnCallerGone(); });
     m_run.emplace(
       ForwardRequest{ .m_route = &m_route,
@@ -63,10 +64,19 @@
                       .m_elapsed = ElapsedBeforeRead() },
       m_service.m_environment,
       *this);
+    if (m_service.m_stopBy) {
+      m_run->EndBy(*m_service.m_stopBy);
+    }
     m_run->Start(m_service.m_loop.Now());
     RearmTimer();
   }
 
+  void EndBy(TimePoint aEnd)
+  {
+    m_run->EndBy(aEnd);
+    RearmTimer();
+  }
+
   void OnOutcome(uint32_t aSubRequest,
                  uint32_t aAttempt,
                  UpstreamAnswer aAnswer,
@@ -314,6 +324,7 @@
   void Release()
   {
     m_timer.Set(std::nullopt);
+    m_service.m_jobs.erase(this);
     m_self = nullptr;
   }
 
@@ -430,6 +441,15 @@
   }
 }
 
+void
+ForwardService::StopBy(TimePoint aEnd)
+{
+  m_stopBy = aEnd;
+  for (RequestJob* job : m_jobs) {
+    job->EndBy(aEnd);
+  }
+}
+
 bool
 ForwardService::WaitForStart(const std::shared_ptr<Http1Exchange>& aExchange)
 {
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -6,6 +6,8 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -67,6 +69,8 @@
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
   // Called when the instance can route; serves the requests that waited for it.
   void OnStarted();
+  // Answers every request by `aEnd`, when the process is about to stop.
+  void StopBy(TimePoint aEnd);
 
   [[nodiscard]] const ForwardStats& Stats() const { return m_stats; }
 
@@ -129,6 +133,10 @@
   ForwardEnvironment m_environment;
   std::map<std::string, WeightedChoice> m_splits;
   ForwardStats m_stats;
+  // The requests in flight.
+  std::set<RequestJob*> m_jobs;
+  // When every request must be answered; nothing unless the process stops.
+  std::optional<TimePoint> m_stopBy;
   bool m_started = false;
   StartQueue m_startQueue;
   std::map<uint64_t, std::shared_ptr<Http1Exchange>> m_waiting;
