Responses: one whose headers contain another status line is malformed

Cause: an upstream sends the beginning of a second copy of its last answer. If it breaks off in a header's value or in the reason phrase, the next answer's status line continues that text and its headers follow, with the right identifier. The copy's signature is then found first, or the copy's status counts.

Change: such a response is malformed, so the attempt counts as broken and the connection is closed.

--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -1,7 +1,10 @@
 #include "runtime/http1/parser.h"
 
+#include <algorithm>
 #include <limits>
 
+#include "absl/strings/ascii.h"
+
 namespace ebonykeel {
 namespace {
 
@@ -9,6 +12,28 @@
 constexpr int kSkipBody = 1;
 constexpr int kStopParsing = -1;
 
+// Returns whether the text contains the beginning of a status line, such as
+// "HTTP/1.1 200".
+bool
+ContainsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kProtocol = "HTTP/1.";
+  // "N" stands for a digit.
+  constexpr std::string_view kRest = "N NNN";
+  for (size_t at = aText.find(kProtocol); at != std::string_view::npos;
+       at = aText.find(kProtocol, at + 1)) {
+    std::string_view rest =
+      aText.substr(at + kProtocol.size()).substr(0, kRest.size());
+    bool matches = std::ranges::equal(rest, kRest, [](char aLeft, char aRight) {
+      return aRight == 'N' ? absl::ascii_isdigit(aLeft) : aLeft == aRight;
+    });
+    if (matches) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 Http1Parser::Http1Parser(Kind aKind, Http1Limits aLimits)
@@ -69,6 +94,7 @@
   m_keepAlive = false;
   m_inValue = false;
   m_headerBytesRead = 0;
+  m_reason.clear();
   m_request = Http1Request{ .m_method = "", .m_target = "" };
   m_response = Http1Response{ .m_status = 0 };
 }
@@ -98,6 +124,10 @@
       Self(aParser).m_request.m_target.append(aAt, aLength);
       return 0;
     };
+    made.on_status = [](http_parser* aParser, const char* aAt, size_t aLength) {
+      Self(aParser).m_reason.append(aAt, aLength);
+      return 0;
+    };
     made.on_header_field =
       [](http_parser* aParser, const char* aAt, size_t aLength) {
         return Self(aParser).OnHeaderName({ aAt, aLength });
@@ -138,6 +168,15 @@
   return m_kind == Kind::kRequest ? m_request.m_body : m_response.m_body;
 }
 
+bool
+Http1Parser::ContainsSecondResponse() const
+{
+  return m_kind == Kind::kResponse &&
+         (ContainsStatusLine(m_reason) ||
+          std::ranges::any_of(
+            m_response.m_headers, ContainsStatusLine, &Http1Header::m_value));
+}
+
 int
 Http1Parser::OnHeaderName(std::string_view aBytes)
 {
@@ -167,6 +206,10 @@
 int
 Http1Parser::OnHeadersComplete()
 {
+  if (ContainsSecondResponse()) {
+    m_progress = Progress::kMalformed;
+    return kStopParsing;
+  }
   m_progress = Progress::kBody;
   m_response.m_status = static_cast<int>(m_parser.status_code);
   if (m_kind == Kind::kRequest) {
--- a/packages/runtime/http1/parser.h
+++ b/packages/runtime/http1/parser.h
@@ -76,6 +76,9 @@
   static Http1Parser& Self(http_parser* aParser);
   [[nodiscard]] std::vector<Http1Header>& Headers();
   [[nodiscard]] std::string& Body();
+  // Returns whether the headers of a response contain a status line: a server
+  // has broken off another response there, and this one follows.
+  [[nodiscard]] bool ContainsSecondResponse() const;
   int OnHeaderName(std::string_view aBytes);
   int OnHeaderValue(std::string_view aBytes);
   int OnHeadersComplete();
@@ -90,6 +93,8 @@
   bool m_noBody = false;
   bool m_inValue = false;
   size_t m_headerBytesRead = 0;
+  // The text after the status code of a response.
+  std::string m_reason;
   Http1Request m_request;
   Http1Response m_response;
 };
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -106,6 +106,24 @@
   DOCTEST_CHECK(parser.State() == Progress::kMalformed);
 }
 
+// Guards against an answer whose first headers are those of another one that
+// the server broke off.
+DOCTEST_TEST_CASE("an answer with a status line among its headers is malformed")
+{
+  for (const char* bytes :
+       { "HTTP/1.1 200 OHTTP/1.1 500 Failed\r\nA: b\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nA: bHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nA: HTTP/1.HTTP/1.0 200\r\n\r\n" }) {
+    Http1Parser parser(Http1Parser::Kind::kResponse, {});
+    (void)parser.Feed(bytes);
+    DOCTEST_CHECK(parser.State() == Http1Parser::Progress::kMalformed);
+  }
+  Http1Parser parser(Http1Parser::Kind::kResponse, {});
+  (void)parser.Feed("HTTP/1.1 200 OK\r\nUpgrade: HTTP/2.0\r\n"
+                    "Via: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n");
+  DOCTEST_CHECK(parser.State() == Http1Parser::Progress::kComplete);
+}
+
 DOCTEST_TEST_CASE("an answer to HEAD has no body")
 {
   Http1Parser parser = ResponseParser();
