Feeds: a feed does not count as complete beyond the removals that it knows

A property test found two more ways: a reader dropped the removal of an object that it did not know, and kept the old revision of one that left and came back unchanged between two answers. In each case peers counted as complete and were never told.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -9,52 +9,56 @@
 // The number of tombstones above which the older half is pruned.
 constexpr size_t kMaxTombstones = 2000;
 
+bool
+HasSameContent(const FeedObject& aLeft, const FeedObject& aRight)
+{
+  return aLeft.m_deleted == aRight.m_deleted &&
+         aLeft.m_payload == aRight.m_payload;
+}
+
 } // namespace
 
 bool
 ObjectFeed::Apply(FeedObject aObject, uint64_t aAsOf)
 {
-  const FeedObject* known = Find(aObject.m_name);
   uint64_t statedAt = aObject.m_deleted ? aAsOf : aObject.m_revision;
-  bool older = known != nullptr && statedAt < known->m_revision;
-  if (aAsOf < m_completeTo || older) {
+  const FeedObject* known = Find(aObject.m_name);
+  bool isOlder = known != nullptr && statedAt < known->m_revision;
+  bool isKnown = known != nullptr && statedAt == known->m_revision &&
+                 HasSameContent(*known, aObject);
+  if (aAsOf < m_completeTo || isOlder || isKnown) {
     return false;
   }
   // Other instances count as complete up to this feed's revision and fetch only
   // later changes. A change that was missed until now gets a later revision.
-  bool missed = statedAt <= m_completeTo;
-  aObject.m_revision = missed ? aAsOf : statedAt;
-  std::string name = aObject.m_name;
-  if (!Store(std::move(aObject))) {
-    return false;
+  bool wasMissed = statedAt <= m_completeTo;
+  aObject.m_revision = wasMissed ? aAsOf : statedAt;
+  if (aObject.m_revision == m_completeTo) {
+    m_missedChanges.insert(aObject.m_name);
   }
-  if (aAsOf == m_completeTo) {
-    m_missedChanges.insert(std::move(name));
-  }
-  return true;
+  return Store(std::move(aObject));
 }
 
 bool
 ObjectFeed::Store(FeedObject aObject)
 {
-  auto found = m_objects.find(aObject.m_name);
-  if (found != m_objects.end()) {
-    FeedObject& known = found->second;
-    bool same = known.m_deleted == aObject.m_deleted &&
-                known.m_payload == aObject.m_payload;
-    if (same || known.m_revision > aObject.m_revision) {
-      return false;
-    }
-    m_tombstoneCount -= known.m_deleted ? 1 : 0;
-  } else if (aObject.m_deleted) {
+  auto [entry, isNew] = m_objects.try_emplace(aObject.m_name);
+  FeedObject& known = entry->second;
+  if (isNew) {
+    known.m_deleted = true;
+    ++m_tombstoneCount;
+  } else if (known.m_revision > aObject.m_revision) {
     return false;
   }
+  // The revision is kept even if the content is the same: other instances may
+  // have seen the object in between. So is the removal of an unknown object.
+  bool changed = !HasSameContent(known, aObject);
   m_contentRevision = std::max(m_contentRevision, aObject.m_revision);
+  m_tombstoneCount -= known.m_deleted ? 1 : 0;
   m_tombstoneCount += aObject.m_deleted ? 1 : 0;
-  std::string name = aObject.m_name;
-  m_objects[name] = std::move(aObject);
+  known = std::move(aObject);
   Prune();
-  return true;
+  return changed;
 }
 
 std::vector<std::string>
@@ -74,6 +78,12 @@
   return removed;
 }
 
+void
+ObjectFeed::ForgetRemovalsUpTo(uint64_t aRevision)
+{
+  m_removalsKnownAfter = std::max(m_removalsKnownAfter, aRevision);
+}
+
 void
 ObjectFeed::MarkCompleteTo(uint64_t aRevision, TimePoint aNow)
 {
@@ -106,7 +116,8 @@
 FeedDelta
 ObjectFeed::ChangesSince(uint64_t aRevision, TimePoint aNow) const
 {
-  FeedDelta delta{ .m_isSnapshot = aRevision < m_prunedTo || aRevision == 0,
+  FeedDelta delta{ .m_isSnapshot =
+                     aRevision < m_removalsKnownAfter || aRevision == 0,
                    .m_completeTo = m_completeTo,
                    .m_age = Age(aNow).value_or(Seconds(3600)) };
   for (const auto& [name, object] : m_objects) {
@@ -137,6 +148,7 @@
     }
   }
   if (aDelta.m_isSnapshot && aDelta.m_completeTo > m_completeTo) {
+    ForgetRemovalsUpTo(aDelta.m_completeTo);
     std::vector<std::string> names;
     for (const FeedObject& object : aDelta.m_objects) {
       names.push_back(object.m_name);
@@ -201,9 +213,10 @@
   }
   auto middle = revisions.begin() + revisions.size() / 2;
   std::ranges::nth_element(revisions, middle);
-  m_prunedTo = std::max(m_prunedTo, *middle);
+  m_removalsKnownAfter = std::max(m_removalsKnownAfter, *middle);
   m_tombstoneCount -= std::erase_if(m_objects, [&](const auto& aEntry) {
-    return aEntry.second.m_deleted && aEntry.second.m_revision <= m_prunedTo;
+    return aEntry.second.m_deleted &&
+           aEntry.second.m_revision <= m_removalsKnownAfter;
   });
 }
 
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -69,11 +69,14 @@
   std::vector<std::string> RemoveAllExcept(
     const std::vector<std::string>& aNames,
     uint64_t aRevision);
+  // Records that the feed lacks removals up to `aRevision`: it was filled with
+  // a list, which does not name objects that came and went before it.
+  void ForgetRemovalsUpTo(uint64_t aRevision);
   // Records that the feed holds every change up to `aRevision`, as of `aNow`.
   void MarkCompleteTo(uint64_t aRevision, TimePoint aNow);
 
   // Returns the changes after `aRevision`, or a snapshot of all objects if the
-  // changes are no longer remembered or `aRevision` is 0.
+  // feed does not know all removals since then or `aRevision` is 0.
   [[nodiscard]] FeedDelta ChangesSince(uint64_t aRevision,
                                        TimePoint aNow) const;
   // Merges another instance's changes; calls `aChanged` for each object whose
@@ -109,8 +112,9 @@
   std::map<std::string, FeedObject, std::less<>> m_objects;
   uint64_t m_completeTo = 0;
   uint64_t m_contentRevision = 0;
-  // Tombstones up to this revision have been pruned.
-  uint64_t m_prunedTo = 0;
+  // All removals after this revision are known. Up to it, tombstones may be
+  // missing: they were pruned, or the feed began with a list or a snapshot.
+  uint64_t m_removalsKnownAfter = 0;
   size_t m_tombstoneCount = 0;
   // Objects whose last change was seen when the feed already counted as
   // complete to its revision.
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -238,6 +238,7 @@
     }
   }
   aKind.m_listed = true;
+  Feed(aKind).ForgetRemovalsUpTo(aKind.m_listAsOfRevision);
   OnSuccess(aKind, aKind.m_listAsOfRevision, changed);
 }
 
