Forward: the forecast of overload and the results have files of their own

The forecast by which overloaded requests are refused becomes OverloadForecast, beside Coverage, and says which load it answers; how attempts and requests end moves to forward_result. No change of decisions is meant: core_forward_test passes unchanged.

--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/forward/coverage.h"
+#include "core/forward/overload_forecast.h"
 
 namespace ebonykeel {
 namespace {
@@ -32,60 +33,6 @@
 
 } // namespace
 
-std::string_view
-AttemptOutcomeName(AttemptOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case AttemptOutcome::kSuccess:
-      return "success";
-    case AttemptOutcome::kFailure:
-      return "failure";
-    case AttemptOutcome::kNotExecuted:
-      return "not-executed";
-    case AttemptOutcome::kWrongInstance:
-      return "wrong-instance";
-    case AttemptOutcome::kNotSent:
-      return "not-sent";
-    case AttemptOutcome::kBroken:
-      return "broken";
-  }
-  return "broken";
-}
-
-std::string_view
-AttemptReasonName(AttemptReason aReason)
-{
-  switch (aReason) {
-    case AttemptReason::kFirst:
-      return "first";
-    case AttemptReason::kHedge:
-      return "hedge";
-    case AttemptReason::kRetry:
-      return "repeat";
-  }
-  return "first";
-}
-
-std::string_view
-ForwardStatusName(ForwardStatus aStatus)
-{
-  switch (aStatus) {
-    case ForwardStatus::kWhole:
-      return "whole";
-    case ForwardStatus::kPartial:
-      return "partial";
-    case ForwardStatus::kUpstreamFailure:
-      return "upstream-failure";
-    case ForwardStatus::kRefused:
-      return "refused";
-    case ForwardStatus::kFailed:
-      return "failed";
-    case ForwardStatus::kTimedOut:
-      return "timed-out";
-  }
-  return "failed";
-}
-
 ForwardRun::ForwardRun(ForwardRequest aRequest,
                        ForwardEnvironment& aEnvironment,
                        ForwardPort& aPort)
@@ -285,7 +232,14 @@
   if (!IsGathered()) {
     return false;
   }
-  Duration expected = ExpectedLatency(Required(), aNow);
+  const ForwardEnvironment& environment = *m_environment;
+  OverloadForecast forecast(environment.m_catalogue,
+                            environment.m_load,
+                            environment.m_waiters,
+                            environment.m_latencies.Typical(*m_request.m_route),
+                            aNow);
+  Duration expected =
+    forecast.ExpectedLatency(m_request.m_services, Required());
   Duration remaining = m_timeoutAt - aNow;
   if (expected <= remaining) {
     return false;
@@ -298,33 +252,6 @@
   return true;
 }
 
-Duration
-ForwardRun::ExpectedLatency(size_t aRequired, TimePoint aNow) const
-{
-  const ReplicaLoad& load = m_environment->m_load;
-  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
-  std::vector<Duration> latencies;
-  for (const std::string& service : m_request.m_services) {
-    Duration best = Duration::max();
-    for (const ReplicaPtr& replica :
-         m_environment->m_catalogue.Usable(service)) {
-      if (load.UnreachableUntil(*replica, aNow)) {
-        continue;
-      }
-      // The requests that wait here are ahead of this one.
-      Duration latency = load.PredictLatency(*replica, typical, aNow);
-      auto ahead =
-        static_cast<int64_t>(m_environment->m_waiters.Count(service));
-      auto inFlight = static_cast<int64_t>(load.InFlight(*replica));
-      best = std::min(best, latency + latency * ahead / (inFlight + 1));
-    }
-    latencies.push_back(best);
-  }
-  auto last = latencies.begin() + static_cast<ptrdiff_t>(aRequired) - 1;
-  std::ranges::nth_element(latencies, last);
-  return *last;
-}
-
 void
 ForwardRun::SendTo(uint32_t aSubRequest,
                    const ReplicaPtr& aReplica,
