Reader: a held removal is dropped if a peer tells that the upstream is back

Cause: removals of registrations are held back after an outage of the store. If a peer tells meanwhile that the upstream is back, the reader's next watch begins after its return, so it never sees the event that would end the hold, and releases the removal with a newer revision.

Change: a held removal keeps the revision as of which the upstream was missing, and is dropped if the feed knows the upstream at a later one.

Evidence: store_reader_test, "a held removal is dropped if a peer tells of the return": on the old code the upstream is removed, now it stays; one that stays away is removed after the hold in both.

--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -302,6 +302,7 @@
     const FeedObject* current = Feed(aKind).Find(aObject.m_name);
     if (removal && IsHoldingRemovals() && current != nullptr &&
         !current->m_deleted) {
+      aObject.m_revision = aAsOf;
       std::string name = aObject.m_name;
       m_heldRemovals[name] = std::move(aObject);
       return false;
@@ -328,6 +329,11 @@
               { { "count", absl::StrCat(held.size()) } });
   bool changed = false;
   for (auto& [name, object] : held) {
+    const FeedObject* current = Feed(aKind).Find(name);
+    // A peer has told that the upstream is back.
+    if (current != nullptr && current->m_revision > object.m_revision) {
+      continue;
+    }
     changed = Apply(aKind, std::move(object), aRevision) || changed;
   }
   return changed;
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -153,7 +153,8 @@
   bool m_active = false;
   bool m_reachable = true;
   TimePoint m_holdRemovalsUntil;
-  // Registrations whose removal is held back.
+  // Registrations whose removal is held back, with the revisions as of which
+  // they were missing.
   std::map<std::string, FeedObject> m_heldRemovals;
   uint64_t m_callCount = 0;
   // The value of `OtherKindsRevision` when `m_unseenChangeTimer` was set.
