--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -121,10 +121,12 @@
                    .m_completeTo = m_completeTo,
                    .m_age = Age(aNow).value_or(Seconds(3600)) };
   for (const auto& [name, object] : m_objects) {
-    bool wanted =
-      delta.m_isSnapshot ? !object.m_deleted : object.m_revision > aRevision;
-    if (wanted) {
+    bool changed = object.m_revision > aRevision;
+    if (delta.m_isSnapshot ? changed && !object.m_deleted : changed) {
       delta.m_objects.push_back(object);
+    } else if (delta.m_isSnapshot && !object.m_deleted) {
+      // The receiver has it, as it is complete to `aRevision`.
+      delta.m_objects.push_back({ .m_name = name });
     }
   }
   return delta;
@@ -143,7 +145,8 @@
   for (const FeedObject& object : aDelta.m_objects) {
     const FeedObject* known = Find(object.m_name);
     bool newer = known == nullptr || known->m_revision < object.m_revision;
-    if (newer && Store(object)) {
+    bool isNameOnly = !object.m_deleted && object.m_payload.empty();
+    if (newer && !isNameOnly && Store(object)) {
       aChanged(object);
     }
   }
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -47,7 +47,8 @@
 // The changes after a revision.
 struct FeedDelta
 {
-  // Whether `m_objects` holds all objects instead of the changes.
+  // Whether `m_objects` names all objects instead of the changed ones only.
+  // Those that have not changed since then may lack their revision and payload.
   bool m_isSnapshot = false;
   // The sender's feed holds every change up to this revision.
   uint64_t m_completeTo = 0;
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -24,6 +24,7 @@
     }
   }
   std::vector<FeedObject> states;
+  states.reserve(last.size());
   for (auto& [name, state] : last) {
     states.push_back(std::move(state));
   }
