Upstreams that announce their end or ask for no requests get none

Cause: what an upstream states about itself in its answers was not read. An upstream whose registration is late, missing or old went on getting requests after it had said that it leaves, and one that rejected a request and named a time got the next one at once.

Change: - An answer with Server-Leaving makes that start of the upstream unusable for good (LeavingReplicas, ReplicaCatalogue): for first attempts, retries, hedges, parts and waiting requests. An old registration does not bring it back, a new start does. Work that runs there goes on. - A 503 with Retry-After sets the upstream aside for that time, at most 60 s, and up to a quarter more that differs between instances (ReplicaPushback); after it one request at a time until one is answered. What cannot be read is ignored and logged. - If too few upstreams are left, the request is refused at once, not run, with a Retry-After that follows from the soonest and is spread over callers; a gathered request is answered without the shard if its share allows it. - Refusals moved from ForwardRun to RefusalPolicy. - forward/Coverage is now ServiceCoverage: query/messages.h has a type of the same name in the same namespace, and one program used both. - Events EK1208 to EK1210, four metrics, and explain names the cause.

--- a/packages/cli/explain.cc
+++ b/packages/cli/explain.cc
@@ -76,6 +76,10 @@
   if (aReason == "no-replica") {
     return "refused, not run: too few upstreams are registered and reachable";
   }
+  if (aReason == "pushed-back") {
+    return "refused, not run: too many upstreams had asked this instance for "
+           "no requests for a while";
+  }
   if (aReason == "overloaded") {
     return "refused, not run: too many shards were not expected to answer "
            "before its deadline";
@@ -196,6 +200,39 @@
     LoggedAttempts attempts = ReadAttempts(aLine);
     AppendAttempts(attempts);
     AppendUpstreamEvents(aLine, attempts);
+    if (Field(aLine, "missing") != "0" && !Field(aLine, "missing").empty()) {
+      AppendSuspendedUpstreams(aLine);
+    }
+  }
+
+  // Appends the upstreams that the instance sent no requests at the end of a
+  // request, since they were leaving or had asked for none.
+  void AppendSuspendedUpstreams(const LogLine& aEnd)
+  {
+    std::map<std::string, std::string> suspended;
+    for (const LogLine& line : m_lines) {
+      bool isEarlier =
+        line.m_source == aEnd.m_source && line.m_uptimeMs <= aEnd.m_uptimeMs;
+      if (isEarlier && line.m_event == "replica_suspended") {
+        suspended[Field(line, "replica")] =
+          absl::StrCat(Field(line, "service"), ", ", Field(line, "cause"));
+      } else if (isEarlier && line.m_event == "replica_resumed") {
+        suspended.erase(Field(line, "replica"));
+      }
+    }
+    if (suspended.empty()) {
+      return;
+    }
+    absl::StrAppend(
+      &m_text, "  ", suspended.size(), " upstreams were set aside then:");
+    size_t shown = 0;
+    for (const auto& [replica, cause] : suspended) {
+      if (++shown > kMaxRelatedLines) {
+        break;
+      }
+      absl::StrAppend(&m_text, " ", replica, " (", cause, ")");
+    }
+    absl::StrAppend(&m_text, "\n");
   }
 
   void AppendAttempts(const LoggedAttempts& aAttempts)
--- a/packages/cli/explain_test.cc
+++ b/packages/cli/explain_test.cc
@@ -97,5 +97,27 @@
     Contains(ExplainRequest("q1", logs).m_text, "the line was truncated"));
 }
 
+DOCTEST_TEST_CASE("upstreams that were set aside are named as a cause")
+{
+  std::vector<LogText> logs{
+    { "node-1.log",
+      "ms=100 EK1208 replica_suspended replica=i-1 service=s0 cause=leaving\n"
+      "ms=110 EK1208 replica_suspended replica=i-2 service=s1 "
+      "cause=retry-after asked_ms=500 applied_ms=520\n"
+      "ms=120 EK1208 replica_suspended replica=i-3 service=s1 "
+      "cause=retry-after asked_ms=500 applied_ms=520\n"
+      "ms=640 EK1209 replica_resumed replica=i-2 cause=time-over\n"
+      "ms=650 EK1901 forward_ended request=q5 route=r status=refused "
+      "outcome=not-run reason=pushed-back missing=2 took_ms=0 sends=\n"
+      "ms=700 EK1208 replica_suspended replica=i-4 service=s1 "
+      "cause=leaving\n" }
+  };
+  std::string text = ExplainRequest("q5", logs).m_text;
+  DOCTEST_CHECK(Contains(text, "asked this instance for no requests"));
+  DOCTEST_CHECK(Contains(text,
+                         "2 upstreams were set aside then: i-1 (s0, leaving) "
+                         "i-3 (s1, retry-after)"));
+}
+
 } // namespace
 } // namespace ebonykeel::cli
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/forward/coverage.h"
-#include "core/forward/overload_forecast.h"
+#include "core/forward/refusal_policy.h"
+#include "core/forward/service_coverage.h"
 
 namespace ebonykeel {
 namespace {
@@ -16,9 +16,6 @@
 // A request to one service waits for capacity before its first attempt for at
 // most the target latency divided by this.
 constexpr int kCapacityWaitDivisor = 5;
-// The shortest retry delay after a refusal for overload: a queue takes this
-// long to become noticeably shorter.
-constexpr Duration kMinOverloadRetryAfter = Milliseconds(50);
 // A failed attempt is not retried with less remaining time than this: no
 // upstream could use it.
 constexpr Duration kMinDeadline = Milliseconds(2);
@@ -48,7 +45,7 @@
   Duration wait = std::min(route.m_timeout, m_request.m_remaining);
   m_timeoutAt = m_request.m_receivedAt + wait;
   m_earlyAnswerAt = m_timeoutAt;
-  if (IsGathered() && m_environment->m_options.m_earlyAnswers) {
+  if (m_request.IsGathered() && m_environment->m_options.m_earlyAnswers) {
     m_earlyAnswerAt = std::min(m_timeoutAt, EarlyAnswerTime());
   }
 }
@@ -69,8 +66,10 @@
 void
 ForwardRun::Start(TimePoint aNow)
 {
-  if (RefuseIfStopping(aNow) || RefuseIfUnavailable(aNow) ||
-      RefuseIfOverloaded(aNow)) {
+  RefusalPolicy policy(m_request, *m_environment, aNow);
+  if (std::optional<ForwardResult> refusal =
+        policy.RefuseUnsent(m_timeoutAt, m_endBy)) {
+    Finish(*refusal);
     return;
   }
   for (uint32_t subRequest = 0; subRequest < m_subRequests.size();
@@ -81,7 +80,7 @@
       ChooseReplica(m_subRequests[subRequest], false, aNow);
     if (replica != nullptr) {
       SendTo(subRequest, *replica, AttemptReason::kFirst, aNow);
-    } else if (HasReachableReplica(m_subRequests[subRequest].m_service, aNow)) {
+    } else if (HasAvailableReplica(m_subRequests[subRequest].m_service, aNow)) {
       WaitForCapacity(m_subRequests[subRequest], aNow);
     } else {
       m_subRequests[subRequest].m_failed = true;
@@ -166,7 +165,7 @@
     std::ranges::count_if(m_subRequests, [](const SubRequest& aSubRequest) {
       return aSubRequest.m_answer.has_value();
     });
-  if (IsGathered() && answered >= Required()) {
+  if (m_request.IsGathered() && answered >= m_request.Required()) {
     next = std::min(next, m_earlyAnswerAt);
   }
   for (const SubRequest& subRequest : m_subRequests) {
@@ -181,77 +180,6 @@
   return next;
 }
 
-bool
-ForwardRun::IsGathered() const
-{
-  return m_request.m_route->m_target == RouteTarget::kShards;
-}
-
-uint32_t
-ForwardRun::Required() const
-{
-  return RequiredSubRequests(m_request.m_route->m_minShare,
-                             m_subRequests.size());
-}
-
-bool
-ForwardRun::RefuseIfStopping(TimePoint aNow)
-{
-  if (!m_endBy || *m_endBy - aNow >= m_request.m_route->m_targetLatency) {
-    return false;
-  }
-  Finish({ .m_status = ForwardStatus::kRefused,
-           .m_missing = static_cast<uint32_t>(m_subRequests.size()),
-           .m_retryAfter = m_environment->m_options.m_stopRetryAfter,
-           .m_reason = "stopping" });
-  return true;
-}
-
-bool
-ForwardRun::RefuseIfUnavailable(TimePoint aNow)
-{
-  size_t required = IsGathered() ? Required() : 1;
-  Coverage coverage(m_request.m_services,
-                    m_environment->m_catalogue,
-                    m_environment->m_load,
-                    m_environment->m_options.m_noReplicaRetryAfter,
-                    aNow);
-  if (coverage.HasAvailable(required)) {
-    return false;
-  }
-  Finish({ .m_status = ForwardStatus::kRefused,
-           .m_missing = static_cast<uint32_t>(coverage.UnavailableCount()),
-           .m_retryAfter = coverage.AvailableAt(required) - aNow,
-           .m_reason = "no-replica" });
-  return true;
-}
-
-bool
-ForwardRun::RefuseIfOverloaded(TimePoint aNow)
-{
-  if (!IsGathered()) {
-    return false;
-  }
-  const ForwardEnvironment& environment = *m_environment;
-  OverloadForecast forecast(environment.m_catalogue,
-                            environment.m_load,
-                            environment.m_waiters,
-                            environment.m_latencies.Typical(*m_request.m_route),
-                            aNow);
-  Duration expected =
-    forecast.ExpectedLatency(m_request.m_services, Required());
-  Duration remaining = m_timeoutAt - aNow;
-  if (expected <= remaining) {
-    return false;
-  }
-  Finish(
-    { .m_status = ForwardStatus::kRefused,
-      .m_missing = static_cast<uint32_t>(m_subRequests.size()),
-      .m_retryAfter = std::max(expected - remaining, kMinOverloadRetryAfter),
-      .m_reason = "overloaded" });
-  return true;
-}
-
 void
 ForwardRun::SendTo(uint32_t aSubRequest,
                    const ReplicaPtr& aReplica,
@@ -336,9 +264,11 @@
       return;
     }
   }
-  bool shed = aOutcome == AttemptOutcome::kNotExecuted && IsGathered();
+  bool shed =
+    aOutcome == AttemptOutcome::kNotExecuted && m_request.IsGathered();
   if (!HasOpenAttempt(subRequest) && shed && enoughTime &&
-      MayRetry(subRequest, aOutcome)) {
+      MayRetry(subRequest, aOutcome) &&
+      HasAvailableReplica(subRequest.m_service, aNow)) {
     WaitForCapacity(subRequest, aNow);
     return;
   }
@@ -382,7 +312,7 @@
              *replica,
              first ? AttemptReason::kFirst : AttemptReason::kRetry,
              aNow);
-    } else if (HasReachableReplica(subRequest.m_service, aNow)) {
+    } else if (HasAvailableReplica(subRequest.m_service, aNow)) {
       WaitForCapacity(subRequest, aNow);
     } else {
       StopWaiting(subRequest);
@@ -392,7 +322,7 @@
 }
 
 bool
-ForwardRun::HasReachableReplica(const std::string& aService,
+ForwardRun::HasAvailableReplica(const std::string& aService,
                                 TimePoint aNow) const
 {
   return !UnavailableUntil(aService,
@@ -443,7 +373,7 @@
   if (m_ended) {
     return;
   }
-  if (IsGathered()) {
+  if (m_request.IsGathered()) {
     FinishGathered(aNow);
   } else {
     FinishSingle(aNow);
@@ -465,7 +395,7 @@
   }
   auto answered = static_cast<uint32_t>(result.m_answers.size());
   result.m_missing = static_cast<uint32_t>(m_subRequests.size()) - answered;
-  bool enough = answered >= Required();
+  bool enough = answered >= m_request.Required();
   if (enough && (pending == 0 || aNow >= m_earlyAnswerAt)) {
     result.m_status =
       result.m_missing == 0 ? ForwardStatus::kWhole : ForwardStatus::kPartial;
@@ -474,9 +404,9 @@
     return;
   }
   if (aNow >= m_timeoutAt) {
-    FinishWithoutAnswer(true);
-  } else if (answered + pending < Required()) {
-    FinishWithoutAnswer(false);
+    FinishWithoutAnswer(true, aNow);
+  } else if (answered + pending < m_request.Required()) {
+    FinishWithoutAnswer(false, aNow);
   }
 }
 
@@ -491,7 +421,7 @@
     aNow - m_request.m_receivedAt >=
       m_request.m_route->m_targetLatency / kCapacityWaitDivisor;
   if (waitedTooLong) {
-    FinishWithoutAnswer(false);
+    FinishWithoutAnswer(false, aNow);
     return;
   }
   if (subRequest.m_answer) {
@@ -505,14 +435,14 @@
              .m_missing = 1,
              .m_reason = "upstream-failure" });
   } else if (subRequest.m_failed) {
-    FinishWithoutAnswer(false);
+    FinishWithoutAnswer(false, aNow);
   } else if (aNow >= m_timeoutAt) {
-    FinishWithoutAnswer(true);
+    FinishWithoutAnswer(true, aNow);
   }
 }
 
 void
-ForwardRun::FinishWithoutAnswer(bool aTimedOut)
+ForwardRun::FinishWithoutAnswer(bool aTimedOut, TimePoint aNow)
 {
   bool mayHaveRun =
     std::ranges::any_of(m_subRequests, [](const SubRequest& aSubRequest) {
@@ -520,20 +450,14 @@
                                  &Attempt::m_mayHaveRun);
     });
   CancelOpenAttempts();
-  ForwardResult result;
-  result.m_missing = static_cast<uint32_t>(m_subRequests.size());
   if (!mayHaveRun) {
-    Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
-    result.m_status = ForwardStatus::kRefused;
-    result.m_retryAfter =
-      std::max(typical, m_environment->m_options.m_hedgeRecheckInterval);
-    result.m_reason = "not-run";
-  } else {
-    result.m_status =
-      aTimedOut ? ForwardStatus::kTimedOut : ForwardStatus::kFailed;
-    result.m_reason = aTimedOut ? "timeout" : "upstream-broken";
+    Finish(RefusalPolicy(m_request, *m_environment, aNow).RefuseNotRun());
+    return;
   }
-  Finish(result);
+  Finish(
+    { .m_status = aTimedOut ? ForwardStatus::kTimedOut : ForwardStatus::kFailed,
+      .m_missing = static_cast<uint32_t>(m_subRequests.size()),
+      .m_reason = aTimedOut ? "timeout" : "upstream-broken" });
 }
 
 void
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -15,9 +15,8 @@
 // Each upstream gets a limited number of concurrent requests from one instance.
 // A sub-request whose upstreams are all full, or that was shed, waits here for
 // capacity: after a burst, or when all callers return at once, requests that
-// pile up at the upstreams would only be shed there. If too many shards get
-// more than they can answer, new requests are refused at once: admitted, all of
-// them would wait until their deadline.
+// pile up at the upstreams would only be shed there. `RefusalPolicy` decides
+// which requests are refused.
 //
 // A sub-request is the part of the request that goes to one service. A route to
 // one service has one sub-request, a gathered route one for each shard.
@@ -29,13 +28,9 @@
 #include <vector>
 
 #include "core/base/time.h"
-#include "core/forward/capacity_waiters.h"
-#include "core/forward/extra_budget.h"
+#include "core/forward/forward_request.h"
 #include "core/forward/forward_result.h"
-#include "core/forward/latency_model.h"
-#include "core/replica/replica_catalogue.h"
-#include "core/replica/replica_load.h"
-#include "core/traffic/traffic_config.h"
+#include "core/replica/replica.h"
 
 namespace ebonykeel {
 
@@ -56,54 +51,6 @@
   virtual void Finish(const ForwardResult& aResult) = 0;
 };
 
-struct ForwardOptions
-{
-  // The part of the route's target latency that is reserved for the caller's
-  // request on its way here and for the answer on its way back.
-  Duration m_answerMargin = Milliseconds(8);
-  // The interval between checks whether a late sub-request can be hedged.
-  Duration m_hedgeRecheckInterval = Milliseconds(6);
-  // The interval between checks whether a sub-request that waits for capacity
-  // can be sent.
-  Duration m_capacityRecheckInterval = Milliseconds(8);
-  // The retry delay that is given to callers of a service without upstreams.
-  Duration m_noReplicaRetryAfter = Milliseconds(500);
-  // The retry delay that is given to callers while the process stops: other
-  // instances can serve them at once.
-  Duration m_stopRetryAfter = Milliseconds(10);
-  // Whether late sub-requests are hedged. Off only for comparison.
-  bool m_hedging = true;
-  // Whether answers are returned without late shards. Off only for comparison.
-  bool m_earlyAnswers = true;
-};
-
-// Shared by all runs of an instance. Must outlive them.
-struct ForwardEnvironment
-{
-  const ReplicaCatalogue& m_catalogue;
-  ReplicaLoad& m_load;
-  LatencyModel& m_latencies;
-  ExtraBudget& m_budget;
-  ForwardOptions m_options;
-  CapacityWaiters m_waiters{};
-};
-
-struct ForwardRequest
-{
-  // Must outlive the run.
-  const Route* m_route = nullptr;
-  // The services of the sub-requests: those of the route, or the one that was
-  // chosen from a split.
-  std::vector<std::string> m_services;
-  // When the request was read.
-  TimePoint m_receivedAt;
-  // The caller's remaining time at `m_receivedAt`.
-  Duration m_remaining{};
-  // The time that the caller had already used: for its connection or for
-  // earlier caller attempts.
-  Duration m_elapsed{};
-};
-
 class ForwardRun
 {
 public:
@@ -153,16 +100,9 @@
     bool m_waitingForCapacity = false;
   };
 
-  [[nodiscard]] bool IsGathered() const;
-  [[nodiscard]] uint32_t Required() const;
   // Returns when an answer has to be sent in order to arrive within the target
   // latency.
   [[nodiscard]] TimePoint EarlyAnswerTime() const;
-  // Refuses a request that comes too late before the process stops.
-  bool RefuseIfStopping(TimePoint aNow);
-  bool RefuseIfUnavailable(TimePoint aNow);
-  // Refuses a gathered request that would not be answered in time.
-  bool RefuseIfOverloaded(TimePoint aNow);
   void SendTo(uint32_t aSubRequest,
               const ReplicaPtr& aReplica,
               AttemptReason aReason,
@@ -180,16 +120,16 @@
   void WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow);
   void StopWaiting(SubRequest& aSubRequest);
   void SendWaitingSubRequests(TimePoint aNow);
-  // Returns whether the service has an upstream that does not count as
-  // unreachable.
-  [[nodiscard]] bool HasReachableReplica(const std::string& aService,
+  // Returns whether the service has an upstream that may get requests, now or
+  // once it has capacity.
+  [[nodiscard]] bool HasAvailableReplica(const std::string& aService,
                                          TimePoint aNow) const;
   void HedgeLateSubRequests(TimePoint aNow);
   void TryHedge(uint32_t aSubRequest, TimePoint aNow);
   void FinishIfDue(TimePoint aNow);
   void FinishGathered(TimePoint aNow);
   void FinishSingle(TimePoint aNow);
-  void FinishWithoutAnswer(bool aTimedOut);
+  void FinishWithoutAnswer(bool aTimedOut, TimePoint aNow);
   void Finish(const ForwardResult& aResult);
   void End();
   void CancelOpenAttempts();
--- a/packages/core/forward/overload_forecast.cc
+++ b/packages/core/forward/overload_forecast.cc
@@ -38,7 +38,7 @@
 {
   Duration best = Duration::max();
   for (const ReplicaPtr& replica : m_catalogue.Usable(aService)) {
-    if (m_load.UnreachableUntil(*replica, m_now)) {
+    if (m_load.UnavailableUntil(*replica, m_now)) {
       continue;
     }
     Duration latency = m_load.PredictLatency(*replica, m_typicalLatency, m_now);
--- a/packages/core/forward/overload_forecast.h
+++ b/packages/core/forward/overload_forecast.h
@@ -33,8 +33,8 @@
 
   // Returns the time until `aRequired` of the services, at least one and at
   // most all, are expected to have answered, if each gets a request now at its
-  // fastest upstream. It is the greatest duration if too few of them have a
-  // reachable upstream.
+  // fastest upstream. It is the greatest duration if too few of them have an
+  // upstream that may get requests.
   [[nodiscard]] Duration ExpectedLatency(std::span<const std::string> aServices,
                                          size_t aRequired) const;
 
--- /dev/null
+++ b/packages/core/forward/refusal_policy.cc
@@ -0,0 +1,140 @@
+#include "core/forward/refusal_policy.h"
+
+#include <algorithm>
+
+#include "core/forward/overload_forecast.h"
+
+namespace ebonykeel {
+namespace {
+
+// The shortest retry delay after a refusal for overload: a queue takes this
+// long to become noticeably shorter.
+constexpr Duration kMinOverloadRetryAfter = Milliseconds(50);
+
+} // namespace
+
+RefusalPolicy::RefusalPolicy(const ForwardRequest& aRequest,
+                             ForwardEnvironment& aEnvironment,
+                             TimePoint aNow)
+  : m_request(aRequest)
+  , m_environment(aEnvironment)
+  , m_now(aNow)
+{
+}
+
+std::optional<ForwardResult>
+RefusalPolicy::RefuseUnsent(TimePoint aTimeoutAt,
+                            std::optional<TimePoint> aEndBy) const
+{
+  std::optional<ForwardResult> refusal = RefuseIfStopping(aEndBy);
+  if (!refusal) {
+    refusal = RefuseIfUnavailable();
+  }
+  if (!refusal) {
+    refusal = RefuseIfOverloaded(aTimeoutAt);
+  }
+  return refusal;
+}
+
+ForwardResult
+RefusalPolicy::RefuseNotRun() const
+{
+  ServiceCoverage coverage = CountCoverage();
+  if (IsPushedBack(coverage)) {
+    return RefusePushedBack(coverage);
+  }
+  Duration typical = m_environment.m_latencies.Typical(*m_request.m_route);
+  return { .m_status = ForwardStatus::kRefused,
+           .m_missing = static_cast<uint32_t>(m_request.m_services.size()),
+           .m_retryAfter =
+             std::max(typical, m_environment.m_options.m_hedgeRecheckInterval),
+           .m_reason = "not-run" };
+}
+
+std::optional<ForwardResult>
+RefusalPolicy::RefuseIfStopping(std::optional<TimePoint> aEndBy) const
+{
+  // The answer to a request that needs longer would come after the stop.
+  if (!aEndBy || *aEndBy - m_now >= m_request.m_route->m_targetLatency) {
+    return std::nullopt;
+  }
+  return ForwardResult{ .m_status = ForwardStatus::kRefused,
+                        .m_missing =
+                          static_cast<uint32_t>(m_request.m_services.size()),
+                        .m_retryAfter =
+                          m_environment.m_options.m_stopRetryAfter,
+                        .m_reason = "stopping" };
+}
+
+std::optional<ForwardResult>
+RefusalPolicy::RefuseIfUnavailable() const
+{
+  ServiceCoverage coverage = CountCoverage();
+  if (coverage.HasAvailable(m_request.Required())) {
+    return std::nullopt;
+  }
+  if (IsPushedBack(coverage)) {
+    return RefusePushedBack(coverage);
+  }
+  return ForwardResult{ .m_status = ForwardStatus::kRefused,
+                        .m_missing =
+                          static_cast<uint32_t>(coverage.UnavailableCount()),
+                        .m_retryAfter =
+                          coverage.AvailableAt(m_request.Required()) - m_now,
+                        .m_reason = "no-replica" };
+}
+
+std::optional<ForwardResult>
+RefusalPolicy::RefuseIfOverloaded(TimePoint aTimeoutAt) const
+{
+  if (!m_request.IsGathered()) {
+    return std::nullopt;
+  }
+  OverloadForecast forecast(
+    m_environment.m_catalogue,
+    m_environment.m_load,
+    m_environment.m_waiters,
+    m_environment.m_latencies.Typical(*m_request.m_route),
+    m_now);
+  Duration expected =
+    forecast.ExpectedLatency(m_request.m_services, m_request.Required());
+  Duration remaining = aTimeoutAt - m_now;
+  if (expected <= remaining) {
+    return std::nullopt;
+  }
+  return ForwardResult{
+    .m_status = ForwardStatus::kRefused,
+    .m_missing = static_cast<uint32_t>(m_request.m_services.size()),
+    .m_retryAfter = std::max(expected - remaining, kMinOverloadRetryAfter),
+    .m_reason = "overloaded"
+  };
+}
+
+ServiceCoverage
+RefusalPolicy::CountCoverage() const
+{
+  return { m_request.m_services,
+           m_environment.m_catalogue,
+           m_environment.m_load,
+           m_environment.m_options.m_noReplicaRetryAfter,
+           m_now };
+}
+
+bool
+RefusalPolicy::IsPushedBack(const ServiceCoverage& aCoverage) const
+{
+  return !aCoverage.HasAvailable(m_request.Required()) &&
+         aCoverage.HasReachable(m_request.Required());
+}
+
+ForwardResult
+RefusalPolicy::RefusePushedBack(const ServiceCoverage& aCoverage) const
+{
+  Duration delay = aCoverage.AvailableAt(m_request.Required()) - m_now;
+  return { .m_status = ForwardStatus::kRefused,
+           .m_missing = static_cast<uint32_t>(aCoverage.UnavailableCount()),
+           .m_retryAfter = m_environment.m_retrySpread.Extend(delay),
+           .m_reason = "pushed-back" };
+}
+
+} // namespace ebonykeel
--- a/packages/core/forward/coverage.cc
+++ b/packages/core/forward/service_coverage.cc
@@ -1,9 +1,24 @@
-#include "core/forward/coverage.h"
+#include "core/forward/service_coverage.h"
 
 #include <algorithm>
 #include <cmath>
 
 namespace ebonykeel {
+namespace {
+
+bool
+HasReachableReplica(const std::string& aService,
+                    const ReplicaCatalogue& aCatalogue,
+                    const ReplicaLoad& aLoad,
+                    TimePoint aNow)
+{
+  return std::ranges::any_of(
+    aCatalogue.Usable(aService), [&](const ReplicaPtr& aReplica) {
+      return !aLoad.UnreachableUntil(*aReplica, aNow).has_value();
+    });
+}
+
+} // namespace
 
 std::optional<TimePoint>
 UnavailableUntil(const std::string& aService,
@@ -14,12 +29,12 @@
 {
   std::optional<TimePoint> until;
   for (const ReplicaPtr& replica : aCatalogue.Usable(aService)) {
-    std::optional<TimePoint> unreachableUntil =
-      aLoad.UnreachableUntil(*replica, aNow);
-    if (!unreachableUntil) {
+    std::optional<TimePoint> replicaUntil =
+      aLoad.UnavailableUntil(*replica, aNow);
+    if (!replicaUntil) {
       return std::nullopt;
     }
-    until = std::min(until.value_or(*unreachableUntil), *unreachableUntil);
+    until = std::min(until.value_or(*replicaUntil), *replicaUntil);
   }
   return until.value_or(aNow + aNoReplicaDelay);
 }
@@ -34,30 +49,38 @@
   return std::max(1U, static_cast<uint32_t>(required));
 }
 
-Coverage::Coverage(std::span<const std::string> aServices,
-                   const ReplicaCatalogue& aCatalogue,
-                   const ReplicaLoad& aLoad,
-                   Duration aNoReplicaDelay,
-                   TimePoint aNow)
+ServiceCoverage::ServiceCoverage(std::span<const std::string> aServices,
+                                 const ReplicaCatalogue& aCatalogue,
+                                 const ReplicaLoad& aLoad,
+                                 Duration aNoReplicaDelay,
+                                 TimePoint aNow)
   : m_services(aServices.size())
 {
   for (const std::string& service : aServices) {
     if (std::optional<TimePoint> until =
           UnavailableUntil(service, aCatalogue, aLoad, aNoReplicaDelay, aNow)) {
       m_unavailable.push_back(*until);
+      m_pushedBack +=
+        HasReachableReplica(service, aCatalogue, aLoad, aNow) ? 1 : 0;
     }
   }
   std::ranges::sort(m_unavailable);
 }
 
 bool
-Coverage::HasAvailable(size_t aRequired) const
+ServiceCoverage::HasAvailable(size_t aRequired) const
 {
   return m_services - m_unavailable.size() >= aRequired;
 }
 
+bool
+ServiceCoverage::HasReachable(size_t aRequired) const
+{
+  return m_services - m_unavailable.size() + m_pushedBack >= aRequired;
+}
+
 TimePoint
-Coverage::AvailableAt(size_t aRequired) const
+ServiceCoverage::AvailableAt(size_t aRequired) const
 {
   size_t lacking = aRequired - (m_services - m_unavailable.size());
   return m_unavailable[lacking - 1];
--- a/packages/core/forward/coverage.h
+++ b/packages/core/forward/service_coverage.h
@@ -1,7 +1,7 @@
-// Counts how many of a request's services have an upstream that counts as
-// reachable.
+// Counts how many of a request's services have an upstream that may get
+// requests: one that counts as reachable and does not push back.
 //
-//   Coverage coverage(services, catalogue, load, noReplicaDelay, now);
+//   ServiceCoverage coverage(services, catalogue, load, noReplicaDelay, now);
 //   if (!coverage.HasAvailable(required)) {
 //     Refuse(coverage.AvailableAt(required) - now);
 //   }
@@ -18,7 +18,7 @@
 
 namespace ebonykeel {
 
-// Returns when an upstream of the service may be tried again, which is
+// Returns when an upstream of the service may get requests again, which is
 // `aNoReplicaDelay` from now if it has no upstream at all; nothing if one may
 // be tried now.
 [[nodiscard]] std::optional<TimePoint>
@@ -33,18 +33,21 @@
 [[nodiscard]] uint32_t
 RequiredSubRequests(double aMinShare, size_t aSubRequests);
 
-class Coverage
+class ServiceCoverage
 {
 public:
   // Arguments as in `UnavailableUntil`.
-  Coverage(std::span<const std::string> aServices,
-           const ReplicaCatalogue& aCatalogue,
-           const ReplicaLoad& aLoad,
-           Duration aNoReplicaDelay,
-           TimePoint aNow);
+  ServiceCoverage(std::span<const std::string> aServices,
+                  const ReplicaCatalogue& aCatalogue,
+                  const ReplicaLoad& aLoad,
+                  Duration aNoReplicaDelay,
+                  TimePoint aNow);
 
   // Returns whether at least `aRequired` services are available.
   [[nodiscard]] bool HasAvailable(size_t aRequired) const;
+  // Returns whether at least `aRequired` services have a reachable upstream,
+  // including those whose upstreams push back.
+  [[nodiscard]] bool HasReachable(size_t aRequired) const;
   // Returns when `aRequired` services will be available. Must not be called if
   // they are available now.
   [[nodiscard]] TimePoint AvailableAt(size_t aRequired) const;
@@ -54,6 +57,8 @@
   size_t m_services;
   // When each unavailable service may be tried again, soonest first.
   std::vector<TimePoint> m_unavailable;
+  // The number of unavailable services with a reachable upstream.
+  size_t m_pushedBack = 0;
 };
 
 } // namespace ebonykeel
--- a/packages/core/replica/replica_catalogue.cc
+++ b/packages/core/replica/replica_catalogue.cc
@@ -37,6 +37,16 @@
   Rebuild(service);
 }
 
+bool
+ReplicaCatalogue::SetLeaving(const Replica& aReplica)
+{
+  bool isNew = m_leaving.Add(aReplica);
+  if (isNew && m_replicas.contains(aReplica.m_id)) {
+    Rebuild(m_replicas.at(aReplica.m_id)->m_service);
+  }
+  return isNew;
+}
+
 void
 ReplicaCatalogue::SetExcludedDataCentres(std::set<DataCentre> aDataCentres)
 {
@@ -76,7 +86,8 @@
 ReplicaCatalogue::IsUsable(const Replica& aReplica) const
 {
   return aReplica.m_state == ReplicaState::kReady &&
-         !m_excluded.contains(aReplica.m_dataCentre);
+         !m_excluded.contains(aReplica.m_dataCentre) &&
+         !m_leaving.Contains(aReplica);
 }
 
 void
--- a/packages/core/replica/replica_catalogue.h
+++ b/packages/core/replica/replica_catalogue.h
@@ -12,12 +12,14 @@
 #include <string_view>
 #include <vector>
 
+#include "core/replica/leaving_replicas.h"
 #include "core/replica/replica.h"
 
 namespace ebonykeel {
 
 // The registrations known to one instance. An upstream is usable while it is
-// registered, ready and not in an excluded data centre.
+// registered, ready, not in an excluded data centre, and has not announced that
+// it is leaving.
 class ReplicaCatalogue
 {
 public:
@@ -25,6 +27,9 @@
   void Put(Replica aReplica);
   // Removes a registration; does nothing if the ID is unknown.
   void Remove(std::string_view aId);
+  // Makes a start of an upstream unusable for good, whatever its registration
+  // says. Returns false if it was before.
+  bool SetLeaving(const Replica& aReplica);
   // Sets the data centres whose upstreams receive no requests.
   void SetExcludedDataCentres(std::set<DataCentre> aDataCentres);
 
@@ -32,6 +37,8 @@
   [[nodiscard]] std::span<const ReplicaPtr> Usable(
     std::string_view aService) const;
   [[nodiscard]] size_t Count() const { return m_replicas.size(); }
+  // Returns the number of upstreams that announced that they are leaving.
+  [[nodiscard]] size_t LeavingCount() const { return m_leaving.Count(); }
   // Returns the number of usable upstreams of the given services, by data
   // centre.
   [[nodiscard]] std::map<DataCentre, size_t> CountUsableByDataCentre(
@@ -45,6 +52,7 @@
   std::map<std::string, std::set<std::string>, std::less<>> m_idsByService;
   std::map<std::string, std::vector<ReplicaPtr>, std::less<>> m_usable;
   std::set<DataCentre> m_excluded;
+  LeavingReplicas m_leaving;
 };
 
 } // namespace ebonykeel
--- a/packages/core/replica/replica_catalogue_test.cc
+++ b/packages/core/replica/replica_catalogue_test.cc
@@ -64,5 +64,43 @@
   DOCTEST_CHECK(catalogue.Usable("s")[0]->m_startUnixMs == 2);
 }
 
+// Guards against an old registration, from the store or from a peer, that
+// brings an upstream back which has announced its end.
+DOCTEST_TEST_CASE(
+  "a leaving upstream stays unusable until a new start of it is "
+  "registered")
+{
+  ReplicaCatalogue catalogue;
+  Replica replica = ReplicaNamed("a", "s", "north");
+  catalogue.Put(replica);
+  DOCTEST_CHECK(catalogue.SetLeaving(replica));
+  DOCTEST_CHECK_FALSE(catalogue.SetLeaving(replica));
+  DOCTEST_CHECK(catalogue.Usable("s").empty());
+  replica.m_slots = 3;
+  catalogue.Put(replica);
+  DOCTEST_CHECK(catalogue.Usable("s").empty());
+  catalogue.Remove("a");
+  catalogue.Put(replica);
+  DOCTEST_CHECK(catalogue.Usable("s").empty());
+  replica.m_startUnixMs = 2;
+  catalogue.Put(replica);
+  DOCTEST_CHECK(catalogue.Usable("s").size() == 1);
+}
+
+DOCTEST_TEST_CASE(
+  "a leaving upstream does not affect another one at its address")
+{
+  ReplicaCatalogue catalogue;
+  Replica replica = ReplicaNamed("a", "s", "north");
+  catalogue.Put(replica);
+  catalogue.Put(ReplicaNamed("b", "s", "north"));
+  // The announcement may come after the registration was removed.
+  catalogue.Remove("a");
+  catalogue.SetLeaving(replica);
+  DOCTEST_CHECK(catalogue.LeavingCount() == 1);
+  DOCTEST_REQUIRE(catalogue.Usable("s").size() == 1);
+  DOCTEST_CHECK(catalogue.Usable("s")[0]->m_id == "b");
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -33,6 +33,7 @@
 
 ReplicaLoad::ReplicaLoad(ReplicaLoadOptions aOptions)
   : m_options(std::move(aOptions))
+  , m_pushback(m_options.m_pushback)
 {
 }
 
@@ -51,7 +52,8 @@
     bool tried = std::ranges::any_of(aTried, [&](const ReplicaPtr& aOther) {
       return aOther->m_id == candidate->m_id;
     });
-    if (tried || !HasQueueCapacity(*candidate)) {
+    if (tried || m_pushback.Until(*candidate, aNow) ||
+        !HasQueueCapacity(*candidate, aNow)) {
       continue;
     }
     Duration cost = Cost(*candidate, aTypicalLatency, aNow);
@@ -106,8 +108,11 @@
 }
 
 bool
-ReplicaLoad::HasQueueCapacity(const Replica& aReplica) const
+ReplicaLoad::HasQueueCapacity(const Replica& aReplica, TimePoint aNow) const
 {
+  if (m_pushback.IsResuming(aReplica, aNow)) {
+    return InFlight(aReplica) == 0;
+  }
   return InFlight(aReplica) < aReplica.m_slots + m_options.m_maxQueued;
 }
 
@@ -121,6 +126,14 @@
   return state->m_unreachableUntil;
 }
 
+std::optional<TimePoint>
+ReplicaLoad::UnavailableUntil(const Replica& aReplica, TimePoint aNow) const
+{
+  // An empty optional is less than any time.
+  return std::max(UnreachableUntil(aReplica, aNow),
+                  m_pushback.Until(aReplica, aNow));
+}
+
 void
 ReplicaLoad::OnSent(const Replica& aReplica, TimePoint aNow)
 {
@@ -133,11 +146,9 @@
                         Duration aTypicalLatency,
                         TimePoint aNow)
 {
+  OnAttemptCancelled(aReplica, aSentAt);
+  m_pushback.OnAnswered(aReplica, aNow);
   State& state = FindOrCreate(aReplica);
-  auto sent = state.m_outstanding.find(aSentAt);
-  if (sent != state.m_outstanding.end()) {
-    state.m_outstanding.erase(sent);
-  }
   state.m_unreachableCount = 0;
   state.m_unreachableUntil = TimePoint{};
   state.m_errorRate = state.m_errorRate * DecayFactor(state.m_errorAt, aNow) *
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -5,7 +5,8 @@
 // the route, so that samples of fast and slow routes are comparable. An overdue
 // request raises the predicted latency while it is still unanswered, so that a
 // pausing upstream is avoided before its first late answer. Stalls at regular
-// intervals are forecast.
+// intervals are forecast. An upstream that asked for no requests for a while is
+// not chosen.
 //
 //   ReplicaLoad load(options);
 //   const ReplicaPtr* best = load.Choose(candidates, {}, typical, now);
@@ -22,6 +23,7 @@
 #include <unordered_map>
 
 #include "core/replica/replica.h"
+#include "core/replica/replica_pushback.h"
 #include "core/replica/stall_forecast.h"
 
 namespace ebonykeel {
@@ -48,6 +50,7 @@
   Duration m_decayHalfLife = Milliseconds(1500);
   // Whether stalls are forecast. Off only for comparison.
   bool m_forecastStalls = true;
+  ReplicaPushbackOptions m_pushback;
 };
 
 class ReplicaLoad
@@ -75,14 +78,21 @@
   // this instance.
   [[nodiscard]] bool HasFreeSlot(const Replica& aReplica) const;
   // Returns whether this instance may send the upstream another request without
-  // exceeding `m_maxQueued`.
-  [[nodiscard]] bool HasQueueCapacity(const Replica& aReplica) const;
+  // exceeding `m_maxQueued`, or one request after a pushback.
+  [[nodiscard]] bool HasQueueCapacity(const Replica& aReplica,
+                                      TimePoint aNow) const;
   // Returns until when the upstream counts as unreachable; nothing if it counts
   // as reachable.
   [[nodiscard]] std::optional<TimePoint> UnreachableUntil(
     const Replica& aReplica,
     TimePoint aNow) const;
 
+  // Returns until when the upstream gets no requests, because it counts as
+  // unreachable or pushes back; nothing if it may get some.
+  [[nodiscard]] std::optional<TimePoint> UnavailableUntil(
+    const Replica& aReplica,
+    TimePoint aNow) const;
+
   // Returns false if certainly no upstream counts as unreachable. May stay true
   // after an upstream became reachable again.
   [[nodiscard]] bool AnyUnreachable(TimePoint aNow) const
@@ -120,6 +130,9 @@
   void OnUnreachable(const Replica& aReplica,
                      TimePoint aSentAt,
                      TimePoint aNow);
+  // The upstreams that asked for no requests for a while.
+  [[nodiscard]] const ReplicaPushback& Pushback() const { return m_pushback; }
+  [[nodiscard]] ReplicaPushback& Pushback() { return m_pushback; }
   // Sets until when the upstream counts as cold.
   void SetColdUntil(const Replica& aReplica, TimePoint aUntil);
   // Removes the state of an upstream that is no longer used.
@@ -165,6 +178,7 @@
   ReplicaLoadOptions m_options;
   std::unordered_map<std::string, State> m_states;
   StallForecast m_forecast;
+  ReplicaPushback m_pushback;
   // The latest time until which some upstream counts as unreachable.
   TimePoint m_anyUnreachableUntil;
   // Rotates the choice among equal upstreams.
--- a/packages/core/replica/replica_load_test.cc
+++ b/packages/core/replica/replica_load_test.cc
@@ -139,5 +139,41 @@
   DOCTEST_CHECK(fixture.ChosenAt(next + Seconds(1)) == "near");
 }
 
+// Guards against a rush of requests that waited while an upstream pushed back.
+DOCTEST_TEST_CASE(
+  "after a pushback an upstream gets one request at a time until "
+  "it has answered")
+{
+  Fixture fixture;
+  const Replica& near = *fixture.m_replicas[0];
+  fixture.m_load.Pushback().OnRejected(near, Milliseconds(800), kStart);
+  DOCTEST_CHECK(fixture.ChosenAt(kStart) == "far");
+  TimePoint end = kStart + Seconds(1);
+  DOCTEST_CHECK_FALSE(fixture.m_load.UnavailableUntil(near, end).has_value());
+  DOCTEST_CHECK(fixture.m_load.Pushback().TakeEnded(end).size() == 1);
+  DOCTEST_CHECK(fixture.ChosenAt(end) == "near");
+  fixture.m_load.OnSent(near, end);
+  DOCTEST_CHECK_FALSE(fixture.m_load.HasQueueCapacity(near, end));
+  DOCTEST_CHECK(fixture.ChosenAt(end) == "far");
+  fixture.m_load.OnAnswered(near, end, kTypical, end + kTypical);
+  for (int i = 0; i < 5; ++i) {
+    DOCTEST_CHECK(fixture.m_load.HasQueueCapacity(near, end + kTypical));
+    fixture.m_load.OnSent(near, end + kTypical);
+  }
+}
+
+DOCTEST_TEST_CASE("an upstream that is out of reach and pushes back is "
+                  "unavailable until both are over")
+{
+  Fixture fixture;
+  const Replica& near = *fixture.m_replicas[0];
+  fixture.m_load.OnUnreachable(near, kStart, kStart);
+  DOCTEST_CHECK(fixture.m_load.UnavailableUntil(near, kStart) ==
+                kStart + Milliseconds(250));
+  fixture.m_load.Pushback().OnRejected(near, Seconds(1), kStart);
+  DOCTEST_CHECK(*fixture.m_load.UnavailableUntil(near, kStart) >=
+                kStart + Seconds(1));
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -6,8 +6,9 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "core/base/stable_hash.h"
 #include "core/fleet/store_readers.h"
-#include "core/forward/coverage.h"
+#include "core/forward/service_coverage.h"
 
 namespace ebonykeel {
 namespace {
@@ -117,7 +118,8 @@
   , m_upstreamClient(aLoop, {})
   , m_controlClient(aLoop, {})
   , m_load({ .m_dataCentre = m_settings.m_dataCentre,
-             .m_forecastStalls = m_settings.m_foreseeStalls })
+             .m_forecastStalls = m_settings.m_foreseeStalls,
+             .m_pushback = { .m_seed = StableHash(m_settings.m_host) } })
   , m_budget({ .m_share = m_settings.m_extraShare,
                .m_burst = static_cast<double>(m_settings.m_extraBurst),
                .m_window = m_settings.m_extraWindow },
@@ -274,6 +276,7 @@
   MaintainInstanceList();
   UpdateReachability();
   UpdateBudget();
+  m_routing.LogResumed(m_loop.Now());
   if (m_stoppingSince) {
     ContinueStop();
   }
@@ -434,10 +437,10 @@
   }
   return std::ranges::all_of(
     routes->Config()->m_routes, [&](const Route& aRoute) {
-      Coverage coverage(
+      ServiceCoverage coverage(
         aRoute.m_services, m_routing.Catalogue(), m_load, {}, now);
       return aRoute.m_target != RouteTarget::kShards ||
-             coverage.HasAvailable(RequiredSubRequests(
+             coverage.HasReachable(RequiredSubRequests(
                aRoute.m_minShare, aRoute.m_services.size()));
     });
 }
@@ -525,6 +528,11 @@
   gauge("ebonykeel_store_calls", m_reader.CallCount());
   gauge("ebonykeel_store_on_duty", m_reader.IsActive() ? 1 : 0);
   gauge("ebonykeel_replicas", m_routing.Catalogue().Count());
+  gauge("ebonykeel_replicas_leaving", m_routing.Catalogue().LeavingCount());
+  gauge("ebonykeel_replicas_pushing_back",
+        m_load.Pushback().Count(m_loop.Now()));
+  gauge("ebonykeel_replica_leaving_total", m_routing.LeavingTotal());
+  gauge("ebonykeel_replica_pushback_total", m_routing.PushbackTotal());
   gauge("ebonykeel_replicas_age_seconds", ToMillisecondsF(FeedAge()) / 1000);
   gauge("ebonykeel_stall_interval_seconds",
         ToMillisecondsF(m_load.StallInterval()) / 1000);
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -398,7 +398,7 @@
 ForwardService::ForwardService(UvLoop& aLoop,
                                Http1Client& aClient,
                                const TrafficProtocol& aProtocol,
-                               const RoutingState& aRouting,
+                               RoutingState& aRouting,
                                const ReplicaFeedAge& aReplicaFeedAge,
                                ReplicaLoad& aLoad,
                                ExtraBudget& aBudget,
@@ -555,6 +555,7 @@
   aAttempt->m_httpCall = 0;
   aAttempt->m_connection = aResult.m_connection;
   RecordOutcome(*aAttempt, answer.m_outcome, aResult.m_problem);
+  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, m_loop.Now());
   if (std::shared_ptr<RequestJob> job = aAttempt->m_job.lock()) {
     job->OnOutcome(aAttempt->m_subRequest,
                    aAttempt->m_attempt,
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -58,7 +58,7 @@
   ForwardService(UvLoop& aLoop,
                  Http1Client& aClient,
                  const TrafficProtocol& aProtocol,
-                 const RoutingState& aRouting,
+                 RoutingState& aRouting,
                  const ReplicaFeedAge& aReplicaFeedAge,
                  ReplicaLoad& aLoad,
                  ExtraBudget& aBudget,
@@ -123,7 +123,7 @@
   UvLoop& m_loop;
   Http1Client& m_client;
   const TrafficProtocol& m_protocol;
-  const RoutingState& m_routing;
+  RoutingState& m_routing;
   const ReplicaFeedAge& m_replicaFeedAge;
   ReplicaLoad& m_load;
   LineLog& m_log;
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -34,10 +34,23 @@
   std::optional<Duration> m_remaining;
 };
 
+// What an upstream states about itself in an answer.
+struct UpstreamNotices
+{
+  // It is leaving: it wants no more requests.
+  bool m_isLeaving = false;
+  // It rejected the request and wants no others from this instance for this
+  // long; nothing if it states no readable time.
+  std::optional<Duration> m_retryAfter;
+  // The stated time if it cannot be read.
+  std::optional<std::string> m_unreadableRetryAfter;
+};
+
 // An upstream's answer to a forwarded request.
 struct UpstreamAnswer
 {
   AttemptOutcome m_outcome = AttemptOutcome::kFailure;
+  UpstreamNotices m_notices;
   // The upstream's signature; empty if there is none.
   std::string m_signature;
   Http1Response m_response;
--- a/packages/node/entry/routing_state.cc
+++ b/packages/node/entry/routing_state.cc
@@ -6,6 +6,12 @@
 #include "absl/strings/str_join.h"
 
 namespace ebonykeel {
+namespace {
+
+// The maximum number of logged characters of an unreadable header.
+constexpr size_t kMaxLoggedText = 64;
+
+} // namespace
 
 RoutingState::RoutingState(const StoreProtocol& aProtocol,
                            ReplicaLoad& aLoad,
@@ -34,6 +40,64 @@
   }
 }
 
+void
+RoutingState::ApplyNotices(const Replica& aReplica,
+                           const UpstreamNotices& aNotices,
+                           TimePoint aNow)
+{
+  if (aNotices.m_isLeaving && m_catalogue.SetLeaving(aReplica)) {
+    ++m_leavingTotal;
+    m_log.Write(Event::kReplicaSuspended,
+                { { "replica", aReplica.m_id },
+                  { "service", aReplica.m_service },
+                  { "cause", "leaving" } });
+  }
+  if (aNotices.m_retryAfter) {
+    ApplyRetryAfter(aReplica, *aNotices.m_retryAfter, aNow);
+  }
+  if (aNotices.m_unreadableRetryAfter) {
+    m_log.Write(
+      Event::kRetryAfterUnreadable,
+      { { "replica", aReplica.m_id },
+        { "text",
+          aNotices.m_unreadableRetryAfter->substr(0, kMaxLoggedText) } });
+  }
+}
+
+void
+RoutingState::ApplyRetryAfter(const Replica& aReplica,
+                              Duration aRetryAfter,
+                              TimePoint aNow)
+{
+  ReplicaPushback& pushback = m_load.Pushback();
+  if (!pushback.OnRejected(aReplica, aRetryAfter, aNow)) {
+    return;
+  }
+  ++m_pushbackTotal;
+  Duration applied = *pushback.Until(aReplica, aNow) - aNow;
+  m_log.Write(Event::kReplicaSuspended,
+              { { "replica", aReplica.m_id },
+                { "service", aReplica.m_service },
+                { "cause", "retry-after" },
+                { "asked_ms", absl::StrCat(ToMilliseconds(aRetryAfter)) },
+                { "applied_ms", absl::StrCat(ToMilliseconds(applied)) } });
+}
+
+void
+RoutingState::LogResumed(TimePoint aNow)
+{
+  for (const std::string& id : m_load.Pushback().TakeEnded(aNow)) {
+    LogResumed(id, "time-over");
+  }
+}
+
+void
+RoutingState::LogResumed(const std::string& aId, std::string_view aCause)
+{
+  m_log.Write(Event::kReplicaResumed,
+              { { "replica", aId }, { "cause", std::string(aCause) } });
+}
+
 std::map<DataCentre, size_t>
 RoutingState::CountGatheredUpstreams() const
 {
@@ -105,6 +169,9 @@
   if (replica->m_coldStartDuration > Duration{}) {
     m_load.SetColdUntil(*replica, aNow + replica->m_coldStartDuration);
   }
+  if (m_load.Pushback().OnRegistered(*replica)) {
+    LogResumed(replica->m_id, "new-start");
+  }
   m_catalogue.Put(*std::move(replica));
 }
 
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -110,6 +110,25 @@
     "The set of excluded data centres, whose upstreams get no requests, "
     "changed.",
     "data_centres revision" },
+  EventInfo{ Event::kReplicaSuspended,
+             Severity::kInfo,
+             "replica_suspended",
+             "An upstream announced that it is leaving (cause leaving), or "
+             "rejected a request and asked for no others for a while (cause "
+             "retry-after); it gets no requests from this instance.",
+             "replica service cause asked_ms applied_ms" },
+  EventInfo{ Event::kReplicaResumed,
+             Severity::kInfo,
+             "replica_resumed",
+             "An upstream that asked for no requests for a while may get some "
+             "again: the time is over or a new start of it is registered.",
+             "replica cause" },
+  EventInfo{ Event::kRetryAfterUnreadable,
+             Severity::kInfo,
+             "retry_after_unreadable",
+             "An upstream rejected a request with a retry delay that is not a "
+             "number of seconds; the delay is ignored.",
+             "replica text" },
   EventInfo{ Event::kConfigurationInForce,
              Severity::kInfo,
              "configuration_in_force",
