Store reader: an object that cannot be read is logged once and counted

Cause: an unreadable object of another writer counted as removed without a word; an operator could not see why an upstream was not used.

Change: event EK1408 names it once for each reader, until it is readable or gone; the metric ebonykeel_store_unreadable_objects counts them.

--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -527,6 +527,7 @@
         m_upstreamClient.ConnectionsOpened());
   gauge("ebonykeel_store_calls", m_reader.CallCount());
   gauge("ebonykeel_store_on_duty", m_reader.IsActive() ? 1 : 0);
+  gauge("ebonykeel_store_unreadable_objects", m_reader.UnreadableCount());
   gauge("ebonykeel_replicas", m_routing.Catalogue().Count());
   gauge("ebonykeel_replicas_leaving", m_routing.Catalogue().LeavingCount());
   gauge("ebonykeel_replicas_pushing_back",
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -129,6 +129,8 @@
 struct StoreListPage
 {
   std::vector<FeedObject> m_objects;
+  // The names of the objects that cannot be read; empty for one without a name.
+  std::vector<std::string> m_unreadable;
   // The name after which the next page begins; empty on the last page.
   std::string m_nextAfter;
   uint64_t m_asOfRevision = 0;
@@ -137,6 +139,8 @@
 struct StoreEvents
 {
   std::vector<FeedObject> m_objects;
+  // As in `StoreListPage`.
+  std::vector<std::string> m_unreadable;
   uint64_t m_asOfRevision = 0;
 };
 
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -1,6 +1,7 @@
 #include "node/entry/store_reader.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -213,7 +214,9 @@
   if (aKind.m_listAfter.empty()) {
     aKind.m_listedNames.clear();
     aKind.m_listAsOfRevision = page->m_asOfRevision;
+    aKind.m_unreadable.BeginList();
   }
+  ReportUnreadable(aKind, page->m_unreadable, page->m_asOfRevision);
   bool changed = false;
   for (FeedObject& object : page->m_objects) {
     if (!object.m_deleted) {
@@ -239,6 +242,7 @@
     }
   }
   aKind.m_listed = true;
+  aKind.m_unreadable.EndList();
   Feed(aKind).ForgetRemovalsUpTo(aKind.m_listAsOfRevision);
   OnSuccess(aKind, aKind.m_listAsOfRevision, changed);
 }
@@ -271,6 +275,15 @@
                         events->m_asOfRevision,
                         events->m_objects.size());
   }
+  for (const FeedObject& object : events->m_objects) {
+    bool isUnreadable =
+      std::ranges::find(events->m_unreadable, object.m_name) !=
+      events->m_unreadable.end();
+    if (!isUnreadable) {
+      aKind.m_unreadable.Remove(object.m_name);
+    }
+  }
+  ReportUnreadable(aKind, events->m_unreadable, events->m_asOfRevision);
   bool changed = false;
   for (FeedObject& object : LastStates(std::move(events->m_objects))) {
     changed =
@@ -318,6 +331,35 @@
   return true;
 }
 
+void
+StoreReader::ReportUnreadable(KindState& aKind,
+                              std::span<const std::string> aNames,
+                              uint64_t aAsOf)
+{
+  for (const std::string& name : aNames) {
+    if (aKind.m_unreadable.Add(name)) {
+      m_log.Write(Event::kObjectUnreadable,
+                  { { "kind", std::string(FeedKindName(aKind.m_kind)) },
+                    { "object", name },
+                    { "revision", absl::StrCat(aAsOf) } });
+    }
+  }
+}
+
+size_t
+StoreReader::UnreadableCount() const
+{
+  if (!m_active) {
+    return 0;
+  }
+  return std::accumulate(m_kindStates.begin(),
+                         m_kindStates.end(),
+                         size_t{ 0 },
+                         [](size_t aCount, const KindState& aKind) {
+                           return aCount + aKind.m_unreadable.Count();
+                         });
+}
+
 bool
 StoreReader::ReleaseHeldRemovals(KindState& aKind, uint64_t aRevision)
 {
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -14,9 +14,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 #include "core/feed/object_feed.h"
+#include "core/feed/unreadable_objects.h"
 #include "node/entry/protocol.h"
 #include "runtime/http1/client.h"
 #include "runtime/log/line_log.h"
@@ -79,6 +81,9 @@
   [[nodiscard]] bool IsActive() const { return m_active; }
   // Returns the number of calls since the start.
   [[nodiscard]] uint64_t CallCount() const { return m_callCount; }
+  // Returns how many objects of the store cannot be read; 0 while this instance
+  // is not a reader.
+  [[nodiscard]] size_t UnreadableCount() const;
 
   // Reads the list of instances; calls `aCallback` with their hosts, or with
   // none if the list cannot be read.
@@ -104,6 +109,7 @@
     // The revision at which the watch began. Peers may bring the feed further
     // while the watch's answer is on its way.
     uint64_t m_watchSinceRevision = 0;
+    UnreadableObjects m_unreadable;
     std::unique_ptr<UvTimer> m_timer;
   };
 
@@ -122,6 +128,10 @@
   // Applies an object, as of the store's revision `aAsOf`, to the feed or holds
   // its removal back; returns whether the feed changed.
   bool Apply(KindState& aKind, FeedObject aObject, uint64_t aAsOf);
+  // Logs the objects that cannot be read and were not known as such.
+  void ReportUnreadable(KindState& aKind,
+                        std::span<const std::string> aNames,
+                        uint64_t aAsOf);
   // Applies the held removals as of `aRevision` once they need not be held any
   // longer; returns whether the feed changed.
   bool ReleaseHeldRemovals(KindState& aKind, uint64_t aRevision);
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -190,6 +190,12 @@
              "The store counts changes that no watch reported; the other kinds "
              "are listed again.",
              "" },
+  EventInfo{ Event::kObjectUnreadable,
+             Severity::kWarning,
+             "object_unreadable",
+             "An object in the store cannot be read; it counts as removed, the "
+             "others hold. Logged once by each reader until it is readable.",
+             "kind object revision" },
   EventInfo{ Event::kQueryRefused,
              Severity::kInfo,
              "query_refused",
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -48,6 +48,7 @@
   kRemovalsReleased = 1405,
   kFeedMerged = 1406,
   kChangesUnseen = 1407,
+  kObjectUnreadable = 1408,
   kQueryRefused = 1501,
   kQueryPartial = 1502,
   kFilingUnknown = 1601,
