Store reader: a bad configuration does not replace a good one in the feed

Callers saw: 503 from instances that started while the store held a configuration that cannot be read, or none, although their peers served with the last good one. Cause: the reader put it into the feed, from which instances that start read. Change: the reader applies a configuration only if it can be read.

--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -311,6 +311,9 @@
   if (aAsOf < Feed(aKind).CompleteRevision()) {
     return false;
   }
+  if (aKind.m_kind == FeedKind::kConfiguration && !IsUsable(aObject)) {
+    return false;
+  }
   if (aKind.m_kind == FeedKind::kReplicas) {
     bool removal = aObject.m_deleted;
     const FeedObject* current = Feed(aKind).Find(aObject.m_name);
@@ -331,6 +334,23 @@
   return true;
 }
 
+bool
+StoreReader::IsUsable(const FeedObject& aConfiguration)
+{
+  if (aConfiguration.m_deleted) {
+    return false;
+  }
+  absl::Status status =
+    m_protocol.ReadConfiguration(aConfiguration.m_payload).status();
+  if (!status.ok()) {
+    m_log.Write(Event::kConfigurationRefused,
+                { { "problem", std::string(status.message()) },
+                  { "source", "store" },
+                  { "detail", absl::StrCat(aConfiguration.m_revision) } });
+  }
+  return status.ok();
+}
+
 void
 StoreReader::ReportUnreadable(KindState& aKind,
                               std::span<const std::string> aNames,
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -128,6 +128,10 @@
   // Applies an object, as of the store's revision `aAsOf`, to the feed or holds
   // its removal back; returns whether the feed changed.
   bool Apply(KindState& aKind, FeedObject aObject, uint64_t aAsOf);
+  // Returns whether a configuration may replace the one in the feed: one that
+  // cannot be read or was removed must not, since instances that start later
+  // have only the feed.
+  [[nodiscard]] bool IsUsable(const FeedObject& aConfiguration);
   // Logs the objects that cannot be read and were not known as such.
   void ReportUnreadable(KindState& aKind,
                         std::span<const std::string> aNames,
