--- a/packages/cli/requests.cc
+++ b/packages/cli/requests.cc
@@ -4,9 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 
 namespace ebonykeel::cli {
 namespace {
@@ -205,21 +203,4 @@
   return MakeAdminRequest(aLine, aContext, "GET", "/v1/admin/status");
 }
 
-std::string
-PercentEncode(std::string_view aText)
-{
-  constexpr std::string_view kUnreserved = "._~-";
-  std::string encoded;
-  for (char byte : aText) {
-    auto code = static_cast<unsigned char>(byte);
-    if (absl::ascii_isalnum(code) ||
-        kUnreserved.find(byte) != std::string_view::npos) {
-      encoded.push_back(byte);
-    } else {
-      absl::StrAppendFormat(&encoded, "%%%02X", code);
-    }
-  }
-  return encoded;
-}
-
 } // namespace ebonykeel::cli
--- a/packages/cli/requests.h
+++ b/packages/cli/requests.h
@@ -49,9 +49,4 @@
 [[nodiscard]] InstanceRequest
 MakeStatusRequest(const CommandLine& aLine, const RequestContext& aContext);
 
-// Returns `aText` with every byte percent-encoded except ASCII letters, digits,
-// '.', '_', '~' and '-'.
-[[nodiscard]] std::string
-PercentEncode(std::string_view aText);
-
 } // namespace ebonykeel::cli
--- a/packages/runtime/http/http_test.cc
+++ b/packages/runtime/http/http_test.cc
@@ -1,3 +1,6 @@
+#include <numeric>
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include "runtime/http/client.h"
@@ -143,5 +146,15 @@
   DOCTEST_CHECK(!QueryParameter("a=1", "b").has_value());
 }
 
+DOCTEST_TEST_CASE("any text is percent-encoded so that it is read unchanged")
+{
+  std::string allBytes(256, '\0');
+  std::iota(allBytes.begin(), allBytes.end(), '\0');
+  DOCTEST_CHECK(PercentEncode("a-b._~9") == "a-b._~9");
+  DOCTEST_CHECK(PercentEncode("a &+#%\n\xc3") == "a%20%26%2B%23%25%0A%C3");
+  DOCTEST_CHECK(QueryParameter("a=1&b=" + PercentEncode(allBytes), "b") ==
+                allBytes);
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/runtime/http/message.cc
+++ b/packages/runtime/http/message.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 
 namespace ebonykeel {
@@ -58,6 +60,23 @@
   return std::nullopt;
 }
 
+std::string
+PercentEncode(std::string_view aText)
+{
+  constexpr std::string_view kUnreserved = "._~-";
+  std::string encoded;
+  for (char byte : aText) {
+    auto code = static_cast<unsigned char>(byte);
+    if (absl::ascii_isalnum(code) ||
+        kUnreserved.find(byte) != std::string_view::npos) {
+      encoded.push_back(byte);
+    } else {
+      absl::StrAppendFormat(&encoded, "%%%02X", code);
+    }
+  }
+  return encoded;
+}
+
 std::optional<Endpoint>
 ParseEndpoint(std::string_view aText)
 {
--- a/packages/runtime/http/message.h
+++ b/packages/runtime/http/message.h
@@ -46,6 +46,11 @@
 [[nodiscard]] std::optional<std::string>
 QueryParameter(std::string_view aQuery, std::string_view aName);
 
+// Returns `aText` with every byte percent-encoded except ASCII letters, digits,
+// '.', '_', '~' and '-', so that any text can stand in a path or a query.
+[[nodiscard]] std::string
+PercentEncode(std::string_view aText);
+
 // An IPv4 or IPv6 address and a port.
 struct Endpoint
 {
