--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -210,6 +210,10 @@
     OnFailure(aKind, "unreadable");
     return;
   }
+  if (!page->m_nextAfter.empty() && page->m_nextAfter == aKind.m_listAfter) {
+    OnFailure(aKind, "repeated-page");
+    return;
+  }
   HoldRemovalsAfterOutage(aKind);
   if (aKind.m_listAfter.empty()) {
     aKind.m_listedNames.clear();
