--- a/packages/runtime/http1/message.cc
+++ b/packages/runtime/http1/message.cc
@@ -6,6 +6,7 @@
 
 #include <http_parser.h>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -74,6 +75,15 @@
   });
 }
 
+bool
+IsHeaderValue(std::string_view aText)
+{
+  return std::ranges::none_of(
+           aText,
+           [](unsigned char aByte) { return absl::ascii_iscntrl(aByte); }) &&
+         absl::StripAsciiWhitespace(ToAbsl(aText)).size() == aText.size();
+}
+
 std::string_view
 PathOf(std::string_view aTarget)
 {
--- a/packages/runtime/http1/message.h
+++ b/packages/runtime/http1/message.h
@@ -45,6 +45,11 @@
 [[nodiscard]] bool
 IsHopByHop(std::span<const Http1Header> aHeaders, std::string_view aName);
 
+// Returns whether a header can carry the text unchanged: it contains no control
+// bytes, and no blank at either end.
+[[nodiscard]] bool
+IsHeaderValue(std::string_view aText);
+
 // Returns the path of a request target, without the query.
 [[nodiscard]] std::string_view
 PathOf(std::string_view aTarget);
