Parser: an answer whose status HTTP does not have is malformed

What callers saw, in a test: after an upstream's answer with a status of 000 to 099 the caller of a request that may run once waited until its deadline and got 504 after 4 s. An answer with a status of 600 to 999 was passed on as it was, and its connection was used again.

Cause: the HTTP library accepts any status up to 999. Each below 200 counted as an interim response, after which the answer was awaited.

Change: a status out of 100 to 599 makes an answer malformed: the attempt counts as broken at once, idempotent requests go to another upstream, and the connection is closed.

Evidence: faulty_answers_test, "an answer with an invalid status is not passed on", failed for 000, 001, 099 (504 after 4.0 s), 600 and 999 (passed on) and passes with the change; so does parser_test.

--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -11,6 +11,8 @@
 // The result of `on_headers_complete` that makes http_parser skip the body.
 constexpr int kSkipBody = 1;
 constexpr int kStopParsing = -1;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 
 // Returns whether the text contains the beginning of a status line, such as
 // "HTTP/1.1 200".
@@ -168,6 +170,14 @@
   return m_kind == Kind::kRequest ? m_request.m_body : m_response.m_body;
 }
 
+bool
+Http1Parser::HasValidStatus() const
+{
+  int status = static_cast<int>(m_parser.status_code);
+  return m_kind == Kind::kRequest ||
+         (status >= kFirstStatus && status <= kLastStatus);
+}
+
 bool
 Http1Parser::ContainsSecondResponse() const
 {
@@ -206,7 +216,7 @@
 int
 Http1Parser::OnHeadersComplete()
 {
-  if (ContainsSecondResponse()) {
+  if (!HasValidStatus() || ContainsSecondResponse()) {
     m_progress = Progress::kMalformed;
     return kStopParsing;
   }
--- a/packages/runtime/http1/parser.h
+++ b/packages/runtime/http1/parser.h
@@ -76,6 +76,7 @@
   static Http1Parser& Self(http_parser* aParser);
   [[nodiscard]] std::vector<Http1Header>& Headers();
   [[nodiscard]] std::string& Body();
+  [[nodiscard]] bool HasValidStatus() const;
   // Returns whether the headers of a response contain a status line: a server
   // has broken off another response there, and this one follows.
   [[nodiscard]] bool ContainsSecondResponse() const;
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -106,6 +106,22 @@
   DOCTEST_CHECK(parser.State() == Progress::kMalformed);
 }
 
+DOCTEST_TEST_CASE("a status out of the range of HTTP is malformed")
+{
+  auto parse = [](const std::string& aStatus) {
+    Http1Parser parser = ResponseParser();
+    parser.Feed("HTTP/1.1 " + aStatus + " X\r\nContent-Length: 0\r\n\r\n");
+    return parser.State();
+  };
+  for (const char* status :
+       { "000", "0", "1", "20", "099", "600", "999", "1000", "-200", "2e2" }) {
+    DOCTEST_CHECK(parse(status) == Progress::kMalformed);
+  }
+  for (const char* status : { "100", "200", "421", "599" }) {
+    DOCTEST_CHECK(parse(status) == Progress::kComplete);
+  }
+}
+
 // Guards against an answer whose first headers are those of another one that
 // the server broke off.
 DOCTEST_TEST_CASE("an answer with a status line among its headers is malformed")
