Parser: a message with an invalid header name is malformed

What callers saw, in a test: an upstream's answer with a line such as "X Y: 1", "X-Y : 1" or "Content-Length : 4" was passed on with that line. After "Content Length: 4" or "Transfer Encoding: chunked" the body had no known end, and the caller waited until its deadline (504 after 4 s).

Cause: the HTTP library, as Debian builds it, takes a blank for a part of a name. Control bytes and other bytes that are no token were refused already.

Change: a name that is not a token of RFC 9110 makes the message malformed, also in callers' requests, where a sender and a receiver could otherwise see different lengths.

--- a/packages/runtime/http1/message.cc
+++ b/packages/runtime/http1/message.cc
@@ -75,6 +75,16 @@
   });
 }
 
+bool
+IsHeaderName(std::string_view aText)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !aText.empty() && std::ranges::all_of(aText, [&](char aByte) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(aByte)) ||
+           kMarks.find(aByte) != std::string_view::npos;
+  });
+}
+
 bool
 IsHeaderValue(std::string_view aText)
 {
--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -178,6 +178,12 @@
          (status >= kFirstStatus && status <= kLastStatus);
 }
 
+bool
+Http1Parser::HasValidHeaderNames()
+{
+  return std::ranges::all_of(Headers(), IsHeaderName, &Http1Header::m_name);
+}
+
 bool
 Http1Parser::ContainsSecondResponse() const
 {
@@ -216,7 +222,7 @@
 int
 Http1Parser::OnHeadersComplete()
 {
-  if (!HasValidStatus() || ContainsSecondResponse()) {
+  if (!HasValidStatus() || !HasValidHeaderNames() || ContainsSecondResponse()) {
     m_progress = Progress::kMalformed;
     return kStopParsing;
   }
--- a/packages/runtime/http1/parser.h
+++ b/packages/runtime/http1/parser.h
@@ -77,6 +77,8 @@
   [[nodiscard]] std::vector<Http1Header>& Headers();
   [[nodiscard]] std::string& Body();
   [[nodiscard]] bool HasValidStatus() const;
+  // The library accepts names that contain a blank, or a blank after them.
+  [[nodiscard]] bool HasValidHeaderNames();
   // Returns whether the headers of a response contain a status line: a server
   // has broken off another response there, and this one follows.
   [[nodiscard]] bool ContainsSecondResponse() const;
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -122,6 +122,26 @@
   }
 }
 
+// Guards against a receiver that does not read a header which the sender acts
+// on, such as "Content-Length : 4".
+DOCTEST_TEST_CASE("a message with an invalid header name is malformed")
+{
+  for (const char* name : { "X Y", "X ", "X\tY", "X\x01", "X@Y", "" }) {
+    std::string headers =
+      std::string(name) + ": 1\r\nContent-Length: 0\r\n\r\n";
+    Http1Parser request = RequestParser();
+    request.Feed("POST / HTTP/1.1\r\nHost: h\r\n" + headers);
+    DOCTEST_CHECK(request.State() == Progress::kMalformed);
+    Http1Parser response = ResponseParser();
+    response.Feed("HTTP/1.1 200 OK\r\n" + headers);
+    DOCTEST_CHECK(response.State() == Progress::kMalformed);
+  }
+  Http1Parser marks = ResponseParser();
+  marks.Feed("HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9: 1\r\n"
+             "Content-Length: 0\r\n\r\n");
+  DOCTEST_CHECK(marks.State() == Progress::kComplete);
+}
+
 // Guards against an answer whose first headers are those of another one that
 // the server broke off.
 DOCTEST_TEST_CASE("an answer with a status line among its headers is malformed")
