Parser: a message with a continued header line is malformed

What callers saw, in a test: a line that begins with a blank became part of the header before it. Behind an answer's identifier it made the answer look like one to another request, and behind others it hid the length: 504 after 4 s. Behind any other header the answer was passed on with that line joined to its value.

Cause: the HTTP library reads such a line as a continuation, which RFC 9112 has made obsolete, and joins both without a blank.

Change: the parser recognises that a part of a value begins a line, also where the bytes arrive in pieces, and takes the message for malformed, in answers and in callers' requests.

--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 #include "absl/strings/ascii.h"
 
@@ -36,6 +37,18 @@
   return false;
 }
 
+// Returns whether only blanks stand between the last line break of the text and
+// its end; nothing if the text consists of blanks.
+std::optional<bool>
+EndsAtLineStart(std::string_view aText)
+{
+  size_t last = aText.find_last_not_of(" \t");
+  if (last == std::string_view::npos) {
+    return std::nullopt;
+  }
+  return aText[last] == '\n';
+}
+
 } // namespace
 
 Http1Parser::Http1Parser(Kind aKind, Http1Limits aLimits)
@@ -58,6 +71,7 @@
     m_progress = Progress::kHeaders;
   }
   bool inHeaders = m_progress == Progress::kHeaders;
+  m_input = aBytes;
   size_t used =
     http_parser_execute(&m_parser, &Settings(), aBytes.data(), aBytes.size());
   http_errno error = HTTP_PARSER_ERRNO(&m_parser);
@@ -69,6 +83,7 @@
     m_progress = Progress::kMalformed;
   }
   if (inHeaders && m_progress == Progress::kHeaders) {
+    m_atLineStart = EndsAtLineStart(aBytes).value_or(m_atLineStart);
     m_headerBytesRead += aBytes.size();
     if (m_headerBytesRead > m_limits.m_headerBytes) {
       m_progress = Progress::kHeadersTooLong;
@@ -95,6 +110,7 @@
   m_progress = Progress::kIdle;
   m_keepAlive = false;
   m_inValue = false;
+  m_atLineStart = false;
   m_headerBytesRead = 0;
   m_reason.clear();
   m_request = Http1Request{ .m_method = "", .m_target = "" };
@@ -193,6 +209,13 @@
             m_response.m_headers, ContainsStatusLine, &Http1Header::m_value));
 }
 
+bool
+Http1Parser::BeginsLine(std::string_view aValuePart) const
+{
+  auto offset = static_cast<size_t>(aValuePart.data() - m_input.data());
+  return EndsAtLineStart(m_input.substr(0, offset)).value_or(m_atLineStart);
+}
+
 int
 Http1Parser::OnHeaderName(std::string_view aBytes)
 {
@@ -214,6 +237,11 @@
   if (m_progress != Progress::kHeaders) {
     return 0;
   }
+  // Continued lines are obsolete, and receivers read them differently.
+  if (m_inValue && BeginsLine(aBytes)) {
+    m_progress = Progress::kMalformed;
+    return kStopParsing;
+  }
   m_inValue = true;
   Headers().back().m_value.append(aBytes);
   return 0;
--- a/packages/runtime/http1/parser.h
+++ b/packages/runtime/http1/parser.h
@@ -82,6 +82,9 @@
   // Returns whether the headers of a response contain a status line: a server
   // has broken off another response there, and this one follows.
   [[nodiscard]] bool ContainsSecondResponse() const;
+  // Returns whether a part of a header's value begins a line: the line then
+  // continues the header before it.
+  [[nodiscard]] bool BeginsLine(std::string_view aValuePart) const;
   int OnHeaderName(std::string_view aBytes);
   int OnHeaderValue(std::string_view aBytes);
   int OnHeadersComplete();
@@ -95,6 +98,11 @@
   bool m_keepAlive = false;
   bool m_noBody = false;
   bool m_inValue = false;
+  // The bytes that are being parsed.
+  std::string_view m_input;
+  // Whether only blanks stand between the last line break of the headers read
+  // so far and their end.
+  bool m_atLineStart = false;
   size_t m_headerBytesRead = 0;
   // The text after the status code of a response.
   std::string m_reason;
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -142,6 +142,43 @@
   DOCTEST_CHECK(marks.State() == Progress::kComplete);
 }
 
+// Guards against a line that becomes a part of the header before it.
+DOCTEST_TEST_CASE("a message with a continued header line is malformed")
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nA: b";
+  const std::string end = "\r\nContent-Length: 0\r\n\r\n";
+  for (const char* line :
+       { "\r\n X: 1", "\r\n\tX: 1", "\r\n \t X", "\r\n  " }) {
+    const std::string bytes = start + line + end;
+    for (size_t cut = 0; cut < bytes.size(); ++cut) {
+      Http1Parser parser = ResponseParser();
+      parser.Feed(bytes.substr(0, cut));
+      parser.Feed(bytes.substr(cut));
+      DOCTEST_CAPTURE(cut);
+      DOCTEST_CHECK(parser.State() == Progress::kMalformed);
+    }
+    Http1Parser parser = ResponseParser();
+    for (char byte : bytes) {
+      parser.Feed({ &byte, 1 });
+    }
+    DOCTEST_CHECK(parser.State() == Progress::kMalformed);
+  }
+}
+
+DOCTEST_TEST_CASE("blanks inside a value belong to it however it is split")
+{
+  const std::string bytes = "HTTP/1.1 200 OK\r\nA:  b  c\td\r\nE:\r\n"
+                            "Content-Length: 0\r\n\r\n";
+  for (size_t cut = 0; cut < bytes.size(); ++cut) {
+    Http1Parser parser = ResponseParser();
+    parser.Feed(bytes.substr(0, cut));
+    parser.Feed(bytes.substr(cut));
+    DOCTEST_CAPTURE(cut);
+    DOCTEST_REQUIRE(parser.State() == Progress::kComplete);
+    DOCTEST_CHECK(FindHeader(parser.Response().m_headers, "a") == "b  c\td");
+  }
+}
+
 // Guards against an answer whose first headers are those of another one that
 // the server broke off.
 DOCTEST_TEST_CASE("an answer with a status line among its headers is malformed")
