HTTP client: an answer with an invalid status or header is refused

What callers saw, in a test: in the program's own mode the client on h2o gave an answer with the status 000, 099, 600 or 999, or with a continued header line, to its callers as a whole one. Such an answer whose body says that the request did not run was taken at its word.

Cause: as in the parser of the forward mode, the library does not check the status, and it passes a continued line on without a name.

Change: both count as DataLoss, and the request as sent. The range of statuses stands in one function that the parser uses too.

Evidence: runtime_http_test, "an answer with an invalid status or header is refused", failed for the four statuses and the continued line and passes now; names with a blank or a control byte were refused before as well.

--- a/packages/runtime/http/client.cc
+++ b/packages/runtime/http/client.cc
@@ -53,6 +53,16 @@
          FindHeader(aResponse.m_headers, "transfer-encoding").has_value();
 }
 
+// Returns whether a header line continues the one before it: h2o then gives no
+// name. Such lines are obsolete, and receivers read them differently.
+bool
+HasContinuedLine(std::span<const h2o_header_t> aHeaders)
+{
+  return std::ranges::any_of(aHeaders, [](const h2o_header_t& aHeader) {
+    return aHeader.name->len == 0;
+  });
+}
+
 // One request in flight. Owned by the promise's adapter; h2o holds a plain
 // pointer until it reports the end of the request or is cancelled.
 class PendingCall
@@ -133,8 +143,13 @@
       self.Fail(absl::UnavailableError(aError));
       return nullptr;
     }
+    std::span<const h2o_header_t> headers(aHeaders, aHeaderCount);
+    if (!IsValidStatus(aStatus) || HasContinuedLine(headers)) {
+      self.Fail(absl::DataLossError("invalid status or header"));
+      return nullptr;
+    }
     self.m_reply.m_response.m_status = aStatus;
-    self.ReadHeaders({ aHeaders, aHeaderCount });
+    self.ReadHeaders(headers);
     if (!IsDelimited(self.m_reply.m_response)) {
       self.Fail(absl::DataLossError("answer without a length"));
       return nullptr;
--- a/packages/runtime/http/client.h
+++ b/packages/runtime/http/client.h
@@ -31,7 +31,8 @@
 
 // The result of a request. `m_response` is valid only if the status is OK.
 // DeadlineExceeded: the timeout passed. Unavailable: the connection failed.
-// DataLoss: the answer was truncated, oversized or not delimited.
+// DataLoss: the answer was truncated, oversized, not delimited, or has a status
+// or header that HTTP does not have.
 struct HttpReply
 {
   absl::Status m_status;
--- a/packages/runtime/http/message.cc
+++ b/packages/runtime/http/message.cc
@@ -46,6 +46,14 @@
   return found->m_value;
 }
 
+bool
+IsValidStatus(int aStatus)
+{
+  constexpr int kFirstStatus = 100;
+  constexpr int kLastStatus = 599;
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus;
+}
+
 std::optional<std::string>
 QueryParameter(std::string_view aQuery, std::string_view aName)
 {
--- a/packages/runtime/http/message.h
+++ b/packages/runtime/http/message.h
@@ -41,6 +41,10 @@
   std::string m_body;
 };
 
+// Returns whether HTTP has the status: whether it is in 100..599.
+[[nodiscard]] bool
+IsValidStatus(int aStatus);
+
 // Returns the decoded value of the first parameter `aName` in a query string
 // such as "service=desk&count=3", if present.
 [[nodiscard]] std::optional<std::string>
--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "absl/strings/ascii.h"
+#include "runtime/http/message.h"
 
 namespace ebonykeel {
 namespace {
@@ -12,8 +13,6 @@
 // The result of `on_headers_complete` that makes http_parser skip the body.
 constexpr int kSkipBody = 1;
 constexpr int kStopParsing = -1;
-constexpr int kFirstStatus = 100;
-constexpr int kLastStatus = 599;
 
 // Returns whether the text contains the beginning of a status line, such as
 // "HTTP/1.1 200".
@@ -189,9 +188,8 @@
 bool
 Http1Parser::HasValidStatus() const
 {
-  int status = static_cast<int>(m_parser.status_code);
   return m_kind == Kind::kRequest ||
-         (status >= kFirstStatus && status <= kLastStatus);
+         IsValidStatus(static_cast<int>(m_parser.status_code));
 }
 
 bool
