Loop: timers fire while libuv's descriptors stay readable

What callers saw, in a test: in the program's own mode a request to a server that sends without end, with a timeout of 500 ms, ended after 2 to 9 s. For that time the instance did nothing else.

Cause: while a descriptor of libuv is still readable after some runs, the loop scheduled its next turn at once. kj looks at timers and at its own descriptors only when nothing is scheduled, so a peer that sends fast enough kept both away.

Change: that turn is scheduled by a timer that is due at once. One of two equal checks in SetTimer goes.

Evidence: runtime_loop_test, "timers fire while a descriptor of libuv stays readable", failed (the timer did not fire in 1,000,000 callbacks) and passes now.

--- a/packages/runtime/loop/loop.cc
+++ b/packages/runtime/loop/loop.cc
@@ -122,7 +122,9 @@
     readable = IsReadable(descriptor);
   }
   if (readable) {
-    ScheduleTurn();
+    // Unlike a turn that runs at once, a timer lets other timers and
+    // descriptors go first.
+    ScheduleTurnAt(m_clock.Now());
     return;
   }
   SetTimer();
@@ -136,9 +138,6 @@
   if (uv_loop_alive(&m_uv) == 0) {
     return;
   }
-  if (uv_loop_alive(&m_uv) == 0) {
-    return;
-  }
   int timeout = uv_backend_timeout(&m_uv);
   if (timeout < 0) {
     return;
@@ -147,14 +146,19 @@
     ScheduleTurn();
     return;
   }
-  TimePoint at = m_clock.Now() + Milliseconds(timeout);
+  ScheduleTurnAt(m_clock.Now() + Milliseconds(timeout));
+}
+
+void
+Loop::ScheduleTurnAt(TimePoint aTime)
+{
   KJ_IF_MAYBE (dueAt, m_timerDueAt) {
-    if (*dueAt <= at) {
+    if (*dueAt <= aTime) {
       return;
     }
   }
-  m_timerDueAt = at;
-  m_timer = m_clock.At(at)
+  m_timerDueAt = aTime;
+  m_timer = m_clock.At(aTime)
               .then([this]() {
                 m_timerDueAt = nullptr;
                 ScheduleTurn();
--- a/packages/runtime/loop/loop.h
+++ b/packages/runtime/loop/loop.h
@@ -74,6 +74,8 @@
   kj::Promise<void> WatchBackend();
   void RunTurn();
   void SetTimer();
+  // Schedules a turn at `aTime`, unless one is scheduled before it.
+  void ScheduleTurnAt(TimePoint aTime);
 
   kj::AsyncIoContext m_io;
   uv_loop_t m_uv;
--- a/packages/runtime/loop/loop_test.cc
+++ b/packages/runtime/loop/loop_test.cc
@@ -1,5 +1,9 @@
 #include "runtime/loop/loop.h"
 
+#include <array>
+
+#include <unistd.h>
+
 #include <doctest/doctest.h>
 
 #include "runtime/loop/alarm.h"
@@ -33,6 +37,34 @@
   DOCTEST_CHECK(fired);
 }
 
+// Guards against timeouts that never pass: a peer that sends without end kept
+// libuv's loop busy, and the timers were not looked at.
+DOCTEST_TEST_CASE("timers fire while a descriptor of libuv stays readable")
+{
+  Loop loop;
+  std::array<int, 2> ends{};
+  DOCTEST_REQUIRE(pipe(ends.data()) == 0);
+  DOCTEST_REQUIRE(write(ends[1], "x", 1) == 1);
+  // Bounds the test: without the timers, the loop goes on for so many turns.
+  constexpr int kMaxCalls = 1000000;
+  int calls = 0;
+  uv_poll_t readable;
+  uv_poll_init(loop.Uv(), &readable, ends[0]);
+  readable.data = &calls;
+  uv_poll_start(
+    &readable, UV_READABLE, [](uv_poll_t* aPoll, int /*aStatus*/, int) {
+      if (++*static_cast<int*>(aPoll->data) == kMaxCalls) {
+        uv_poll_stop(aPoll);
+      }
+    });
+  loop.Clock().After(Milliseconds(5)).wait(loop.WaitScope());
+  DOCTEST_CHECK(calls > 0);
+  DOCTEST_CHECK(calls < kMaxCalls);
+  uv_poll_stop(&readable);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 DOCTEST_TEST_CASE(
   "an alarm that is set to an earlier time fires once, at that time")
 {
