HTTP client: headers without end are cut off

What callers saw, in a test: in the program's own mode a server that sent a status line or header line without end made the instance that had called it hold up to 550 MB within a call with a timeout of 500 ms; the call ended after 2 to 9 s. An instance ends when it has no memory left, and the requests of other callers with it.

Cause: h2o holds all bytes until the headers are complete, has no limit on them and parses them from the beginning with each read.

A receive buffer of 128 KB bounds what a connection can bring in between.

Bodies, chunks, trailers, chunk extensions and interim responses were bounded before as well.

--- a/packages/runtime/http/client.cc
+++ b/packages/runtime/http/client.cc
@@ -7,11 +7,14 @@
 #include <string>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include <kj/debug.h>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "runtime/http/h2o_include.h"
+#include "runtime/http/header_limiter.h"
 
 namespace ebonykeel {
 namespace {
@@ -53,6 +56,19 @@
          FindHeader(aResponse.m_headers, "transfer-encoding").has_value();
 }
 
+// h2o reads until the kernel holds no more bytes of a connection. A small
+// receive buffer bounds what is held before the length of headers is checked.
+void
+LimitReceiveBuffer(h2o_socket_t& aSocket)
+{
+  constexpr int kReceiveBufferBytes = 131072;
+  (void)setsockopt(h2o_socket_get_fd(&aSocket),
+                   SOL_SOCKET,
+                   SO_RCVBUF,
+                   &kReceiveBufferBytes,
+                   sizeof(kReceiveBufferBytes));
+}
+
 // Returns whether a header line continues the one before it: h2o then gives no
 // name. Such lines are obsolete, and receivers read them differently.
 bool
@@ -65,11 +81,12 @@
 
 // One request in flight. Owned by the promise's adapter; h2o holds a plain
 // pointer until it reports the end of the request or is cancelled.
-class PendingCall
+class PendingCall final : public HeaderReceiver
 {
 public:
   PendingCall(kj::PromiseFulfiller<HttpReply>& aFulfiller,
               Loop& aLoop,
+              HeaderLimiter& aHeaderLimiter,
               h2o_http1client_ctx_t& aContext,
               h2o_socketpool_t& aPool,
               size_t aMaxBodyBytes,
@@ -77,6 +94,7 @@
               std::string aBytes)
     : m_fulfiller(aFulfiller)
     , m_loop(aLoop)
+    , m_headerLimiter(aHeaderLimiter)
     , m_maxBodyBytes(aMaxBodyBytes)
     , m_progress(aProgress)
     , m_bytes(std::move(aBytes))
@@ -93,17 +111,26 @@
     m_loop.ScheduleTurn();
   }
 
-  ~PendingCall()
+  ~PendingCall() override
   {
-    if (m_client != nullptr) {
-      h2o_http1client_cancel(m_client);
-      m_loop.ScheduleTurn();
-    }
+    m_headerLimiter.Remove(*this);
+    Cancel();
   }
 
   PendingCall(const PendingCall&) = delete;
   PendingCall& operator=(const PendingCall&) = delete;
 
+  [[nodiscard]] size_t HeldBytes() const override
+  {
+    return m_client != nullptr ? m_client->sock->input->size : 0;
+  }
+
+  void OnHeadersTooLong() override
+  {
+    Cancel();
+    Fail(absl::DataLossError("headers too long"));
+  }
+
 private:
   static PendingCall& FromClient(h2o_http1client_t* aClient)
   {
@@ -121,7 +148,9 @@
       self.Fail(absl::UnavailableError(aError));
       return nullptr;
     }
+    LimitReceiveBuffer(*aClient->sock);
     self.m_progress = HttpProgress::kSent;
+    self.m_headerLimiter.Add(self);
     *aBuffers = &self.m_requestVector;
     *aBufferCount = 1;
     *aIsHead = 0;
@@ -138,6 +167,7 @@
                                         int /* aHeaderBytes */)
   {
     PendingCall& self = FromClient(aClient);
+    self.m_headerLimiter.Remove(self);
     bool endOfStream = aError == h2o_http1client_error_is_eos;
     if (aError != nullptr && !endOfStream) {
       self.Fail(absl::UnavailableError(aError));
@@ -197,6 +227,15 @@
     }
   }
 
+  // Closes the connection if the call has not ended.
+  void Cancel()
+  {
+    if (m_client != nullptr) {
+      h2o_http1client_cancel(m_client);
+      m_loop.ScheduleTurn();
+    }
+  }
+
   // h2o frees its client after an error or the end of the answer.
   void Fail(absl::Status aStatus)
   {
@@ -221,6 +260,7 @@
 
   kj::PromiseFulfiller<HttpReply>& m_fulfiller;
   Loop& m_loop;
+  HeaderLimiter& m_headerLimiter;
   size_t m_maxBodyBytes;
   HttpProgress& m_progress;
   std::string m_bytes;
@@ -239,6 +279,7 @@
   Impl(Loop& aLoop, const HttpClientOptions& aOptions)
     : m_loop(aLoop)
     , m_options(aOptions)
+    , m_headerLimiter(aLoop.Clock(), aOptions.m_maxHeaderBytes)
     , m_context()
     , m_timeout()
     , m_receiver()
@@ -266,6 +307,7 @@
     HttpProgress& progressRef = *progress;
     auto call = kj::newAdaptedPromise<HttpReply, PendingCall>(
       m_loop,
+      m_headerLimiter,
       m_context,
       pool->m_sockets,
       m_options.m_maxBodyBytes,
@@ -344,6 +386,7 @@
 
   Loop& m_loop;
   HttpClientOptions m_options;
+  HeaderLimiter m_headerLimiter;
   h2o_http1client_ctx_t m_context;
   h2o_timeout_t m_timeout;
   h2o_multithread_queue_t* m_queue = nullptr;
--- a/packages/runtime/http/client.h
+++ b/packages/runtime/http/client.h
@@ -56,6 +56,9 @@
 
 struct HttpClientOptions
 {
+  // An answer whose headers stay incomplete beyond about this many bytes
+  // results in DataLoss.
+  size_t m_maxHeaderBytes = 65536;
   // An answer with a longer body results in DataLoss.
   size_t m_maxBodyBytes = size_t{ 4 } << 20;
   // A connection without a request is closed after this time.
--- a/packages/runtime/http/faulty_server_test.cc
+++ b/packages/runtime/http/faulty_server_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <netinet/in.h>
 #include <poll.h>
@@ -152,5 +153,60 @@
   DOCTEST_CHECK(sound.m_reply.m_response.m_status == 599);
 }
 
+// Guards against an instance that runs out of memory, or does nothing else,
+// while a server sends bytes that are no answer: what is sent is a bound on
+// what the client can hold.
+DOCTEST_TEST_CASE("endless bytes are cut off within bounds of time and memory")
+{
+  constexpr Duration kTimeout = Milliseconds(500);
+  constexpr size_t kMaxSent = size_t{ 16 } << 20;
+  const std::string block(kBlock, 'x');
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct Case
+  {
+    const char* m_name;
+    std::string m_start;
+    std::string m_repeated;
+  };
+  for (const Case& testCase : std::vector<Case>{
+         { "no HTTP", block, block },
+         { "status line", "HTTP/1.1 200 ", block },
+         { "header line", "HTTP/1.1 200 OK\r\nX: ", block },
+         { "header name", "HTTP/1.1 200 OK\r\nX", block },
+         { "header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+         { "body without a length", "HTTP/1.1 200 OK\r\n\r\n", block },
+         { "body with a great length",
+           "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+           block },
+         { "chunks", chunked, "10000\r\n" + block + "\r\n" } }) {
+    DOCTEST_CAPTURE(testCase.m_name);
+    Exchange exchange = Run(testCase.m_start, testCase.m_repeated, kTimeout);
+    DOCTEST_CHECK_FALSE(exchange.m_reply.m_status.ok());
+    DOCTEST_CHECK(exchange.m_took < kTimeout * 2);
+    DOCTEST_CHECK(exchange.m_sent < kMaxSent);
+  }
+}
+
+// These bytes are dropped as they come, so that only the timeout ends them.
+DOCTEST_TEST_CASE("endless bytes that are not held end with the timeout")
+{
+  constexpr Duration kTimeout = Milliseconds(300);
+  const std::string block(kBlock, 'x');
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const auto& [start, repeated] :
+       std::vector<std::pair<std::string, std::string>>{
+         { chunked + "5;", block },
+         { chunked + "0\r\nX: ", block },
+         { interim, interim } }) {
+    DOCTEST_CAPTURE(start);
+    Exchange exchange = Run(start, repeated, kTimeout);
+    DOCTEST_CHECK_FALSE(exchange.m_reply.m_status.ok());
+    DOCTEST_CHECK(exchange.m_took < kTimeout * 2);
+  }
+}
+
 } // namespace
 } // namespace ebonykeel
