--- a/packages/runtime/http1/http1_test.cc
+++ b/packages/runtime/http1/http1_test.cc
@@ -451,16 +451,20 @@
     std::string m_repeated;
   };
   const std::string block(kBlock, 'x');
-  const std::string manyInterim = [] {
+  auto repeatToBlock = [](std::string_view aText) {
     std::string text;
     while (text.size() < kBlock) {
-      text += "HTTP/1.1 100 Continue\r\n\r\n";
+      text += aText;
     }
     return text;
-  }();
+  };
+  const std::string manyInterim =
+    repeatToBlock("HTTP/1.1 100 Continue\r\n\r\n");
+  const std::string manyHeaders = repeatToBlock("A:\r\n");
   const std::vector<Case> cases{
     { "no HTTP", "", block },
     { "header line", "HTTP/1.1 200 OK\r\nX: ", block },
+    { "header lines", "HTTP/1.1 200 OK\r\n", manyHeaders },
     { "body without a length", "HTTP/1.1 200 OK\r\n\r\n", block },
     { "body with a great length",
       "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
@@ -468,6 +472,9 @@
     { "chunks",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
       "10000\r\n" + block + "\r\n" },
+    { "chunk extension",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+      block },
     { "trailer",
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
       block },
