Request reader: a caller or operation that no header can carry is refused

In the program's own mode a caller's name is sent to upstreams as a header. One with line breaks would have added headers, or a second request, to a filing. No report of it is known.

Change: a body whose caller or operation holds control bytes, or a blank at either end, gets 400. The checks of header names and values stand beside the other functions on messages, since both modes use them now.

--- a/packages/node/api/request_reader.cc
+++ b/packages/node/api/request_reader.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "runtime/http/message.h"
 
 namespace ebonykeel {
 namespace {
@@ -56,6 +57,17 @@
     return text;
   }
 
+  // Reads a name that is sent on as the value of a header.
+  std::string Name(const char* aKey)
+  {
+    std::string name = Text(aKey, true, kMaxNameBytes);
+    if (!IsHeaderValue(name)) {
+      AddProblem(absl::StrCat(
+        aKey, ": must have no control bytes and no blank at either end"));
+    }
+    return name;
+  }
+
   std::optional<int64_t> Number(const char* aKey, int64_t aMin, int64_t aMax)
   {
     auto found = m_body.find(aKey);
@@ -185,8 +197,8 @@
                      "deadline_ms" });
   FilingBody body;
   body.m_service = ServiceName(reader.Text("service", true, kMaxNameBytes));
-  body.m_operation = reader.Text("operation", true, kMaxNameBytes);
-  body.m_caller = CallerName(reader.Text("caller", true, kMaxNameBytes));
+  body.m_operation = reader.Name("operation");
+  body.m_caller = CallerName(reader.Name("caller"));
   body.m_requestId = RequestId(reader.Text("request_id", true, kMaxNameBytes));
   body.m_key = reader.Text("key", false, kMaxNameBytes);
   body.m_payload = reader.Text("payload", false, kMaxPayloadBytes);
--- a/packages/node/api/request_reader_test.cc
+++ b/packages/node/api/request_reader_test.cc
@@ -49,5 +49,24 @@
   DOCTEST_CHECK(message.find("issued_at_ms: missing") != std::string::npos);
 }
 
+// Guards against requests that no caller sent: names become headers of the
+// requests to upstreams.
+DOCTEST_TEST_CASE("a name that no header can carry is refused")
+{
+  auto fileAs = [](const std::string& aCaller) {
+    return ReadFilingBody(
+      R"({"service":"s","operation":"file","request_id":"r","issued_at_ms":1,)"
+      R"("caller":")" +
+      aCaller + R"("})");
+  };
+  for (const char* caller :
+       { R"(c\r\nx-operation: other)", R"(c\n)", R"(\u0000)", " c", "c " }) {
+    DOCTEST_CHECK_FALSE(fileAs(caller).ok());
+  }
+  for (const char* caller : { "c", "c d", "&+#%", "\xc3\xbc" }) {
+    DOCTEST_CHECK(fileAs(caller).ok());
+  }
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/runtime/http/message.cc
+++ b/packages/runtime/http/message.cc
@@ -54,6 +54,26 @@
   return aStatus >= kFirstStatus && aStatus <= kLastStatus;
 }
 
+bool
+IsHeaderName(std::string_view aText)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !aText.empty() && std::ranges::all_of(aText, [&](char aByte) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(aByte)) ||
+           kMarks.find(aByte) != std::string_view::npos;
+  });
+}
+
+bool
+IsHeaderValue(std::string_view aText)
+{
+  absl::string_view text(aText.data(), aText.size());
+  return std::ranges::none_of(
+           aText,
+           [](unsigned char aByte) { return absl::ascii_iscntrl(aByte); }) &&
+         absl::StripAsciiWhitespace(text).size() == text.size();
+}
+
 std::optional<std::string>
 QueryParameter(std::string_view aQuery, std::string_view aName)
 {
--- a/packages/runtime/http/message.h
+++ b/packages/runtime/http/message.h
@@ -45,6 +45,15 @@
 [[nodiscard]] bool
 IsValidStatus(int aStatus);
 
+// Returns whether the text can be the name of a header: a token of RFC 9110.
+[[nodiscard]] bool
+IsHeaderName(std::string_view aText);
+
+// Returns whether a header can carry the text unchanged: it contains no control
+// bytes, and no blank at either end.
+[[nodiscard]] bool
+IsHeaderValue(std::string_view aText);
+
 // Returns the decoded value of the first parameter `aName` in a query string
 // such as "service=desk&count=3", if present.
 [[nodiscard]] std::optional<std::string>
--- a/packages/runtime/http1/message.cc
+++ b/packages/runtime/http1/message.cc
@@ -6,7 +6,6 @@
 
 #include <http_parser.h>
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -75,25 +74,6 @@
   });
 }
 
-bool
-IsHeaderName(std::string_view aText)
-{
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return !aText.empty() && std::ranges::all_of(aText, [&](char aByte) {
-    return absl::ascii_isalnum(static_cast<unsigned char>(aByte)) ||
-           kMarks.find(aByte) != std::string_view::npos;
-  });
-}
-
-bool
-IsHeaderValue(std::string_view aText)
-{
-  return std::ranges::none_of(
-           aText,
-           [](unsigned char aByte) { return absl::ascii_iscntrl(aByte); }) &&
-         absl::StripAsciiWhitespace(ToAbsl(aText)).size() == aText.size();
-}
-
 std::string_view
 PathOf(std::string_view aTarget)
 {
--- a/packages/runtime/http1/message.h
+++ b/packages/runtime/http1/message.h
@@ -45,15 +45,6 @@
 [[nodiscard]] bool
 IsHopByHop(std::span<const Http1Header> aHeaders, std::string_view aName);
 
-// Returns whether the text can be the name of a header: a token of RFC 9110.
-[[nodiscard]] bool
-IsHeaderName(std::string_view aText);
-
-// Returns whether a header can carry the text unchanged: it contains no control
-// bytes, and no blank at either end.
-[[nodiscard]] bool
-IsHeaderValue(std::string_view aText);
-
 // Returns the path of a request target, without the query.
 [[nodiscard]] std::string_view
 PathOf(std::string_view aTarget);
