--- a/packages/runtime/http/faulty_server_test.cc
+++ b/packages/runtime/http/faulty_server_test.cc
@@ -196,13 +196,17 @@
   const std::string chunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-  for (const auto& [start, repeated] :
-       std::vector<std::pair<std::string, std::string>>{
-         { chunked + "5;", block },
-         { chunked + "0\r\nX: ", block },
-         { interim, interim } }) {
-    DOCTEST_CAPTURE(start);
-    Exchange exchange = Run(start, repeated, kTimeout);
+  struct Case
+  {
+    std::string m_start;
+    std::string m_repeated;
+  };
+  for (const Case& testCase :
+       std::vector<Case>{ { chunked + "5;", block },
+                          { chunked + "0\r\nX: ", block },
+                          { interim, interim } }) {
+    DOCTEST_CAPTURE(testCase.m_start);
+    Exchange exchange = Run(testCase.m_start, testCase.m_repeated, kTimeout);
     DOCTEST_CHECK_FALSE(exchange.m_reply.m_status.ok());
     DOCTEST_CHECK(exchange.m_took < kTimeout * 2);
   }
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "absl/strings/str_cat.h"
+
 namespace ebonykeel {
 namespace {
 
@@ -149,7 +151,7 @@
   const std::string end = "\r\nContent-Length: 0\r\n\r\n";
   for (const char* line :
        { "\r\n X: 1", "\r\n\tX: 1", "\r\n \t X", "\r\n  " }) {
-    const std::string bytes = start + line + end;
+    const std::string bytes = absl::StrCat(start, line, end);
     for (size_t cut = 0; cut < bytes.size(); ++cut) {
       Http1Parser parser = ResponseParser();
       parser.Feed(bytes.substr(0, cut));
