--- a/packages/runtime/http/faulty_server_test.cc
+++ b/packages/runtime/http/faulty_server_test.cc
@@ -56,9 +56,10 @@
   [[nodiscard]] size_t Sent() const { return m_sent; }
 
 private:
+  static constexpr int kPollMs = 20;
+
   void Run()
   {
-    constexpr int kPollMs = 20;
     pollfd listener{ .fd = m_listener, .events = POLLIN };
     while (!m_stop) {
       if (poll(&listener, 1, kPollMs) <= 0) {
@@ -83,10 +84,19 @@
                      sizeof(kSendTimeout));
     bool open = Send(aConnection, m_start);
     while (open && !m_stop) {
-      open = Send(aConnection, m_repeated);
+      open = m_repeated.empty() ? IsOpen(aConnection)
+                                : Send(aConnection, m_repeated);
     }
   }
 
+  // Waits for a moment; returns whether the client has left the connection
+  // open.
+  static bool IsOpen(int aConnection)
+  {
+    pollfd connection{ .fd = aConnection, .events = POLLIN };
+    return poll(&connection, 1, kPollMs) == 0;
+  }
+
   bool Send(int aConnection, const std::string& aBytes)
   {
     ssize_t sent =
