Interfaces of workspaces, quotas, roll-outs and placement by work

Cause: two further deployments need keys, quotas and placement by work, and a third asks for roll-outs of versions. The parts are built side by side and need common types first.

Peers with another number of feed kinds understand each other.

Result: nothing uses these types yet. core_fleet_test, core_forward_settings_test, core_traffic_test, runtime_fleet_test and platform_test pass (x86-64).

--- a/packages/core/config/forward_settings.cc
+++ b/packages/core/config/forward_settings.cc
@@ -18,6 +18,7 @@
 constexpr IntegerRange kInstanceRange{ 1, 64 };
 constexpr IntegerRange kMillisecondRange{ 1, 3'600'000 };
 constexpr double kMaxExtraShare = 10;
+constexpr double kMaxOverage = 10;
 
 TextRule
 AddressRule()
@@ -113,7 +114,57 @@
     table->Integer("answer_lifetime_ms",
                    kMillisecondRange,
                    ToMilliseconds(aSettings.m_directoryAnswerTtl)));
+  TextRule placement{ [](std::string_view aText) {
+                       return aText == "latency" || aText == "work";
+                     },
+                      "\"latency\" or \"work\"" };
+  if (table->Text("placement", placement, "latency") == "work") {
+    aSettings.m_placement = PlacementPolicy::kWork;
+  }
+  table->ReportUnknownKeys();
+}
+
+std::optional<QuotaSettings>
+ReadQuota(TomlReader& aRoot)
+{
+  std::optional<TomlReader> table = aRoot.Table("quota");
+  if (!table) {
+    return std::nullopt;
+  }
+  QuotaSettings quota;
+  std::string dataCentres = table->Text("data_centres", NonEmptyRule());
+  for (absl::string_view name :
+       absl::StrSplit(dataCentres, ',', absl::SkipEmpty())) {
+    quota.m_dataCentres.emplace_back(std::string(name));
+  }
+  quota.m_window = Milliseconds(table->Integer(
+    "window_ms", kMillisecondRange, ToMilliseconds(quota.m_window)));
+  quota.m_overage = table->Number(
+    "overage", { .m_min = 0, .m_max = kMaxOverage }, quota.m_overage);
+  quota.m_slack = static_cast<double>(
+    table->Integer("slack", kBurstRange, static_cast<int64_t>(quota.m_slack)));
+  table->ReportUnknownKeys();
+  return quota;
+}
+
+std::optional<RolloutSettings>
+ReadRollout(TomlReader& aRoot)
+{
+  std::optional<TomlReader> table = aRoot.Table("rollout");
+  if (!table) {
+    return std::nullopt;
+  }
+  RolloutSettings rollout;
+  rollout.m_exposureShare = table->Number(
+    "exposure_share", { .m_min = 0, .m_max = 1 }, rollout.m_exposureShare);
+  rollout.m_exposureSlack = static_cast<double>(
+    table->Integer("exposure_slack",
+                   kBurstRange,
+                   static_cast<int64_t>(rollout.m_exposureSlack)));
+  rollout.m_rollbackTime = Milliseconds(table->Integer(
+    "rollback_ms", kMillisecondRange, ToMilliseconds(rollout.m_rollbackTime)));
   table->ReportUnknownKeys();
+  return rollout;
 }
 
 ForwardSettings
@@ -142,6 +193,8 @@
   }
   ReadListen(aRoot, settings.m_listen);
   ReadForward(aRoot, settings);
+  settings.m_quota = ReadQuota(aRoot);
+  settings.m_rollout = ReadRollout(aRoot);
   aRoot.ReportUnknownKeys();
   return settings;
 }
--- a/packages/core/config/forward_settings.h
+++ b/packages/core/config/forward_settings.h
@@ -36,6 +36,37 @@
   uint16_t m_metricsPort = 0;
 };
 
+// The tolerances within which the quotas of workspaces hold: in any window at
+// most (rate * window + burst) * (1 + `m_overage`) + `m_slack` requests run.
+struct QuotaSettings
+{
+  // The data centres, among which quotas are divided; at least one.
+  std::vector<DataCentre> m_dataCentres;
+  Duration m_window = Seconds(5);
+  double m_overage = 0.1;
+  double m_slack = 20;
+};
+
+// The limits of a roll-out: a bad version gets at most `m_exposureShare` of its
+// service's requests plus `m_exposureSlack`, and none later than
+// `m_rollbackTime` after its 50th bad answer.
+struct RolloutSettings
+{
+  double m_exposureShare = 0.1;
+  double m_exposureSlack = 50;
+  Duration m_rollbackTime = Seconds(5);
+};
+
+// How an upstream is chosen among the replicas of a service.
+enum class PlacementPolicy
+{
+  // By the predicted latency, from the number of requests in flight.
+  kLatency,
+  // By the expected completion time, from the expected work of the requests in
+  // flight.
+  kWork,
+};
+
 struct ForwardSettings
 {
   InstanceId m_id;
@@ -69,6 +100,11 @@
   bool m_hedging = true;
   bool m_earlyAnswers = true;
   bool m_foreseeStalls = true;
+  PlacementPolicy m_placement = PlacementPolicy::kLatency;
+  // Nothing if quotas are not enforced.
+  std::optional<QuotaSettings> m_quota;
+  // Nothing if roll-outs are not read.
+  std::optional<RolloutSettings> m_rollout;
 };
 
 struct ForwardSettingsResult
--- a/packages/core/config/forward_settings_test.cc
+++ b/packages/core/config/forward_settings_test.cc
@@ -53,6 +53,45 @@
   DOCTEST_CHECK(settings.m_stopTimeout == Seconds(6));
 }
 
+// Guards against quotas or roll-outs in deployments that do not ask for them.
+DOCTEST_TEST_CASE("without their tables, quotas and roll-outs are off")
+{
+  ForwardSettingsResult result =
+    ParseForwardSettings(ValidSettings(), "node.toml");
+  DOCTEST_REQUIRE(result.m_settings.has_value());
+  DOCTEST_CHECK_FALSE(result.m_settings->m_quota.has_value());
+  DOCTEST_CHECK_FALSE(result.m_settings->m_rollout.has_value());
+  DOCTEST_CHECK(result.m_settings->m_placement == PlacementPolicy::kLatency);
+}
+
+DOCTEST_TEST_CASE("quotas, roll-outs and placement are read")
+{
+  ForwardSettingsResult result =
+    ParseForwardSettings(ValidSettings() + "placement = \"work\"\n"
+                                           "[quota]\n"
+                                           "data_centres = \"a,b,c,\"\n"
+                                           "window_ms = 4000\n"
+                                           "overage = 0.2\n"
+                                           "slack = 30\n"
+                                           "[rollout]\n"
+                                           "exposure_share = 0.05\n"
+                                           "exposure_slack = 40\n"
+                                           "rollback_ms = 3000\n",
+                         "node.toml");
+  DOCTEST_REQUIRE(result.m_settings.has_value());
+  const ForwardSettings& settings = *result.m_settings;
+  DOCTEST_CHECK(settings.m_placement == PlacementPolicy::kWork);
+  DOCTEST_REQUIRE(settings.m_quota.has_value());
+  DOCTEST_CHECK(settings.m_quota->m_dataCentres.size() == 3);
+  DOCTEST_CHECK(settings.m_quota->m_window == Seconds(4));
+  DOCTEST_CHECK(settings.m_quota->m_overage == doctest::Approx(0.2));
+  DOCTEST_CHECK(settings.m_quota->m_slack == doctest::Approx(30));
+  DOCTEST_REQUIRE(settings.m_rollout.has_value());
+  DOCTEST_CHECK(settings.m_rollout->m_exposureShare == doctest::Approx(0.05));
+  DOCTEST_CHECK(settings.m_rollout->m_exposureSlack == doctest::Approx(40));
+  DOCTEST_CHECK(settings.m_rollout->m_rollbackTime == Seconds(3));
+}
+
 DOCTEST_TEST_CASE("every finding is reported with its position")
 {
   ForwardSettingsResult result = ParseForwardSettings(
--- a/packages/core/fleet/fleet_message.h
+++ b/packages/core/fleet/fleet_message.h
@@ -62,6 +62,16 @@
   kPingRequest,
   // Carries gossip updates; is not answered.
   kNotice,
+  // Carries a message of another subsystem; is not answered.
+  kPayload,
+};
+
+// The subsystem whose message a `kPayload` datagram carries.
+enum class PeerTopic : uint8_t
+{
+  kNone,
+  kQuota,
+  kRollout,
 };
 
 struct FleetMessage
@@ -77,6 +87,9 @@
   std::vector<FleetRecord> m_updates;
   // In the fixed order of the feed kinds.
   std::vector<FeedWatermark> m_feedWatermarks;
+  // For `kPayload`: the message, encoded by the subsystem.
+  PeerTopic m_topic = PeerTopic::kNone;
+  std::string m_payload;
 };
 
 } // namespace ebonykeel
--- a/packages/core/fleet/fleet_view.cc
+++ b/packages/core/fleet/fleet_view.cc
@@ -111,6 +111,10 @@
         return aProbe.m_host == aMessage.m_subject;
       });
       break;
+    case FleetMessageKind::kPayload:
+      m_port->OnPayload(
+        aMessage.m_sender, aMessage.m_topic, aMessage.m_payload);
+      return;
   }
   m_port->OnFeedWatermarks(aMessage.m_sender, aMessage.m_feedWatermarks);
   if (changed && aMessage.m_kind == FleetMessageKind::kNotice) {
@@ -198,6 +202,20 @@
   Disseminate(true);
 }
 
+void
+FleetView::SendPayload(const std::string& aHost,
+                       PeerTopic aTopic,
+                       std::string aPayload)
+{
+  // Without updates and watermarks: these have their own datagrams.
+  m_port->SendTo(aHost,
+                 { .m_kind = FleetMessageKind::kPayload,
+                   .m_sender = m_self,
+                   .m_knownInstances = static_cast<uint32_t>(m_members.size()),
+                   .m_topic = aTopic,
+                   .m_payload = std::move(aPayload) });
+}
+
 std::vector<FleetRecord>
 FleetView::LiveMembers() const
 {
--- a/packages/core/fleet/fleet_view.h
+++ b/packages/core/fleet/fleet_view.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/random/bit_gen_ref.h"
@@ -69,6 +70,10 @@
   // Called when another instance sent the watermarks of its feeds.
   virtual void OnFeedWatermarks(const FleetRecord& aSender,
                                 std::span<const FeedWatermark> aWatermarks) = 0;
+  // Called when another instance sent a message of a subsystem.
+  virtual void OnPayload(const FleetRecord& aSender,
+                         PeerTopic aTopic,
+                         std::string_view aPayload) = 0;
   // Returns the watermarks of this instance's feeds.
   [[nodiscard]] virtual std::vector<FeedWatermark> FeedWatermarks() = 0;
 };
@@ -97,6 +102,11 @@
   void SetCapacity(uint32_t aCapacity);
   // Announces this instance at once, with the watermarks of its feeds.
   void AnnounceSelf();
+  // Sends a message of another subsystem to `aHost`, at most once: datagrams
+  // may be lost. `aPayload` must fit into a datagram, about 1,200 bytes.
+  void SendPayload(const std::string& aHost,
+                   PeerTopic aTopic,
+                   std::string aPayload);
 
   [[nodiscard]] const FleetRecord& Self() const { return m_self; }
   // Returns this instance and the others that are alive, suspected or leaving,
--- a/packages/core/fleet/fleet_view_test.cc
+++ b/packages/core/fleet/fleet_view_test.cc
@@ -120,9 +120,23 @@
       std::span<const FeedWatermark> /*aWatermarks*/) override
     {
     }
+    void OnPayload(const FleetRecord& aSender,
+                   PeerTopic aTopic,
+                   std::string_view aPayload) override
+    {
+      m_payloads.push_back({ aSender.m_host, aTopic, std::string(aPayload) });
+    }
     std::vector<FeedWatermark> FeedWatermarks() override { return {}; }
 
+    struct Payload
+    {
+      std::string m_sender;
+      PeerTopic m_topic;
+      std::string m_text;
+    };
+
     Fleet& m_fleet;
+    std::vector<Payload> m_payloads;
     std::unique_ptr<FleetView> m_view;
   };
 
--- a/packages/core/replica/replica.h
+++ b/packages/core/replica/replica.h
@@ -29,6 +29,8 @@
   std::string m_service;
   Address m_address;
   DataCentre m_dataCentre;
+  // The version of its software.
+  std::string m_version;
   // The number of requests that it processes concurrently; >= 1.
   uint32_t m_slots = 1;
   ReplicaState m_state = ReplicaState::kReady;
--- a/packages/core/traffic/traffic_config.cc
+++ b/packages/core/traffic/traffic_config.cc
@@ -25,6 +25,11 @@
   for (const Route& route : m_config->m_routes) {
     m_hosts[NormalizeHost(route.m_host)].emplace(route.m_pathPrefix, &route);
   }
+  for (const Workspace& workspace : m_config->m_workspaces) {
+    for (const KeyDigest& key : workspace.m_keys) {
+      m_workspacesByKey.emplace(key, &workspace);
+    }
+  }
 }
 
 const Route*
@@ -51,4 +56,11 @@
   return nullptr;
 }
 
+const Workspace*
+RouteTable::FindWorkspace(const KeyDigest& aKey) const
+{
+  auto found = m_workspacesByKey.find(aKey);
+  return found == m_workspacesByKey.end() ? nullptr : found->second;
+}
+
 } // namespace ebonykeel
--- a/packages/core/traffic/traffic_config.h
+++ b/packages/core/traffic/traffic_config.h
@@ -1,5 +1,6 @@
 // The configuration of the forward mode, as set by operators: routes by host
-// and path prefix, services, and limits on callers' requests.
+// and path prefix, services, workspaces with their keys and quotas, and limits
+// on callers' requests.
 //
 //   RouteTable table(config);
 //   const Route* route = table.Find("search.example", "/desk/query");
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +59,8 @@
   Duration m_targetLatency{};
   // 0 is the most urgent.
   uint32_t m_priority = 0;
+  // Whether requests need no key although the configuration has workspaces.
+  bool m_isPublic = false;
   // For `kShards`: the number of records in an answer, and the share of the
   // shards, in (0, 1], below which an answer is not a success.
   size_t m_topRecords = 0;
@@ -75,6 +79,22 @@
   double m_coldRequestsPerSecond = 0;
 };
 
+// The digest of a caller's key. Keys themselves are not kept.
+using KeyDigest = std::string;
+
+// The callers that share a set of keys and a quota.
+struct Workspace
+{
+  std::string m_name;
+  std::vector<KeyDigest> m_keys;
+  // Goes before the priority of the route; nothing if it is not stated.
+  std::optional<uint32_t> m_priority;
+  // The requests that all instances together may run: `m_ratePerSecond` plus a
+  // burst of `m_burst`. A rate of 0 is no limit.
+  double m_ratePerSecond = 0;
+  double m_burst = 0;
+};
+
 // Limits on callers' requests.
 struct CallerLimits
 {
@@ -91,6 +111,9 @@
   std::vector<Route> m_routes;
   std::unordered_map<std::string, ServiceSpec> m_services;
   CallerLimits m_limits;
+  // Whether requests need a key of a workspace, unless their route is public.
+  bool m_requiresKeys = false;
+  std::vector<Workspace> m_workspaces;
 };
 
 using TrafficConfigPtr = std::shared_ptr<const TrafficConfig>;
@@ -107,6 +130,11 @@
   [[nodiscard]] const Route* Find(std::string_view aHost,
                                   std::string_view aPath) const;
 
+  // Returns the workspace that holds the key; null if there is none. A key of
+  // several workspaces belongs to the first of them in the configuration, so
+  // that all instances decide alike. Valid as long as the configuration.
+  [[nodiscard]] const Workspace* FindWorkspace(const KeyDigest& aKey) const;
+
   [[nodiscard]] const TrafficConfigPtr& Config() const { return m_config; }
 
 private:
@@ -114,6 +142,7 @@
 
   TrafficConfigPtr m_config;
   std::unordered_map<std::string, PrefixMap> m_hosts;
+  std::unordered_map<std::string_view, const Workspace*> m_workspacesByKey;
 };
 
 } // namespace ebonykeel
--- a/packages/core/traffic/traffic_config_test.cc
+++ b/packages/core/traffic/traffic_config_test.cc
@@ -39,6 +39,18 @@
   DOCTEST_CHECK(table.Find("b.example", "/x") == nullptr);
 }
 
+// Guards against instances that decide differently about one key.
+DOCTEST_TEST_CASE("a key of two workspaces belongs to the first of them")
+{
+  auto config = std::make_shared<TrafficConfig>();
+  config->m_workspaces = { { .m_name = "first", .m_keys = { "k1", "k2" } },
+                           { .m_name = "second", .m_keys = { "k2", "k3" } } };
+  RouteTable table(config);
+  DOCTEST_CHECK(table.FindWorkspace("k2")->m_name == "first");
+  DOCTEST_CHECK(table.FindWorkspace("k3")->m_name == "second");
+  DOCTEST_CHECK(table.FindWorkspace("k4") == nullptr);
+}
+
 DOCTEST_TEST_CASE("a split distributes requests in proportion to the weights")
 {
   std::vector<SplitPart> parts{ { "a", 3 }, { "b", 1 }, { "c", 0 } };
--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -105,6 +105,22 @@
   m_view.AnnounceSelf();
 }
 
+void
+FleetService::SendPayload(const std::string& aHost,
+                          PeerTopic aTopic,
+                          std::string aPayload)
+{
+  m_view.SendPayload(aHost, aTopic, std::move(aPayload));
+}
+
+void
+FleetService::OnPayload(const FleetRecord& aSender,
+                        PeerTopic aTopic,
+                        std::string_view aPayload)
+{
+  m_observer.OnPeerPayload(aSender, aTopic, aPayload);
+}
+
 void
 FleetService::SendTo(const std::string& aHost, const FleetMessage& aMessage)
 {
@@ -226,7 +242,7 @@
     return;
   }
   auto deltas = DecodeDeltas(aResult.m_response.m_body);
-  if (!deltas || deltas->size() != m_feeds.size()) {
+  if (!deltas) {
     m_log.Write(Event::kPeerFailed,
                 { { "address", aHost },
                   { "call", "feeds" },
@@ -235,7 +251,8 @@
   }
   TimePoint now = m_loop.Now();
   bool changed = false;
-  for (size_t i = 0; i < m_feeds.size(); ++i) {
+  // A peer of another release may have fewer or more kinds of feeds.
+  for (size_t i = 0; i < std::min(deltas->size(), m_feeds.size()); ++i) {
     size_t count = 0;
     m_feeds[i].Merge((*deltas)[i], now, [&](const FeedObject& aObject) {
       ++count;
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -29,6 +29,10 @@
   virtual void OnObjectMerged(FeedKind aKind, const FeedObject& aObject) = 0;
   // Called after all changes of one exchange were reported.
   virtual void OnMergeCompleted() = 0;
+  // Called for each message of a subsystem of another instance.
+  virtual void OnPeerPayload(const FleetRecord& aSender,
+                             PeerTopic aTopic,
+                             std::string_view aPayload) = 0;
 };
 
 struct FleetServiceOptions
@@ -66,12 +70,19 @@
   void SetCapacity(uint32_t aCapacity);
   // Announces to other instances that the feeds of this instance have changed.
   void AnnounceFeeds();
+  // Sends a message of a subsystem to another instance, at most once.
+  void SendPayload(const std::string& aHost,
+                   PeerTopic aTopic,
+                   std::string aPayload);
 
 private:
   void SendTo(const std::string& aHost, const FleetMessage& aMessage) override;
   void OnMemberChanged(const FleetRecord& aRecord) override;
   void OnFeedWatermarks(const FleetRecord& aSender,
                         std::span<const FeedWatermark> aWatermarks) override;
+  void OnPayload(const FleetRecord& aSender,
+                 PeerTopic aTopic,
+                 std::string_view aPayload) override;
   std::vector<FeedWatermark> FeedWatermarks() override;
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
 
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -130,7 +130,8 @@
              aStore,
              m_feeds,
              aLog,
-             { .m_store = m_settings.m_store },
+             { .m_store = m_settings.m_store,
+               .m_readRollouts = m_settings.m_rollout.has_value() },
              *this)
   , m_fleet(aLoop,
             m_controlClient,
@@ -260,6 +261,19 @@
   UpdateSelf();
 }
 
+void
+ForwardInstance::OnPeerPayload(const FleetRecord& /*aSender*/,
+                               PeerTopic aTopic,
+                               std::string_view /*aPayload*/)
+{
+  switch (aTopic) {
+    case PeerTopic::kQuota:
+    case PeerTopic::kRollout:
+    case PeerTopic::kNone:
+      break;
+  }
+}
+
 Duration
 ForwardInstance::FeedAge() const
 {
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -56,6 +56,9 @@
   void OnFleetChanged() override;
   void OnObjectMerged(FeedKind aKind, const FeedObject& aObject) override;
   void OnMergeCompleted() override;
+  void OnPeerPayload(const FleetRecord& aSender,
+                     PeerTopic aTopic,
+                     std::string_view aPayload) override;
   Duration FeedAge() const override;
 
   void OnTick();
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -118,9 +118,12 @@
   kReplicas = 1,
   // Data centres whose upstreams get no requests.
   kExclusions = 2,
+  // Orders to move a service's requests to the upstreams of another version.
+  // Read only if the settings have a table for roll-outs.
+  kRollouts = 3,
 };
 
-inline constexpr size_t kFeedKinds = 3;
+inline constexpr size_t kFeedKinds = 4;
 
 [[nodiscard]] std::string_view
 FeedKindName(FeedKind aKind);
--- a/packages/node/entry/routing_state.cc
+++ b/packages/node/entry/routing_state.cc
@@ -37,6 +37,8 @@
     case FeedKind::kExclusions:
       ApplyExclusion(aObject);
       break;
+    case FeedKind::kRollouts:
+      break;
   }
 }
 
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -32,6 +32,11 @@
   return states;
 }
 
+// The kinds whose changes are counted by the watch of the registrations.
+constexpr std::array kOtherKinds = { FeedKind::kConfiguration,
+                                     FeedKind::kExclusions,
+                                     FeedKind::kRollouts };
+
 } // namespace
 
 std::string_view
@@ -44,6 +49,8 @@
       return "replicas";
     case FeedKind::kExclusions:
       return "exclusions";
+    case FeedKind::kRollouts:
+      return "rollouts";
   }
   return "";
 }
@@ -86,6 +93,9 @@
   m_log.Write(Event::kReaderRoleChanged,
               { { "on_duty", aActive ? "1" : "0" } });
   for (KindState& kind : m_kindStates) {
+    if (!IsRead(kind.m_kind)) {
+      continue;
+    }
     if (aActive) {
       // List first: a watch from the revision that peers fetched could begin
       // while watches miss changes.
@@ -264,9 +274,8 @@
     m_log.Write(Event::kHistoryLost,
                 { { "kind", std::string(FeedKindName(aKind.m_kind)) } });
     // Watches of the other kinds may miss changes too.
-    Relist(FeedKind::kConfiguration);
     Relist(FeedKind::kReplicas);
-    Relist(FeedKind::kExclusions);
+    RelistOtherKinds();
     return;
   }
   if (!events.ok()) {
@@ -450,18 +459,34 @@
     return;
   }
   m_log.Write(Event::kChangesUnseen, {});
-  Relist(FeedKind::kConfiguration);
-  Relist(FeedKind::kExclusions);
+  RelistOtherKinds();
+}
+
+void
+StoreReader::RelistOtherKinds()
+{
+  for (FeedKind kind : kOtherKinds) {
+    if (IsRead(kind)) {
+      Relist(kind);
+    }
+  }
+}
+
+bool
+StoreReader::IsRead(FeedKind aKind) const
+{
+  return aKind != FeedKind::kRollouts || m_options.m_readRollouts;
 }
 
 uint64_t
 StoreReader::OtherKindsRevision() const
 {
-  auto contentRevision = [&](FeedKind aKind) {
-    return m_feeds[static_cast<size_t>(aKind)].ContentRevision();
-  };
-  return std::max(contentRevision(FeedKind::kConfiguration),
-                  contentRevision(FeedKind::kExclusions));
+  uint64_t newest = 0;
+  for (FeedKind kind : kOtherKinds) {
+    newest =
+      std::max(newest, m_feeds[static_cast<size_t>(kind)].ContentRevision());
+  }
+  return newest;
 }
 
 void
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -62,6 +62,8 @@
   // How long after the last failed call the store counts as reachable again. An
   // instance that is not a reader makes no calls that would show it.
   Duration m_reachableResetDelay = Seconds(5);
+  // Whether roll-outs are read too.
+  bool m_readRollouts = false;
 };
 
 // Everything that is passed by reference must outlive the reader.
@@ -146,6 +148,8 @@
                            uint64_t aAsOfRevision,
                            size_t aEventCount);
   void OnUnseenChangeTimer();
+  void RelistOtherKinds();
+  [[nodiscard]] bool IsRead(FeedKind aKind) const;
   // Returns the revision of the newest known change of the other kinds.
   [[nodiscard]] uint64_t OtherKindsRevision() const;
   // Discards the progress of a kind and lists it again at once.
--- a/packages/runtime/fleet/fleet.capnp
+++ b/packages/runtime/fleet/fleet.capnp
@@ -28,6 +28,8 @@
   news @4 :List(FleetRecord);
   marks @5 :List(FeedMark);
   known @6 :UInt32;
+  topic @7 :UInt8;
+  payload @8 :Data;
 }
 
 struct FeedObject {
--- a/packages/runtime/fleet/fleet.capnp.h
+++ b/packages/runtime/fleet/fleet.capnp.h
@@ -67,7 +67,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cd10be4d8422600f, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cd10be4d8422600f, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -353,6 +353,11 @@
 
   inline  ::uint32_t getKnown() const;
 
+  inline  ::uint8_t getTopic() const;
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -418,6 +423,16 @@
   inline  ::uint32_t getKnown();
   inline void setKnown( ::uint32_t value);
 
+  inline  ::uint8_t getTopic();
+  inline void setTopic( ::uint8_t value);
+
+  inline bool hasPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1074,6 +1089,54 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t FleetDatagram::Reader::getTopic() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t FleetDatagram::Builder::getTopic() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetDatagram::Builder::setTopic( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetDatagram::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetDatagram::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FleetDatagram::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FleetDatagram::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FleetDatagram::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FleetDatagram::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FleetDatagram::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FleetDatagram::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool FeedObject::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -79,12 +79,18 @@
 ReadMessage(wire::FleetDatagram::Reader aReader)
 {
   uint8_t kind = std::min(aReader.getKind(),
-                          static_cast<uint8_t>(FleetMessageKind::kNotice));
+                          static_cast<uint8_t>(FleetMessageKind::kPayload));
   FleetMessage message{ .m_kind = static_cast<FleetMessageKind>(kind),
                         .m_sequence = aReader.getSequence(),
                         .m_subject = aReader.getSubject(),
                         .m_sender = ReadRecord(aReader.getSender()),
                         .m_knownInstances = aReader.getKnown() };
+  if (aReader.getTopic() <= static_cast<uint8_t>(PeerTopic::kRollout)) {
+    message.m_topic = static_cast<PeerTopic>(aReader.getTopic());
+  }
+  auto payload = aReader.getPayload();
+  message.m_payload = { reinterpret_cast<const char*>(payload.begin()),
+                        payload.size() };
   for (wire::FleetRecord::Reader record : aReader.getNews()) {
     message.m_updates.push_back(ReadRecord(record));
   }
@@ -152,6 +158,12 @@
     marks[i].setContent(aMessage.m_feedWatermarks[i].m_contentRevision);
     marks[i].setAgeMs(EncodeAge(aMessage.m_feedWatermarks[i].m_age));
   }
+  if (aMessage.m_kind == FleetMessageKind::kPayload) {
+    datagram.setTopic(static_cast<uint8_t>(aMessage.m_topic));
+    datagram.setPayload(
+      kj::arrayPtr(reinterpret_cast<const kj::byte*>(aMessage.m_payload.data()),
+                   aMessage.m_payload.size()));
+  }
   return Pack(builder);
 }
 
--- a/packages/runtime/fleet/fleet_codec_test.cc
+++ b/packages/runtime/fleet/fleet_codec_test.cc
@@ -40,6 +40,19 @@
   DOCTEST_CHECK(decoded->m_feedWatermarks[0].m_age == Milliseconds(40));
 }
 
+DOCTEST_TEST_CASE("a payload is unchanged after encoding and decoding")
+{
+  FleetMessage message{ .m_kind = FleetMessageKind::kPayload,
+                        .m_sender = TestRecord(),
+                        .m_topic = PeerTopic::kQuota,
+                        .m_payload = std::string("\0\xff", 2) };
+  auto decoded = DecodeFleetMessage(EncodeFleetMessage(message));
+  DOCTEST_REQUIRE(decoded.has_value());
+  DOCTEST_CHECK(decoded->m_kind == FleetMessageKind::kPayload);
+  DOCTEST_CHECK(decoded->m_topic == PeerTopic::kQuota);
+  DOCTEST_CHECK(decoded->m_payload == message.m_payload);
+}
+
 DOCTEST_TEST_CASE(
   "deltas with binary payloads are unchanged after encoding and decoding")
 {
