--- /dev/null
+++ b/packages/core/rollout/local_rollout_test.cc
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
