Roll-outs: messages, store calls and the service that connects the decisions

Instances report counts to the controller and get its announcements as datagrams of the topic roll-out; the status is written under the entry's revision.

--- a/packages/core/forward/forward_request.h
+++ b/packages/core/forward/forward_request.h
@@ -14,6 +14,7 @@
 #include "core/forward/service_coverage.h"
 #include "core/replica/replica_catalogue.h"
 #include "core/replica/replica_load.h"
+#include "core/replica/version_filter.h"
 #include "core/traffic/traffic_config.h"
 
 namespace ebonykeel {
@@ -49,6 +50,8 @@
   ForwardOptions m_options;
   CapacityWaiters m_waiters{};
   RetrySpread m_retrySpread{};
+  // Null if upstreams of all versions get requests.
+  VersionFilter* m_versions = nullptr;
 };
 
 struct ForwardRequest
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -198,8 +198,23 @@
   m_port->Send(aSubRequest, attempt, aReplica, aReason, m_timeoutAt - aNow);
 }
 
+std::span<const ReplicaPtr>
+ForwardRun::UsableReplicas(SubRequest& aSubRequest, TimePoint aNow) const
+{
+  std::span<const ReplicaPtr> usable =
+    m_environment->m_catalogue.Usable(aSubRequest.m_service);
+  if (m_environment->m_versions == nullptr) {
+    return usable;
+  }
+  return m_environment->m_versions->Filter(aSubRequest.m_service,
+                                           usable,
+                                           aSubRequest.m_version,
+                                           aSubRequest.m_attempts.empty(),
+                                           aNow);
+}
+
 const ReplicaPtr*
-ForwardRun::ChooseReplica(const SubRequest& aSubRequest,
+ForwardRun::ChooseReplica(SubRequest& aSubRequest,
                           bool aAllowTried,
                           TimePoint aNow) const
 {
@@ -207,8 +222,7 @@
   for (const Attempt& attempt : aSubRequest.m_attempts) {
     tried.push_back(attempt.m_replica);
   }
-  std::span<const ReplicaPtr> usable =
-    m_environment->m_catalogue.Usable(aSubRequest.m_service);
+  std::span<const ReplicaPtr> usable = UsableReplicas(aSubRequest, aNow);
   Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
   const ReplicaPtr* replica =
     m_environment->m_load.Choose(usable, tried, typical, aNow);
@@ -217,7 +231,12 @@
   }
   if (replica != nullptr &&
       m_environment->m_load.UnreachableUntil(**replica, aNow)) {
-    return nullptr;
+    replica = nullptr;
+  }
+  if (replica == nullptr && aSubRequest.m_version == VersionChoice::kTarget) {
+    // The current version serves the request instead.
+    aSubRequest.m_version = VersionChoice::kCurrent;
+    return ChooseReplica(aSubRequest, aAllowTried, aNow);
   }
   return replica;
 }
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -24,6 +24,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,7 @@
   struct SubRequest
   {
     std::string m_service;
+    VersionChoice m_version = VersionChoice::kUndecided;
     std::vector<Attempt> m_attempts;
     std::optional<uint32_t> m_answer;
     // The attempt whose failure answer is passed on if no attempt succeeds.
@@ -107,7 +109,11 @@
               const ReplicaPtr& aReplica,
               AttemptReason aReason,
               TimePoint aNow);
-  [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
+  // Returns the upstreams that an attempt may be sent to.
+  [[nodiscard]] std::span<const ReplicaPtr> UsableReplicas(
+    SubRequest& aSubRequest,
+    TimePoint aNow) const;
+  [[nodiscard]] const ReplicaPtr* ChooseReplica(SubRequest& aSubRequest,
                                                 bool aAllowTried,
                                                 TimePoint aNow) const;
   [[nodiscard]] bool MayRetry(const SubRequest& aSubRequest,
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -214,6 +214,13 @@
   FindOrCreate(aReplica).m_coldUntil = aUntil;
 }
 
+bool
+ReplicaLoad::IsCold(const Replica& aReplica, TimePoint aNow) const
+{
+  const State* state = Find(aReplica);
+  return state != nullptr && aNow < state->m_coldUntil;
+}
+
 void
 ReplicaLoad::Remove(std::string_view aId)
 {
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -135,6 +135,7 @@
   [[nodiscard]] ReplicaPushback& Pushback() { return m_pushback; }
   // Sets until when the upstream counts as cold.
   void SetColdUntil(const Replica& aReplica, TimePoint aUntil);
+  [[nodiscard]] bool IsCold(const Replica& aReplica, TimePoint aNow) const;
   // Removes the state of an upstream that is no longer used.
   void Remove(std::string_view aId);
 
--- a/packages/core/rollout/local_rollout.cc
+++ b/packages/core/rollout/local_rollout.cc
@@ -64,8 +64,7 @@
   if (!isNew && heard.m_announcement.m_controllerProcess ==
                   aAnnouncement.m_controllerProcess) {
     bool isLate = orderStart > heard.m_orderStart + kAnnouncementLifetime;
-    if (isLate ||
-        aAnnouncement.m_sequence <= heard.m_announcement.m_sequence) {
+    if (isLate || aAnnouncement.m_sequence <= heard.m_announcement.m_sequence) {
       return;
     }
     orderStart = std::min(orderStart, heard.m_orderStart);
@@ -210,7 +209,9 @@
                         .m_targetVersion = m_entry.m_order.m_targetVersion,
                         .m_revision = m_firstRevision,
                         .m_processStart = m_options.m_processStart,
+                        .m_age = aNow - m_seenAt,
                         .m_stopped = m_stopped || m_rolledBack,
+                        .m_grant = m_grant,
                         .m_requests = m_requests,
                         .m_targetRequests = m_targetRequests };
   if (const RolloutAnnouncement* announcement = Effective(aNow)) {
--- a/packages/core/rollout/report_collector.cc
+++ b/packages/core/rollout/report_collector.cc
@@ -94,6 +94,20 @@
   return sum;
 }
 
+uint64_t
+ReportCollector::CurrentAnswers() const
+{
+  uint64_t sum = 0;
+  for (const auto& [host, processes] : m_hosts) {
+    for (const auto& [start, process] : processes) {
+      for (const auto& [name, route] : process.m_routes) {
+        sum += route.m_current.m_answers;
+      }
+    }
+  }
+  return sum;
+}
+
 AnswerCounts
 ReportCollector::TargetAnswers() const
 {
--- a/packages/core/rollout/report_collector.h
+++ b/packages/core/rollout/report_collector.h
@@ -32,6 +32,7 @@
   [[nodiscard]] bool AnyStopped() const;
   [[nodiscard]] uint64_t Requests() const;
   [[nodiscard]] uint64_t TargetRequests() const;
+  [[nodiscard]] uint64_t CurrentAnswers() const;
   [[nodiscard]] AnswerCounts TargetAnswers() const;
 
 private:
--- a/packages/core/rollout/rollout.h
+++ b/packages/core/rollout/rollout.h
@@ -121,10 +121,14 @@
   uint64_t m_appliedProcess = 0;
   uint64_t m_appliedSequence = 0;
   RolloutStage m_appliedStage = RolloutStage::kWaiting;
+  // The age of the order, by which a new controller learns its deadline.
+  Duration m_age{};
   // The instance's own test found the target version bad.
   bool m_stopped = false;
   // Attempts that are on their way to upstreams of other versions.
   uint32_t m_inFlightCurrent = 0;
+  // The early requests that controllers granted to this process run.
+  uint32_t m_grant = 0;
   // First attempts of requests to the service.
   uint64_t m_requests = 0;
   // Attempts that were directed to the target version.
--- a/packages/core/rollout/rollout_controller.cc
+++ b/packages/core/rollout/rollout_controller.cc
@@ -34,7 +34,7 @@
     return;
   }
   // Another controller took the order up.
-  m_takenOver = m_takenOver || (!m_callOpen && !m_mayGrant &&
+  m_takenOver = m_takenOver || (!m_callOpen && !m_isFirst &&
                                 m_entry.m_state == RolloutState::kOrdered &&
                                 aEntry.m_state == RolloutState::kRunning);
   m_entry = aEntry;
@@ -47,6 +47,7 @@
 {
   // The instance has seen a later entry than this one: a write would fail.
   m_mustRead = m_mustRead || aReport.m_revision > m_entry.m_revision;
+  m_seenAt = std::min(m_seenAt, aNow - aReport.m_age);
   ReportGain gain = m_reports.Add(aHost, aReport);
   bool isHistory = gain.m_isNew && m_takenOver;
   for (const RouteCounts& route : gain.m_routes) {
@@ -58,31 +59,49 @@
       m_comparison.Add(route.m_route, current, target, aNow);
     }
   }
-  Grant(aHost, aReport);
+  Grant(aHost, aReport, aNow);
 }
 
 void
-RolloutController::Grant(const std::string& aHost, const RolloutReport& aReport)
+RolloutController::Grant(const std::string& aHost,
+                         const RolloutReport& aReport,
+                         TimePoint aNow)
 {
-  auto pool = static_cast<uint32_t>(m_options.m_limits.m_exposureSlack *
-                                    m_options.m_earlyPart);
-  if (!m_mayGrant || m_stage != RolloutStage::kCanary || m_granted >= pool ||
-      aReport.m_requests == 0 ||
-      m_reports.TargetAnswers().m_answers >= pool) {
-    return;
-  }
   GrantRecord& record = m_grants[aHost];
   if (record.m_processStart != aReport.m_processStart) {
+    m_endedGrants += record.m_count;
     record = { .m_processStart = aReport.m_processStart };
   }
-  if (aReport.m_targetRequests >= record.m_count) {
-    uint32_t added = std::min(m_options.m_maxGrant, pool - m_granted);
+  record.m_count = std::max(record.m_count, aReport.m_grant);
+  bool mayUse =
+    aReport.m_requests > 0 && aReport.m_targetRequests >= record.m_count;
+  uint32_t added = std::min(m_options.m_maxGrant, GrantsLeft(aNow));
+  if (mayUse && added > 0) {
     record.m_count += added;
-    m_granted += added;
     m_changed = true;
   }
 }
 
+uint32_t
+RolloutController::GrantsLeft(TimePoint aNow) const
+{
+  auto pool = static_cast<uint32_t>(m_options.m_limits.m_exposureSlack *
+                                    m_options.m_earlyPart);
+  bool hasBaseline = m_reports.CurrentAnswers() >= m_options.m_minBaseline ||
+                     aNow >= At(m_options.m_earlyStart);
+  if (m_stage != RolloutStage::kCanary || !IsSettled(aNow) || !hasBaseline ||
+      m_reports.TargetAnswers().m_answers >= pool) {
+    return 0;
+  }
+  // Earlier controllers may have granted requests to instances that are lost.
+  uint32_t available = m_isFirst ? pool : pool / 2;
+  uint32_t granted = m_endedGrants;
+  for (const auto& [host, record] : m_grants) {
+    granted += record.m_count;
+  }
+  return available > granted ? available - granted : 0;
+}
+
 void
 RolloutController::OnTimer(const RolloutSurroundings& aSurroundings,
                            TimePoint aNow)
@@ -91,10 +110,10 @@
   m_comparison.OnTimer(aNow);
   RolloutStage before = m_stage;
   Decide(aNow);
-  m_isHeld = !IsSettled(aNow) ||
-             (IsStoreAway() && m_surroundings.m_anyLost);
-  m_mayComplete = m_stage == RolloutStage::kFull && !IsStoreAway() &&
-                  MayComplete(aNow);
+  m_isHeld =
+    !IsSettled(aNow) || (IsStoreAway() && m_surroundings.m_lostInstances > 0);
+  m_mayComplete =
+    m_stage == RolloutStage::kFull && !IsStoreAway() && MayComplete(aNow);
   m_changed = m_changed || m_stage != before || Share() != m_lastShare;
   m_lastShare = Share();
 }
@@ -172,7 +191,7 @@
     m_stage = RolloutStage::kCanary;
   }
   m_takenOver = true;
-  m_mayGrant = false;
+  m_isFirst = false;
   m_since = aNow;
   m_mustRead = true;
   m_changed = true;
@@ -200,6 +219,11 @@
 bool
 RolloutController::MayComplete(TimePoint aNow) const
 {
+  bool isMinority =
+    m_surroundings.m_lostInstances > m_surroundings.m_liveHosts.size();
+  if (isMinority && aNow < At(m_options.m_minorityWait)) {
+    return false;
+  }
   return std::ranges::all_of(
     m_surroundings.m_liveHosts, [&](const std::string& aHost) {
       const RolloutReport* report = m_reports.Find(aHost);
@@ -208,10 +232,10 @@
           report->m_appliedProcess != m_options.m_process) {
         return false;
       }
-      auto round = std::ranges::find(m_rounds,
+      auto round = std::ranges::find(m_fullRounds,
                                      report->m_appliedSequence,
                                      &std::pair<uint64_t, TimePoint>::first);
-      return round != m_rounds.end() &&
+      return round != m_fullRounds.end() &&
              aNow - round->second <= m_options.m_maxAppliedAge;
     });
 }
@@ -259,9 +283,9 @@
   m_callLost = false;
   m_completionUnknownSince.reset();
   if (aEntry.m_state == RolloutState::kRunning) {
-    m_mayGrant = m_mayGrant || aIsWritten;
+    m_isFirst = m_isFirst || aIsWritten;
     // Without having written it, another controller was faster.
-    m_takenOver = m_takenOver || !m_mayGrant;
+    m_takenOver = m_takenOver || !m_isFirst;
   }
   SetEntry(aEntry);
   m_changed = true;
@@ -305,8 +329,15 @@
 void
 RolloutController::BeginAnnouncements(TimePoint aNow)
 {
-  m_rounds.emplace_back(++m_sequence, aNow);
-  std::erase_if(m_rounds, [&](const auto& aRound) {
+  ++m_sequence;
+  if (Share() < 1) {
+    // An instance may send to the current version again before it reports on
+    // the next round with the whole share.
+    m_fullRounds.clear();
+    return;
+  }
+  m_fullRounds.emplace_back(m_sequence, aNow);
+  std::erase_if(m_fullRounds, [&](const auto& aRound) {
     return aNow - aRound.second > m_options.m_maxAppliedAge;
   });
 }
--- a/packages/core/rollout/rollout_controller.h
+++ b/packages/core/rollout/rollout_controller.h
@@ -40,6 +40,10 @@
   // The part of the exposure slack that is granted in the stage canary, so that
   // the test has answers soon also where requests are few.
   double m_earlyPart = 0.4;
+  // The answers of the current version to compare with that must be known
+  // before, and the part of the duration after which fewer suffice.
+  uint64_t m_minBaseline = 60;
+  double m_earlyStart = 0.1;
   // The most requests that are granted to one instance at a time.
   uint32_t m_maxGrant = 4;
   // The ends of the stages canary and ramp, as parts of the duration.
@@ -55,6 +59,10 @@
   // How long the stage full is kept while the result of writing "completed" is
   // unknown.
   Duration m_unknownCompletion = Seconds(2);
+  // While more instances are lost than are in contact, "completed" is not
+  // written before this part of the duration: the others may send requests to
+  // the current version.
+  double m_minorityWait = 0.9;
   // A target version that got no answer of so many requests to the service is
   // not given all of them.
   uint64_t m_minRequests = 20;
@@ -65,8 +73,8 @@
 {
   // The instances in contact, this one included.
   std::vector<std::string> m_liveHosts;
-  // An instance was lost that is not known to have stopped.
-  bool m_anyLost = false;
+  // The number of instances that were lost and may still run.
+  size_t m_lostInstances = 0;
   bool m_storeReachable = true;
   // The target version has a usable upstream.
   bool m_hasTarget = true;
@@ -135,7 +143,11 @@
   // Returns whether every instance in contact sends everything to the target
   // version and waits for no other.
   [[nodiscard]] bool MayComplete(TimePoint aNow) const;
-  void Grant(const std::string& aHost, const RolloutReport& aReport);
+  void Grant(const std::string& aHost,
+             const RolloutReport& aReport,
+             TimePoint aNow);
+  // Returns how many more requests may be granted.
+  [[nodiscard]] uint32_t GrantsLeft(TimePoint aNow) const;
   [[nodiscard]] std::optional<RolloutState> WantedState() const;
 
   RolloutEntry m_entry;
@@ -152,15 +164,17 @@
   // The share is 0 until reports show that the version was not found bad.
   bool m_isHeld = false;
 
-  // Whether this controller wrote "running", so that no other grants requests.
-  bool m_mayGrant = false;
-  uint32_t m_granted = 0;
+  // Whether this controller wrote "running", so that no other had granted
+  // requests before.
+  bool m_isFirst = false;
   struct GrantRecord
   {
     uint64_t m_processStart = 0;
     uint32_t m_count = 0;
   };
   std::map<std::string, GrantRecord> m_grants;
+  // Granted to process runs that have ended.
+  uint32_t m_endedGrants = 0;
 
   bool m_callOpen = false;
   bool m_mustRead = false;
@@ -171,8 +185,8 @@
   bool m_changed = true;
   double m_lastShare = 0;
   uint64_t m_sequence = 0;
-  // When the latest rounds of announcements began.
-  std::deque<std::pair<uint64_t, TimePoint>> m_rounds;
+  // When the latest rounds of announcements with the whole share began.
+  std::deque<std::pair<uint64_t, TimePoint>> m_fullRounds;
 };
 
 } // namespace ebonykeel
--- a/packages/core/rollout/rollout_coordinator.cc
+++ b/packages/core/rollout/rollout_coordinator.cc
@@ -117,7 +117,7 @@
   RolloutStage before = controller.Stage();
   controller.OnTimer(
     { .m_liveHosts = aFleet.m_liveHosts,
-      .m_anyLost = aFleet.m_anyLost,
+      .m_lostInstances = aFleet.m_lostInstances,
       .m_storeReachable = aFleet.m_storeReachable,
       .m_hasTarget = m_port.HasTarget(controller.Entry().m_order) },
     aNow);
@@ -158,20 +158,21 @@
                            TimePoint aNow)
 {
   RolloutReport report = m_chooser.MakeReport(aService, aNow);
+  Duration age = std::exchange(report.m_age, Duration{});
   // The order ends when the reports of the stage full are in.
   Duration interval = report.m_appliedStage == RolloutStage::kFull
                         ? Duration{}
                         : m_options.m_reportInterval;
-  bool isDue =
-    report == aOrder.m_reported
-      ? aNow - aOrder.m_reportedAt >= m_options.m_idleReportInterval
-      : aNow - aOrder.m_reportedAt >= interval;
+  bool isDue = report == aOrder.m_reported
+                 ? aNow - aOrder.m_reportedAt >= m_options.m_idleReportInterval
+                 : aNow - aOrder.m_reportedAt >= interval;
   if (!isDue || aFleet.m_controller.empty()) {
     return;
   }
   aOrder.m_reported = report;
   aOrder.m_reportedAt = aNow;
   report.m_sequence = ++m_reportSequence;
+  report.m_age = age;
   if (aFleet.m_controller == m_options.m_host) {
     OnReport(m_options.m_host, report, aNow);
   } else {
--- a/packages/core/rollout/rollout_coordinator.h
+++ b/packages/core/rollout/rollout_coordinator.h
@@ -59,7 +59,7 @@
   std::string m_controller;
   // As in `RolloutSurroundings`.
   std::vector<std::string> m_liveHosts;
-  bool m_anyLost = false;
+  size_t m_lostInstances = 0;
   bool m_storeReachable = true;
 };
 
@@ -103,7 +103,7 @@
     std::optional<RolloutController> m_controller;
     TimePoint m_announcedAt;
     std::optional<TimePoint> m_finalSince;
-    // The latest report without its sequence.
+    // The latest report without its sequence and the age of the order.
     RolloutReport m_reported;
     TimePoint m_reportedAt;
   };
--- a/packages/core/rollout/testing/simulated_rollout.cc
+++ b/packages/core/rollout/testing/simulated_rollout.cc
@@ -59,11 +59,11 @@
     , m_index(aIndex)
     , m_chooser({ .m_processStart = aProcessStart,
                   .m_seed = aProcessStart * 1000 + aIndex })
-    , m_coordinator(m_chooser,
-                    { .m_host = HostOf(aIndex),
-                      .m_controller = { .m_process =
-                                          aProcessStart * 1000 + aIndex } },
-                    *this)
+    , m_coordinator(
+        m_chooser,
+        { .m_host = HostOf(aIndex),
+          .m_controller = { .m_process = aProcessStart * 1000 + aIndex } },
+        *this)
   {
   }
 
@@ -71,10 +71,11 @@
                   const RolloutReport& aReport) override
   {
     size_t to = InstanceOf(aHost);
-    m_world.Deliver(m_index, to, [world = &m_world, from = m_index, to, aReport]() {
-      world->m_instances[to]->m_coordinator.OnReport(
-        HostOf(from), aReport, world->m_now);
-    });
+    m_world.Deliver(
+      m_index, to, [world = &m_world, from = m_index, to, aReport]() {
+        world->m_instances[to]->m_coordinator.OnReport(
+          HostOf(from), aReport, world->m_now);
+      });
   }
   void SendAnnouncement(const std::string& aHost,
                         const RolloutAnnouncement& aAnnouncement) override
@@ -95,10 +96,13 @@
   {
     return m_world.m_scenario.m_hasTarget;
   }
-  void OnStageChanged(const RolloutController& /*aController*/,
+  void OnStageChanged(const RolloutController& aController,
                       RolloutStage /*aBefore*/,
                       TimePoint /*aNow*/) override
   {
+    if (!aController.Reason().empty()) {
+      m_world.m_outcome.m_reason = aController.Reason();
+    }
   }
 
   void Tick(const RolloutFleet& aFleet)
@@ -123,8 +127,8 @@
             bool aIsFirst)
   {
     SimulatedRollout& world = m_world;
-    auto allowed = m_chooser.Filter(
-      "s", world.m_upstreams, *aChoice, aIsFirst, world.m_now);
+    auto allowed =
+      m_chooser.Filter("s", world.m_upstreams, *aChoice, aIsFirst, world.m_now);
     if (allowed.empty()) {
       return;
     }
@@ -144,25 +148,20 @@
     m_chooser.OnSent(*replica, aIsFirst);
     Answer answer = DrawAnswer(aRoute, isTarget);
     world.At(world.m_now + answer.m_latency,
-             [this, &world, replica, aRoute, aChoice, answer, isTarget, aIsFirst,
+             [this,
+              &world,
+              replica,
+              aRoute,
+              aChoice,
+              answer,
+              isTarget,
+              aIsFirst,
               sentAt = world.m_now]() {
                (isTarget ? world.m_targetInFlight : m_currentInFlight) -= 1;
                if (isTarget && answer.m_isBad) {
                  world.OnBadAnswer();
                }
-               if (m_ended || !world.Runs(m_index)) {
-                 return;
-               }
-               m_chooser.OnEnded(*replica,
-                                 aRoute,
-                                 answer.m_isFailure ? VersionAnswer::kFailure
-                                                    : VersionAnswer::kSuccess,
-                                 world.m_now - sentAt,
-                                 false,
-                                 world.m_now);
-               if (answer.m_isFailure && aIsFirst) {
-                 Send(aRoute, aChoice, false);
-               }
+               OnAnswer(replica, aRoute, aChoice, answer, aIsFirst, sentAt);
              });
   }
 
@@ -180,6 +179,36 @@
     Duration m_latency{};
   };
 
+  // Reads an answer, later if the process does not run now.
+  void OnAnswer(const ReplicaPtr& aReplica,
+                const std::string& aRoute,
+                const std::shared_ptr<VersionChoice>& aChoice,
+                Answer aAnswer,
+                bool aIsFirst,
+                TimePoint aSentAt)
+  {
+    TimePoint now = m_world.m_now;
+    if (m_ended || m_world.IsActive(Kind::kKill, m_index)) {
+      return;
+    }
+    if (!m_world.Runs(m_index)) {
+      m_world.At(now + kTick, [=, this]() {
+        OnAnswer(aReplica, aRoute, aChoice, aAnswer, aIsFirst, aSentAt);
+      });
+      return;
+    }
+    m_chooser.OnEnded(*aReplica,
+                      aRoute,
+                      aAnswer.m_isFailure ? VersionAnswer::kFailure
+                                          : VersionAnswer::kSuccess,
+                      now - aSentAt,
+                      false,
+                      now);
+    if (aAnswer.m_isFailure && aIsFirst) {
+      Send(aRoute, aChoice, false);
+    }
+  }
+
   Answer DrawAnswer(const std::string& aRoute, bool aIsTarget)
   {
     SimulatedRollout& world = m_world;
@@ -327,10 +356,10 @@
   At(m_now + Duration(static_cast<int64_t>(gap * 1e9)), [this]() {
     ScheduleRequest();
     double busy = Draw();
-    auto instance = busy < 0.5 ? m_scenario.m_instances - 1
-                               : static_cast<size_t>(
-                                   Draw() * static_cast<double>(
-                                              m_scenario.m_instances));
+    auto instance = busy < 0.5
+                      ? m_scenario.m_instances - 1
+                      : static_cast<size_t>(
+                          Draw() * static_cast<double>(m_scenario.m_instances));
     if (!Runs(instance)) {
       return;
     }
@@ -374,7 +403,7 @@
     if (reached[i] || isHeard) {
       fleet.m_liveHosts.push_back(HostOf(i));
     } else {
-      fleet.m_anyLost = true;
+      ++fleet.m_lostInstances;
     }
   }
   fleet.m_controller = fleet.m_liveHosts.front();
@@ -390,23 +419,31 @@
     return m_instances[aInstance].get() == instance && Runs(aInstance);
   };
   if (ReachesStore(aInstance) && Draw() >= m_scenario.m_loss) {
-    At(m_now + DrawDelay(), [this, aInstance, aCall, answered, instance, isPresent]() {
-      bool isWritten = aCall.m_write && aCall.m_revision == m_entry.m_revision;
-      if (isWritten) {
-        Write(aCall);
-      }
-      if (Draw() < m_scenario.m_loss) {
-        return;
-      }
-      At(m_now + DrawDelay(),
-         [this, aInstance, answered, instance, isWritten, isPresent,
-          entry = m_entry]() {
-           if (isPresent() && ReachesStore(aInstance) && !*answered) {
-             *answered = true;
-             instance->Coordinator().OnCallAnswered("s", entry, isWritten, m_now);
-           }
-         });
-    });
+    At(m_now + DrawDelay(),
+       [this, aInstance, aCall, answered, instance, isPresent]() {
+         bool isWritten =
+           aCall.m_write && aCall.m_revision == m_entry.m_revision;
+         if (isWritten) {
+           Write(aCall);
+         }
+         if (Draw() < m_scenario.m_loss) {
+           return;
+         }
+         At(m_now + DrawDelay(),
+            [this,
+             aInstance,
+             answered,
+             instance,
+             isWritten,
+             isPresent,
+             entry = m_entry]() {
+              if (isPresent() && ReachesStore(aInstance) && !*answered) {
+                *answered = true;
+                instance->Coordinator().OnCallAnswered(
+                  "s", entry, isWritten, m_now);
+              }
+            });
+       });
   }
   At(m_now + kStoreTimeout, [this, answered, instance, isPresent]() {
     if (isPresent() && !std::exchange(*answered, true)) {
@@ -446,9 +483,8 @@
 {
   constexpr Duration kSpread = Milliseconds(800);
   At(m_now + Scaled(kSpread, Draw()), [this, aInstance, aEntry]() {
-    bool hears =
-      ReachesStore(aInstance) ||
-      (ReachesOthers(aInstance) && !IsActive(Kind::kStoreAway, 0));
+    bool hears = ReachesStore(aInstance) ||
+                 (ReachesOthers(aInstance) && !IsActive(Kind::kStoreAway, 0));
     if (hears) {
       m_instances[aInstance]->Coordinator().SetEntry(aEntry, m_now);
     } else {
--- a/packages/core/rollout/testing/simulated_rollout.h
+++ b/packages/core/rollout/testing/simulated_rollout.h
@@ -82,6 +82,8 @@
 struct RolloutOutcome
 {
   RolloutState m_state = RolloutState::kOrdered;
+  // Why the version was rolled back, by the controller.
+  std::string m_reason;
   // When the final state was written, after the order.
   std::optional<Duration> m_finalAt;
   int m_finalWrites = 0;
@@ -119,8 +121,7 @@
   }
   [[nodiscard]] double Draw();
   [[nodiscard]] Duration DrawDelay();
-  [[nodiscard]] bool IsActive(Disturbance::Kind aKind,
-                              size_t aInstance) const;
+  [[nodiscard]] bool IsActive(Disturbance::Kind aKind, size_t aInstance) const;
   [[nodiscard]] bool Runs(size_t aInstance) const;
   [[nodiscard]] bool ReachesOthers(size_t aInstance) const;
   [[nodiscard]] bool ReachesStore(size_t aInstance) const;
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -24,6 +24,8 @@
 constexpr Duration kMinSuspension = Milliseconds(300);
 // How long an instance must be dead before it is removed from the store's list.
 constexpr Duration kUnregisterDelay = Seconds(60);
+// If the feeds are older, the store counts as away for roll-outs.
+constexpr Duration kMaxRolloutFeedAge = Seconds(4);
 // Remote instances that were lost longer ago than this are not offered to
 // callers.
 constexpr Duration kMaxLostAge = Milliseconds(5500);
@@ -62,6 +64,18 @@
            .m_port = aSettings.m_listen.m_peerPort };
 }
 
+RolloutServiceOptions
+RolloutOptionsFrom(const ForwardSettings& aSettings, uint64_t aProcessStart)
+{
+  const RolloutSettings& rollout = *aSettings.m_rollout;
+  return { .m_host = aSettings.m_host,
+           .m_processStart = aProcessStart,
+           .m_limits = { .m_exposureShare = rollout.m_exposureShare,
+                         .m_exposureSlack = rollout.m_exposureSlack,
+                         .m_rollbackTime = rollout.m_rollbackTime },
+           .m_store = aSettings.m_store };
+}
+
 ForwardServiceOptions
 ForwardOptionsFrom(const ForwardSettings& aSettings)
 {
@@ -139,6 +153,17 @@
             aLog,
             FleetOptionsFrom(m_settings),
             *this)
+  , m_rollouts(
+      m_settings.m_rollout
+        ? std::make_unique<RolloutService>(
+            aLoop,
+            m_controlClient,
+            aStore,
+            m_routing,
+            m_fleet,
+            aLog,
+            RolloutOptionsFrom(m_settings, m_fleet.View().Self().m_incarnation))
+        : nullptr)
   , m_forward(aLoop,
               m_upstreamClient,
               aTraffic,
@@ -155,6 +180,9 @@
   , m_metricsServer(aLoop, *m_auxiliaryHandler, {})
   , m_tickTimer(aLoop, [this]() { OnTick(); })
 {
+  if (m_rollouts != nullptr) {
+    m_forward.SetVersionChooser(&m_rollouts->Chooser());
+  }
 }
 
 ForwardInstance::~ForwardInstance() = default;
@@ -217,7 +245,7 @@
 void
 ForwardInstance::OnObjectChanged(FeedKind aKind, const FeedObject& aObject)
 {
-  m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  ApplyObject(aKind, aObject);
 }
 
 void
@@ -250,7 +278,17 @@
 void
 ForwardInstance::OnObjectMerged(FeedKind aKind, const FeedObject& aObject)
 {
-  m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  ApplyObject(aKind, aObject);
+}
+
+void
+ForwardInstance::ApplyObject(FeedKind aKind, const FeedObject& aObject)
+{
+  if (aKind != FeedKind::kRollouts) {
+    m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  } else if (m_rollouts != nullptr) {
+    m_rollouts->ApplyObject(aObject);
+  }
 }
 
 void
@@ -262,13 +300,17 @@
 }
 
 void
-ForwardInstance::OnPeerPayload(const FleetRecord& /*aSender*/,
+ForwardInstance::OnPeerPayload(const FleetRecord& aSender,
                                PeerTopic aTopic,
-                               std::string_view /*aPayload*/)
+                               std::string_view aPayload)
 {
   switch (aTopic) {
-    case PeerTopic::kQuota:
     case PeerTopic::kRollout:
+      if (m_rollouts != nullptr) {
+        m_rollouts->OnPayload(aSender.m_host, aPayload);
+      }
+      break;
+    case PeerTopic::kQuota:
     case PeerTopic::kNone:
       break;
   }
@@ -291,6 +333,9 @@
   UpdateReachability();
   UpdateBudget();
   m_routing.LogResumed(m_loop.Now());
+  if (m_rollouts != nullptr) {
+    m_rollouts->OnTimer(m_storeReachable && FeedAge() < kMaxRolloutFeedAge);
+  }
   if (m_stoppingSince) {
     ContinueStop();
   }
@@ -388,6 +433,9 @@
     for (ObjectFeed& feed : m_feeds) {
       feed.AddAge(suspendedTotal - m_suspendedTotal);
     }
+    if (m_rollouts != nullptr) {
+      m_rollouts->OnSuspended();
+    }
   }
   m_suspendedTotal = suspendedTotal;
 }
@@ -557,6 +605,9 @@
           : m_routing.Routes()->Config()->m_version);
   gauge("ebonykeel_instances", m_fleet.View().LiveMembers().size());
   gauge("ebonykeel_log_lines_dropped", m_log.Dropped());
+  if (m_rollouts != nullptr) {
+    text += m_rollouts->RenderMetrics();
+  }
   return text;
 }
 
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -16,6 +16,7 @@
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
 #include "node/entry/protocol.h"
+#include "node/entry/rollout_service.h"
 #include "node/entry/routing_state.h"
 #include "node/entry/store_reader.h"
 #include "runtime/http1/client.h"
@@ -61,6 +62,8 @@
                      std::string_view aPayload) override;
   Duration FeedAge() const override;
 
+  // Applies a changed object that was read or fetched from a peer.
+  void ApplyObject(FeedKind aKind, const FeedObject& aObject);
   void OnTick();
   void UpdateSelf();
   void UpdateReaderRole();
@@ -107,6 +110,8 @@
   RoutingState m_routing;
   StoreReader m_reader;
   FleetService m_fleet;
+  // Null if the settings have no table for roll-outs.
+  std::unique_ptr<RolloutService> m_rollouts;
   ForwardService m_forward;
   Http1Server m_callerServer;
   std::unique_ptr<AuxiliaryHandler> m_auxiliaryHandler;
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -77,6 +77,13 @@
   }
 }
 
+void
+ForwardService::SetVersionChooser(VersionChooser* aVersions)
+{
+  m_environment.m_versions = aVersions;
+  m_sender.SetVersionChooser(aVersions);
+}
+
 void
 ForwardService::StopBy(TimePoint aEnd)
 {
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -58,6 +58,9 @@
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
   // Called when the instance can route; serves the requests that waited for it.
   void OnStarted();
+  // Restricts upstreams by their versions; null for no restriction. Called
+  // before the first request.
+  void SetVersionChooser(VersionChooser* aVersions);
   // Answers every request by `aEnd`, when the process is about to stop.
   void StopBy(TimePoint aEnd);
 
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -18,6 +18,7 @@
 #include "core/feed/object_feed.h"
 #include "core/forward/forward_run.h"
 #include "core/replica/replica.h"
+#include "core/rollout/rollout.h"
 #include "core/traffic/traffic_config.h"
 #include "runtime/http1/client.h"
 #include "runtime/http1/message.h"
@@ -181,6 +182,23 @@
     std::string_view aName,
     std::string_view aPayload) const = 0;
 
+  // Reads a roll-out's object with a normalised payload.
+  [[nodiscard]] virtual absl::StatusOr<RolloutEntry> ReadRollout(
+    const FeedObject& aObject) const = 0;
+  // Returns the request that writes the state `aState` of an order if the entry
+  // still has the revision of `aEntry`. The answer, like that to a read, holds
+  // the object as it is then.
+  [[nodiscard]] virtual Http1Request MakeRolloutStatusRequest(
+    const RolloutEntry& aEntry,
+    RolloutState aState) const = 0;
+  [[nodiscard]] virtual Http1Request MakeReadRequest(
+    FeedKind aKind,
+    std::string_view aName) const = 0;
+  // Reads a single object, with a normalised payload.
+  [[nodiscard]] virtual absl::StatusOr<FeedObject> ReadObject(
+    FeedKind aKind,
+    std::string_view aBody) const = 0;
+
   // The store's list of instances, which a starting instance reads when its
   // seeds do not answer.
   [[nodiscard]] virtual Http1Request MakeListInstancesRequest() const = 0;
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -11,6 +11,23 @@
 // the typical latency.
 constexpr int kOverdueFactor = 3;
 
+VersionAnswer
+VersionAnswerOf(AttemptOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AttemptOutcome::kSuccess:
+      return VersionAnswer::kSuccess;
+    case AttemptOutcome::kFailure:
+    case AttemptOutcome::kBroken:
+      return VersionAnswer::kFailure;
+    case AttemptOutcome::kNotExecuted:
+    case AttemptOutcome::kWrongInstance:
+    case AttemptOutcome::kNotSent:
+      return VersionAnswer::kNotRun;
+  }
+  return VersionAnswer::kNotRun;
+}
+
 } // namespace
 
 UpstreamSender::UpstreamSender(UvLoop& aLoop,
@@ -45,6 +62,9 @@
   attempt->m_typicalLatency = m_latencies.Typical(*attempt->m_route);
   attempt->m_sentAt = m_loop.Now();
   m_load.OnSent(replica, attempt->m_sentAt);
+  if (m_versions != nullptr) {
+    m_versions->OnSent(replica, attempt->m_attempt == 0);
+  }
   Http1Request request =
     m_protocol.MakeUpstreamRequest(aRequest, replica, aDeadline);
   Http1Call call{ .m_address = replica.m_address,
@@ -89,6 +109,23 @@
     m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt);
   }
   m_stats.OnAttemptEnded("any", "dropped");
+  ReportToVersions(*aAttempt, VersionAnswer::kCancelled);
+}
+
+void
+UpstreamSender::ReportToVersions(const UpstreamAttempt& aAttempt,
+                                 VersionAnswer aAnswer)
+{
+  if (m_versions == nullptr) {
+    return;
+  }
+  TimePoint now = m_loop.Now();
+  m_versions->OnEnded(*aAttempt.m_replica,
+                      aAttempt.m_route->m_name,
+                      aAnswer,
+                      now - aAttempt.m_sentAt,
+                      m_load.IsCold(*aAttempt.m_replica, now),
+                      now);
 }
 
 void
@@ -120,6 +157,7 @@
   aAttempt->m_httpCall = 0;
   aAttempt->m_connection = aResult.m_connection;
   RecordOutcome(*aAttempt, answer.m_outcome, aResult.m_problem);
+  ReportToVersions(*aAttempt, VersionAnswerOf(answer.m_outcome));
   m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, m_loop.Now());
   if (auto observer = aAttempt->m_observer.lock()) {
     observer->OnAttemptEnded(aAttempt->m_subRequest,
--- a/packages/node/entry/upstream_sender.h
+++ b/packages/node/entry/upstream_sender.h
@@ -16,6 +16,7 @@
 
 #include "core/forward/latency_model.h"
 #include "core/replica/replica_load.h"
+#include "core/rollout/version_chooser.h"
 #include "core/traffic/traffic_config.h"
 #include "node/entry/forward_stats.h"
 #include "node/entry/protocol.h"
@@ -90,6 +91,9 @@
                  LineLog& aLog,
                  UpstreamSenderOptions aOptions);
 
+  // Sets who learns of each attempt and its outcome; null for nobody.
+  void SetVersionChooser(VersionChooser* aVersions) { m_versions = aVersions; }
+
   // Sends the caller's request to the attempt's upstream, which has `aDeadline`
   // to work on it.
   UpstreamAttemptPtr Send(UpstreamAttempt aAttempt,
@@ -112,6 +116,7 @@
   void RecordOutcome(const UpstreamAttempt& aAttempt,
                      AttemptOutcome aOutcome,
                      std::string_view aProblem);
+  void ReportToVersions(const UpstreamAttempt& aAttempt, VersionAnswer aAnswer);
   void CancelExpiredAttempts();
 
   UvLoop& m_loop;
@@ -123,6 +128,7 @@
   ForwardStats& m_stats;
   LineLog& m_log;
   UpstreamSenderOptions m_options;
+  VersionChooser* m_versions = nullptr;
   std::deque<LateAttempt> m_lateAttempts;
   UvTimer m_lateAttemptTimer;
 };
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -196,6 +196,40 @@
              "An object in the store cannot be read; it counts as removed, the "
              "others hold. Logged once by each reader until it is readable.",
              "kind object revision" },
+  EventInfo{ Event::kRolloutSeen,
+             Severity::kInfo,
+             "rollout_seen",
+             "An order to roll a version out is new or changed, or its state "
+             "in the store changed.",
+             "service target state duration_ms revision" },
+  EventInfo{
+    Event::kRolloutStage,
+    Severity::kInfo,
+    "rollout_stage",
+    "This instance, which controls the order, changed its stage; the reason "
+    "is given for a rollback. The counts are those of all reports; evidence "
+    "is a log-likelihood ratio, positive for a bad version.",
+    "service target before stage reason share requests target_requests "
+    "answers failures slow evidence route" },
+  EventInfo{ Event::kRolloutStatusWritten,
+             Severity::kInfo,
+             "rollout_status_written",
+             "The store took the state of an order, refused it since the entry "
+             "had changed (result conflict), or its answer is unknown (result "
+             "lost).",
+             "service target state result revision" },
+  EventInfo{ Event::kRolloutStopped,
+             Severity::kWarning,
+             "rollout_stopped",
+             "This instance sends nothing more to the target version: its own "
+             "answers are those of a bad version, or the controller found it "
+             "bad.",
+             "service target answers failures slow" },
+  EventInfo{ Event::kRolloutEnded,
+             Severity::kInfo,
+             "rollout_ended",
+             "An order was removed from the store or cannot be read.",
+             "service revision" },
   EventInfo{ Event::kQueryRefused,
              Severity::kInfo,
              "query_refused",
