--- a/packages/core/rollout/version_comparison.cc
+++ b/packages/core/rollout/version_comparison.cc
@@ -125,6 +125,14 @@
                               ToMillisecondsF(m_options.m_longHalfLife));
   m_answers *= longTerm;
   m_bad *= longTerm;
+  double recent = std::exp2(-ToMillisecondsF(elapsed) /
+                            ToMillisecondsF(m_options.m_halfLife));
+  m_recentAnswers *= recent;
+  m_recentBad *= recent;
+  for (const auto& [name, route] : m_routes) {
+    m_recentAnswers += static_cast<double>(route.m_windowCurrent.m_answers);
+    m_recentBad += static_cast<double>(route.m_windowCurrent.m_bad);
+  }
   for (auto& [name, route] : m_routes) {
     Decay(route, elapsed);
     LogRatios ratios =
@@ -181,7 +189,10 @@
     (aRoute.m_bad + weight * allRoutes) / (aRoute.m_answers + weight);
   double error =
     std::sqrt(longTerm * (1 - longTerm) / (aRoute.m_answers + weight));
-  double recent = (aRoute.m_recentBad + kLongTermWeight * longTerm) /
+  // A fault of the whole service shows sooner on all routes together.
+  double recentOfAll = (m_recentBad + kLongTermWeight * longTerm) /
+                       (m_recentAnswers + kLongTermWeight);
+  double recent = (aRoute.m_recentBad + kLongTermWeight * recentOfAll) /
                   (aRoute.m_recentAnswers + kLongTermWeight);
   double window =
     (static_cast<double>(aCurrent.m_bad) + kRecentWeight * recent) /
--- a/packages/core/rollout/version_comparison.h
+++ b/packages/core/rollout/version_comparison.h
@@ -170,6 +170,9 @@
   // The current version's answers on all routes, with a long half-life.
   double m_answers = 0;
   double m_bad = 0;
+  // The same with a short one, the present window included.
+  double m_recentAnswers = 0;
+  double m_recentBad = 0;
   BadTest m_all;
   GoodTest m_good;
   TimePoint m_windowStart;
