--- a/packages/core/forward/forward_request.h
+++ b/packages/core/forward/forward_request.h
@@ -65,6 +65,10 @@
   // The time that the caller had already used: for its connection or for
   // earlier caller attempts.
   Duration m_elapsed{};
+  // The priority of the workspace, or else of the route; 0 is the most urgent.
+  uint32_t m_priority = 0;
+  // The caller's workspace; empty if it has none.
+  std::string m_workspace;
 
   [[nodiscard]] bool IsGathered() const
   {
--- a/packages/core/traffic/traffic_config.h
+++ b/packages/core/traffic/traffic_config.h
@@ -79,7 +79,7 @@
   double m_coldRequestsPerSecond = 0;
 };
 
-// The digest of a caller's key. Keys themselves are not kept.
+// The SHA-256 digest of a caller's key, 32 bytes. Keys themselves are not kept.
 using KeyDigest = std::string;
 
 // The callers that share a set of keys and a quota.
@@ -113,6 +113,9 @@
   CallerLimits m_limits;
   // Whether requests need a key of a workspace, unless their route is public.
   bool m_requiresKeys = false;
+  // Whether workspaces are configured, even if there are none. What a caller
+  // states about its key and its workspace is then not passed on.
+  bool m_usesWorkspaces = false;
   std::vector<Workspace> m_workspaces;
 };
 
