Keys and workspaces of callers in the forward mode

Cause: deployments whose configuration contains tenants need requests without a known key refused, and upstreams need the name of the caller's workspace.

Change: the store's configuration is normalised to digests, so that feeds hold no key. A request is checked once its route is known: 401, or 503 with Retry-After if the instance may lack a newer version. Every attempt carries the workspace's name, and none of the caller's Credential and Tenant headers. When a version comes into force, requests that no upstream has run are checked again. The event access_refused (EK1906) and a counter by reason name refusals; explain knows them.

--- a/packages/cli/explain.cc
+++ b/packages/cli/explain.cc
@@ -108,6 +108,16 @@
              : "this instance had no configuration, or only an outdated one: "
                "503, not run";
   }
+  if (aLine.m_event == "access_refused") {
+    return status == "401"
+             ? absl::StrCat("401, not run: ",
+                            reason == "missing-key"
+                              ? "the request had no key"
+                              : "the configuration in force does not contain "
+                                "its key")
+             : "this instance had only an outdated configuration, which does "
+               "not allow the request: 503, not run";
+  }
   if (status == "whole") {
     return "complete answer";
   }
--- a/packages/cli/explain_test.cc
+++ b/packages/cli/explain_test.cc
@@ -78,6 +78,25 @@
                          "too few upstreams are registered and reachable"));
 }
 
+DOCTEST_TEST_CASE("the explanation of a refused key says that nothing ran")
+{
+  std::vector<LogText> logs{
+    { "log",
+      "ms=5 EK1906 access_refused request=q1 route=r version=7 "
+      "reason=missing-key status=401\n"
+      "ms=6 EK1906 access_refused request=q2 route=r version=7 "
+      "reason=unknown-key status=401\n"
+      "ms=7 EK1906 access_refused request=q3 route=r version=7 "
+      "reason=unknown-key status=503\n" }
+  };
+  DOCTEST_CHECK(Contains(ExplainRequest("q1", logs).m_text,
+                         "401, not run: the request had no key"));
+  DOCTEST_CHECK(Contains(ExplainRequest("q2", logs).m_text,
+                         "401, not run: the configuration in force does not "
+                         "contain its key"));
+  DOCTEST_CHECK(Contains(ExplainRequest("q3", logs).m_text, "503, not run"));
+}
+
 DOCTEST_TEST_CASE("a request that no line names is reported as not found")
 {
   std::vector<LogText> logs{ { "node-1.log", kLog } };
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -217,7 +217,7 @@
 void
 ForwardInstance::OnObjectChanged(FeedKind aKind, const FeedObject& aObject)
 {
-  m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  ApplyObject(aKind, aObject);
 }
 
 void
@@ -250,7 +250,7 @@
 void
 ForwardInstance::OnObjectMerged(FeedKind aKind, const FeedObject& aObject)
 {
-  m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  ApplyObject(aKind, aObject);
 }
 
 void
@@ -299,6 +299,16 @@
                   (IsReady() ? kTickInterval : kStartingTickInterval));
 }
 
+void
+ForwardInstance::ApplyObject(FeedKind aKind, const FeedObject& aObject)
+{
+  std::shared_ptr<const RouteTable> previous = m_routing.Routes();
+  m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  if (m_routing.Routes() != previous) {
+    m_forward.OnConfigurationChanged();
+  }
+}
+
 void
 ForwardInstance::UpdateSelf()
 {
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -62,6 +62,8 @@
   Duration FeedAge() const override;
 
   void OnTick();
+  // Applies a changed object of a feed.
+  void ApplyObject(FeedKind aKind, const FeedObject& aObject);
   void UpdateSelf();
   void UpdateReaderRole();
   void UpdateReachability();
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -11,6 +11,7 @@
 namespace ebonykeel {
 namespace {
 
+constexpr int kUnauthorizedStatus = 401;
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
 
@@ -77,6 +78,33 @@
   }
 }
 
+void
+ForwardService::OnConfigurationChanged()
+{
+  const std::shared_ptr<const RouteTable>& routes = m_routing.Routes();
+  // The answer to one request may start or end others.
+  std::vector<std::shared_ptr<RequestJob>> notRun;
+  for (const auto& [key, job] : m_jobs) {
+    if (!job->MayHaveRun()) {
+      notRun.push_back(job);
+    }
+  }
+  for (const std::shared_ptr<RequestJob>& job : notRun) {
+    const CallerRequest& caller = job->Caller();
+    const Route* found =
+      routes->Find(caller.m_host, PathOf(job->Request().m_target));
+    // A request whose route is gone is still served by its old route.
+    const Route& route = found == nullptr ? job->ChosenRoute() : *found;
+    CallerAccess access = CheckAccess(*routes, route, caller.m_key);
+    if (access.m_refusal) {
+      job->Refuse("no-access",
+                  MakeAccessRefusal(caller, route, *access.m_refusal));
+    } else {
+      job->SetCaller(IdentityOf(*routes->Config(), access.m_workspace));
+    }
+  }
+}
+
 void
 ForwardService::StopBy(TimePoint aEnd)
 {
@@ -132,12 +160,18 @@
     RejectWithoutRoute(*aExchange, caller);
     return;
   }
+  CallerAccess access = CheckAccess(*routes, *route, caller.m_key);
+  if (access.m_refusal) {
+    aExchange->Answer(MakeAccessRefusal(caller, *route, *access.m_refusal));
+    return;
+  }
   std::vector<std::string> services = ChooseServices(*route);
   auto job = std::make_shared<RequestJob>(m_jobContext,
                                           std::move(aExchange),
                                           std::move(caller),
                                           std::move(routes),
                                           *route,
+                                          access.m_workspace,
                                           std::move(services));
   m_jobs.emplace(job.get(), job);
   job->Start(m_stopBy);
@@ -148,9 +182,7 @@
                                    const CallerRequest& aCaller)
 {
   const std::shared_ptr<const RouteTable>& routes = m_routing.Routes();
-  // A stale feed may lack a route that another instance has.
-  bool uncertain =
-    routes == nullptr || m_replicaFeedAge.FeedAge() > m_options.m_staleFeedAge;
+  bool uncertain = MayLackConfiguration();
   int status = uncertain ? kUnavailableStatus : kNotFoundStatus;
   m_log.Write(
     Event::kForwardNoRoute,
@@ -170,6 +202,37 @@
   }
 }
 
+Http1Response
+ForwardService::MakeAccessRefusal(const CallerRequest& aCaller,
+                                  const Route& aRoute,
+                                  AccessRefusal aReason)
+{
+  bool uncertain = MayLackConfiguration();
+  int status = uncertain ? kUnavailableStatus : kUnauthorizedStatus;
+  std::string_view reason =
+    uncertain ? "configuration-unknown" : AccessRefusalName(aReason);
+  m_stats.OnAccessRefused(reason);
+  m_log.Write(
+    Event::kAccessRefused,
+    { { "request", aCaller.m_attemptId },
+      { "route", aRoute.m_name },
+      { "version", absl::StrCat(m_routing.Routes()->Config()->m_version) },
+      { "reason", std::string(AccessRefusalName(aReason)) },
+      { "status", absl::StrCat(status) } });
+  return m_protocol.MakeOwnAnswer(
+    status,
+    reason,
+    uncertain ? std::optional(m_options.m_startRetryAfter) : std::nullopt);
+}
+
+bool
+ForwardService::MayLackConfiguration() const
+{
+  // A stale feed may lack a route or a key that another instance has.
+  return m_routing.Routes() == nullptr ||
+         m_replicaFeedAge.FeedAge() > m_options.m_staleFeedAge;
+}
+
 std::vector<std::string>
 ForwardService::ChooseServices(const Route& aRoute)
 {
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -12,6 +12,7 @@
 #include "core/forward/caller_deadlines.h"
 #include "core/forward/forward_run.h"
 #include "core/forward/start_queue.h"
+#include "core/traffic/caller_access.h"
 #include "core/traffic/weighted_choice.h"
 #include "node/entry/forward_stats.h"
 #include "node/entry/protocol.h"
@@ -58,6 +59,9 @@
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
   // Called when the instance can route; serves the requests that waited for it.
   void OnStarted();
+  // Called when a newer configuration is in force. Requests that no upstream
+  // has run are checked again: they are refused if their key is gone.
+  void OnConfigurationChanged();
   // Answers every request by `aEnd`, when the process is about to stop.
   void StopBy(TimePoint aEnd);
 
@@ -72,6 +76,12 @@
   void Serve(std::shared_ptr<Http1Exchange> aExchange);
   void RejectWithoutRoute(Http1Exchange& aExchange,
                           const CallerRequest& aCaller);
+  // Returns the answer to a request whose key does not allow it.
+  [[nodiscard]] Http1Response MakeAccessRefusal(const CallerRequest& aCaller,
+                                                const Route& aRoute,
+                                                AccessRefusal aReason);
+  // Returns whether a newer configuration may be in force on other instances.
+  [[nodiscard]] bool MayLackConfiguration() const;
   // Returns the services of a request; takes the next one of a split route.
   [[nodiscard]] std::vector<std::string> ChooseServices(const Route& aRoute);
   void OnJobEnded(const RequestJob& aJob) override;
--- a/packages/node/entry/forward_stats.cc
+++ b/packages/node/entry/forward_stats.cc
@@ -20,6 +20,12 @@
   ++m_attempts[{ std::string(aReason), std::string(aOutcome) }];
 }
 
+void
+ForwardStats::OnAccessRefused(std::string_view aReason)
+{
+  ++m_accessRefusals[std::string(aReason)];
+}
+
 std::string
 ForwardStats::Render() const
 {
@@ -46,6 +52,15 @@
                     count,
                     "\n");
   }
+  text += "# TYPE ebonykeel_access_refused_total counter\n";
+  for (const auto& [reason, count] : m_accessRefusals) {
+    absl::StrAppend(&text,
+                    "ebonykeel_access_refused_total{reason=\"",
+                    reason,
+                    "\"} ",
+                    count,
+                    "\n");
+  }
   text += "# TYPE ebonykeel_request_seconds summary\n";
   for (const auto& [route, latency] : m_latencies) {
     std::string label = absl::StrCat("{route=\"", route, "\",quantile=\"");
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -32,6 +32,19 @@
   std::string m_host;
   // How long the caller will wait; nothing if the request does not state it.
   std::optional<Duration> m_remaining;
+  // The digest of the caller's key; nothing if the request has no key, or
+  // several that differ.
+  std::optional<KeyDigest> m_key;
+};
+
+// What an upstream is told about a request's caller.
+struct CallerIdentity
+{
+  // Whether the configuration has workspaces. What the caller states about its
+  // key and its workspace is then not passed on.
+  bool m_usesWorkspaces = false;
+  // The caller's workspace; empty if it has none.
+  std::string m_workspace;
 };
 
 // What an upstream states about itself in an answer.
@@ -74,6 +87,7 @@
   [[nodiscard]] virtual Http1Request MakeUpstreamRequest(
     const Http1Request& aRequest,
     const Replica& aReplica,
+    const CallerIdentity& aCaller,
     Duration aDeadline) const = 0;
   // Returns whether an answer belongs to the caller attempt `aAttemptId`, which
   // is empty if the caller gave no identifier.
@@ -164,7 +178,7 @@
                                                       Duration aWait) const = 0;
   // `ReadListPage` and `ReadEvents` return objects with normalised payloads,
   // which are equal for equal content. An object that cannot be read counts as
-  // removed.
+  // removed. A configuration's payload holds digests of keys, but no key.
   [[nodiscard]] virtual absl::StatusOr<StoreListPage> ReadListPage(
     FeedKind aKind,
     std::string_view aBody) const = 0;
--- a/packages/node/entry/request_job.cc
+++ b/packages/node/entry/request_job.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "core/forward/record_merge.h"
+#include "core/traffic/caller_access.h"
 
 namespace ebonykeel {
 namespace {
@@ -20,6 +21,11 @@
 // reach the caller with one of them.
 constexpr std::array kNotExecutedStatuses = { 408, 421, 429, 503 };
 
+// The outcomes of attempts that no upstream has run.
+constexpr std::array kNotRunOutcomes = { AttemptOutcome::kNotExecuted,
+                                         AttemptOutcome::kWrongInstance,
+                                         AttemptOutcome::kNotSent };
+
 std::string
 FormatMs(Duration aDuration)
 {
@@ -28,24 +34,35 @@
 
 } // namespace
 
+CallerIdentity
+IdentityOf(const TrafficConfig& aConfig, const Workspace* aWorkspace)
+{
+  return { .m_usesWorkspaces = aConfig.m_usesWorkspaces,
+           .m_workspace = aWorkspace == nullptr ? "" : aWorkspace->m_name };
+}
+
 RequestJob::RequestJob(RequestJobContext& aContext,
                        std::shared_ptr<Http1Exchange> aExchange,
                        CallerRequest aCaller,
                        std::shared_ptr<const RouteTable> aRoutes,
                        const Route& aRoute,
+                       const Workspace* aWorkspace,
                        std::vector<std::string> aServices)
   : m_context(aContext)
   , m_exchange(std::move(aExchange))
   , m_caller(std::move(aCaller))
   , m_routes(std::move(aRoutes))
   , m_route(aRoute)
+  , m_identity(IdentityOf(*m_routes->Config(), aWorkspace))
   , m_remaining(m_caller.m_remaining.value_or(aRoute.m_timeout))
   , m_timer(aContext.m_loop, [this]() { OnTimer(); })
   , m_run(ForwardRequest{ .m_route = &m_route,
                           .m_services = std::move(aServices),
                           .m_receivedAt = m_exchange->ReceivedAt(),
                           .m_remaining = m_remaining,
-                          .m_elapsed = ElapsedBeforeRead() },
+                          .m_elapsed = ElapsedBeforeRead(),
+                          .m_priority = EffectivePriority(m_route, aWorkspace),
+                          .m_workspace = m_identity.m_workspace },
           aContext.m_environment,
           *this)
 {
@@ -69,6 +86,27 @@
   RearmTimer();
 }
 
+bool
+RequestJob::MayHaveRun() const
+{
+  return std::ranges::any_of(m_attempts, [](const AttemptRecord& aRecord) {
+    return !aRecord.m_outcome ||
+           std::ranges::find(kNotRunOutcomes, *aRecord.m_outcome) ==
+             kNotRunOutcomes.end();
+  });
+}
+
+void
+RequestJob::Refuse(std::string_view aStatus, const Http1Response& aAnswer)
+{
+  std::shared_ptr<RequestJob> self = shared_from_this();
+  m_run.Abandon();
+  m_context.m_stats.OnRequestEnded(
+    m_route.m_name, aStatus, m_context.m_loop.Now() - m_exchange->ReceivedAt());
+  m_exchange->Answer(aAnswer);
+  Release();
+}
+
 void
 RequestJob::OnAttemptEnded(uint32_t aSubRequest,
                            uint32_t aAttempt,
@@ -103,7 +141,8 @@
                            .m_replica = aReplica,
                            .m_routes = m_routes,
                            .m_route = &m_route,
-                           .m_attemptId = m_caller.m_attemptId };
+                           .m_attemptId = m_caller.m_attemptId,
+                           .m_caller = m_identity };
   if (aAttempt > 0) {
     attempt.m_excludedConnections = UsedConnections(aSubRequest);
   }
--- a/packages/node/entry/request_job.h
+++ b/packages/node/entry/request_job.h
@@ -2,7 +2,7 @@
 // attempts and answers the caller.
 //
 //   auto job = std::make_shared<RequestJob>(context, exchange, caller, routes,
-//                                           *route, services);
+//                                           *route, workspace, services);
 //   job->Start(endBy);
 #pragma once
 
@@ -28,6 +28,11 @@
 
 class RequestJob;
 
+// Returns what upstreams are told about a caller of `aWorkspace`, which may be
+// null.
+[[nodiscard]] CallerIdentity
+IdentityOf(const TrafficConfig& aConfig, const Workspace* aWorkspace);
+
 class RequestJobObserver
 {
 public:
@@ -56,13 +61,15 @@
   , private ForwardPort
 {
 public:
-  // `aRoute` belongs to `aRoutes`. `aServices` are the services of the route,
-  // or the one that was chosen from a split.
+  // `aRoute` and `aWorkspace`, which is null for a caller without one, belong
+  // to `aRoutes`. `aServices` are the services of the route, or the one that
+  // was chosen from a split.
   RequestJob(RequestJobContext& aContext,
              std::shared_ptr<Http1Exchange> aExchange,
              CallerRequest aCaller,
              std::shared_ptr<const RouteTable> aRoutes,
              const Route& aRoute,
+             const Workspace* aWorkspace,
              std::vector<std::string> aServices);
 
   // Starts the run. It ends at `aEndBy` at the latest, if that has a value.
@@ -70,6 +77,22 @@
   // Ends the run at `aEnd` at the latest.
   void EndBy(TimePoint aEnd);
 
+  // Return what decides about the access of the request.
+  [[nodiscard]] const Http1Request& Request() const
+  {
+    return m_exchange->Request();
+  }
+  [[nodiscard]] const CallerRequest& Caller() const { return m_caller; }
+  [[nodiscard]] const Route& ChosenRoute() const { return m_route; }
+  // Returns whether an upstream may have run the request, or may still do so
+  // without another attempt.
+  [[nodiscard]] bool MayHaveRun() const;
+  // Sets the identity that upstreams get with further attempts.
+  void SetCaller(CallerIdentity aCaller) { m_identity = std::move(aCaller); }
+  // Ends a request that no upstream has run with an answer of this instance.
+  // `aStatus` is a stable word for metrics.
+  void Refuse(std::string_view aStatus, const Http1Response& aAnswer);
+
   void OnAttemptEnded(uint32_t aSubRequest,
                       uint32_t aAttempt,
                       UpstreamAnswer aAnswer,
@@ -127,6 +150,7 @@
   CallerRequest m_caller;
   std::shared_ptr<const RouteTable> m_routes;
   const Route& m_route;
+  CallerIdentity m_identity;
   Duration m_remaining;
   UvTimer m_timer;
   ForwardRun m_run;
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -45,8 +45,8 @@
   attempt->m_typicalLatency = m_latencies.Typical(*attempt->m_route);
   attempt->m_sentAt = m_loop.Now();
   m_load.OnSent(replica, attempt->m_sentAt);
-  Http1Request request =
-    m_protocol.MakeUpstreamRequest(aRequest, replica, aDeadline);
+  Http1Request request = m_protocol.MakeUpstreamRequest(
+    aRequest, replica, attempt->m_caller, aDeadline);
   Http1Call call{ .m_address = replica.m_address,
                   .m_bytes = SerializeRequest(request),
                   .m_isHead = request.m_method == "HEAD",
--- a/packages/node/entry/upstream_sender.h
+++ b/packages/node/entry/upstream_sender.h
@@ -50,6 +50,7 @@
   const Route* m_route = nullptr;
   // Identifies the caller attempt; empty if the caller gave no identifier.
   std::string m_attemptId;
+  CallerIdentity m_caller;
   // The numbers of connections that must not carry the attempt.
   std::vector<uint64_t> m_excludedConnections;
 
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -264,6 +264,13 @@
     "This instance reaches too few upstreams and directs its callers to "
     "other instances, or reaches enough again.",
     "impaired hears_others" },
+  EventInfo{
+    Event::kAccessRefused,
+    Severity::kInfo,
+    "access_refused",
+    "A request has no key, or one that the configuration in force does "
+    "not contain.",
+    "request route version reason status" },
 };
 
 const EventInfo&
