--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -64,18 +64,6 @@
            .m_port = aSettings.m_listen.m_peerPort };
 }
 
-RolloutServiceOptions
-RolloutOptionsFrom(const ForwardSettings& aSettings, uint64_t aProcessStart)
-{
-  const RolloutSettings& rollout = *aSettings.m_rollout;
-  return { .m_host = aSettings.m_host,
-           .m_processStart = aProcessStart,
-           .m_limits = { .m_exposureShare = rollout.m_exposureShare,
-                         .m_exposureSlack = rollout.m_exposureSlack,
-                         .m_rollbackTime = rollout.m_rollbackTime },
-           .m_store = aSettings.m_store };
-}
-
 ForwardServiceOptions
 ForwardOptionsFrom(const ForwardSettings& aSettings)
 {
@@ -281,16 +269,6 @@
   ApplyObject(aKind, aObject);
 }
 
-void
-ForwardInstance::ApplyObject(FeedKind aKind, const FeedObject& aObject)
-{
-  if (aKind != FeedKind::kRollouts) {
-    m_routing.ApplyObject(aKind, aObject, m_loop.Now());
-  } else if (m_rollouts != nullptr) {
-    m_rollouts->ApplyObject(aObject);
-  }
-}
-
 void
 ForwardInstance::OnMergeCompleted()
 {
@@ -344,6 +322,19 @@
                   (IsReady() ? kTickInterval : kStartingTickInterval));
 }
 
+void
+ForwardInstance::ApplyObject(FeedKind aKind, const FeedObject& aObject)
+{
+  if (m_rollouts != nullptr && aKind == FeedKind::kRollouts) {
+    m_rollouts->ApplyObject(aObject);
+  }
+  std::shared_ptr<const RouteTable> previous = m_routing.Routes();
+  m_routing.ApplyObject(aKind, aObject, m_loop.Now());
+  if (m_routing.Routes() != previous) {
+    m_forward.OnConfigurationChanged();
+  }
+}
+
 void
 ForwardInstance::UpdateSelf()
 {
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -62,9 +62,9 @@
                      std::string_view aPayload) override;
   Duration FeedAge() const override;
 
-  // Applies a changed object that was read or fetched from a peer.
-  void ApplyObject(FeedKind aKind, const FeedObject& aObject);
   void OnTick();
+  // Applies a changed object of a feed.
+  void ApplyObject(FeedKind aKind, const FeedObject& aObject);
   void UpdateSelf();
   void UpdateReaderRole();
   void UpdateReachability();
--- a/packages/node/entry/rollout_service.cc
+++ b/packages/node/entry/rollout_service.cc
@@ -66,6 +66,18 @@
 
 } // namespace
 
+RolloutServiceOptions
+RolloutOptionsFrom(const ForwardSettings& aSettings, uint64_t aProcessStart)
+{
+  const RolloutSettings& rollout = *aSettings.m_rollout;
+  return { .m_host = aSettings.m_host,
+           .m_processStart = aProcessStart,
+           .m_limits = { .m_exposureShare = rollout.m_exposureShare,
+                         .m_exposureSlack = rollout.m_exposureSlack,
+                         .m_rollbackTime = rollout.m_rollbackTime },
+           .m_store = aSettings.m_store };
+}
+
 RolloutService::RolloutService(UvLoop& aLoop,
                                Http1Client& aClient,
                                const StoreProtocol& aProtocol,
--- a/packages/node/entry/rollout_service.h
+++ b/packages/node/entry/rollout_service.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "core/config/address.h"
+#include "core/config/forward_settings.h"
 #include "core/feed/object_feed.h"
 #include "core/rollout/rollout_coordinator.h"
 #include "core/rollout/version_chooser.h"
@@ -36,6 +37,10 @@
   Duration m_callTimeout = Milliseconds(1500);
 };
 
+// Requires: the settings have a table for roll-outs.
+[[nodiscard]] RolloutServiceOptions
+RolloutOptionsFrom(const ForwardSettings& aSettings, uint64_t aProcessStart);
+
 // Everything that is passed by reference must outlive the service.
 class RolloutService final : private RolloutPort
 {
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -65,8 +65,8 @@
   if (m_versions != nullptr) {
     m_versions->OnSent(replica, attempt->m_attempt == 0);
   }
-  Http1Request request =
-    m_protocol.MakeUpstreamRequest(aRequest, replica, aDeadline);
+  Http1Request request = m_protocol.MakeUpstreamRequest(
+    aRequest, replica, attempt->m_caller, aDeadline);
   Http1Call call{ .m_address = replica.m_address,
                   .m_bytes = SerializeRequest(request),
                   .m_isHead = request.m_method == "HEAD",
