--- a/packages/core/rollout/rollout.h
+++ b/packages/core/rollout/rollout.h
@@ -74,8 +74,6 @@
   // A bad version gets at most this share of the requests, plus the slack.
   double m_exposureShare = 0.1;
   double m_exposureSlack = 50;
-  // It gets nothing later than this after its 50th bad answer.
-  Duration m_rollbackTime = Seconds(5);
 };
 
 // How long an instance uses an announcement. A lost controller is replaced and
--- a/packages/node/entry/rollout_service.cc
+++ b/packages/node/entry/rollout_service.cc
@@ -73,8 +73,7 @@
   return { .m_host = aSettings.m_host,
            .m_processStart = aProcessStart,
            .m_limits = { .m_exposureShare = rollout.m_exposureShare,
-                         .m_exposureSlack = rollout.m_exposureSlack,
-                         .m_rollbackTime = rollout.m_rollbackTime },
+                         .m_exposureSlack = rollout.m_exposureSlack },
            .m_store = aSettings.m_store };
 }
 
@@ -176,7 +175,12 @@
 {
   for (const LocalRollout* rollout : m_coordinator.Rollouts()) {
     RolloutReport report = rollout->MakeReport(m_loop.Now());
-    if (!report.m_stopped || !m_stopped.insert(report.m_service).second) {
+    if (!report.m_stopped) {
+      // A later order of the same service may stop again.
+      m_stopped.erase(report.m_service);
+      continue;
+    }
+    if (!m_stopped.insert(report.m_service).second) {
       continue;
     }
     AnswerCounts answers = SumOfTarget(report);
