--- a/packages/core/rollout/testing/simulated_rollout.cc
+++ b/packages/core/rollout/testing/simulated_rollout.cc
@@ -132,7 +132,7 @@
     if (allowed.empty()) {
       return;
     }
-    ReplicaPtr replica = allowed[static_cast<size_t>(
+    const ReplicaPtr& replica = allowed[static_cast<size_t>(
       world.Draw() * static_cast<double>(allowed.size()))];
     bool isTarget = replica->m_version == "v2";
     bool isInTime = world.m_now < world.m_start + world.m_scenario.m_duration;
