Placement by work: expected completion instead of a count of requests

Cause: requests on one route cost upstreams very different amounts of work, so that the number of requests at an upstream does not show how long its queue is. Short requests wait behind long ones while another replica would serve them.

Change: WorkModel learns the work of requests by route and workspace, UnfinishedWork estimates what is left at each upstream, and ReplicaLoad chooses the least expected completion where the settings have forward.placement = "work". Parts of a gathered request that have answered correct the expectation of its open parts and hedges. With the default, "latency", the decisions are those of before; the tests of it are unchanged.

--- a/packages/core/forward/forward_request.h
+++ b/packages/core/forward/forward_request.h
@@ -12,6 +12,7 @@
 #include "core/forward/latency_model.h"
 #include "core/forward/retry_spread.h"
 #include "core/forward/service_coverage.h"
+#include "core/forward/work_model.h"
 #include "core/replica/replica_catalogue.h"
 #include "core/replica/replica_load.h"
 #include "core/traffic/traffic_config.h"
@@ -49,6 +50,7 @@
   ForwardOptions m_options;
   CapacityWaiters m_waiters{};
   RetrySpread m_retrySpread{};
+  WorkModel m_work{};
 };
 
 struct ForwardRequest
@@ -65,6 +67,10 @@
   // The time that the caller had already used: for its connection or for
   // earlier caller attempts.
   Duration m_elapsed{};
+  // The priority of the workspace, or else of the route; 0 is the most urgent.
+  uint32_t m_priority = 0;
+  // The caller's workspace; empty if it has none.
+  std::string m_workspace;
 
   [[nodiscard]] bool IsGathered() const
   {
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -48,6 +48,9 @@
   if (m_request.IsGathered() && m_environment->m_options.m_earlyAnswers) {
     m_earlyAnswerAt = std::min(m_timeoutAt, EarlyAnswerTime());
   }
+  if (m_request.IsGathered() && m_environment->m_load.PlacesByWork()) {
+    m_gatheredWork = std::make_shared<GatheredWork>();
+  }
 }
 
 TimePoint
@@ -108,6 +111,10 @@
   if (aOutcome == AttemptOutcome::kSuccess) {
     subRequest.m_answer = aAttempt;
     subRequest.m_failed = false;
+    if (m_gatheredWork != nullptr) {
+      m_gatheredWork->OnPartAnswered(attempt.m_predicted,
+                                     aNow - attempt.m_sentAt);
+    }
     for (uint32_t other = 0; other < subRequest.m_attempts.size(); ++other) {
       if (subRequest.m_attempts[other].m_open) {
         subRequest.m_attempts[other].m_open = false;
@@ -189,6 +196,12 @@
   SubRequest& subRequest = m_subRequests[aSubRequest];
   auto attempt = static_cast<uint32_t>(subRequest.m_attempts.size());
   subRequest.m_attempts.push_back({ .m_replica = aReplica, .m_sentAt = aNow });
+  const ReplicaLoad& load = m_environment->m_load;
+  if (load.PlacesByWork()) {
+    Attempt& sent = subRequest.m_attempts.back();
+    sent.m_work = ExpectWork(aNow);
+    sent.m_predicted = load.PredictLatency(*aReplica, sent.m_work.m_mean, aNow);
+  }
   const Route& route = *m_request.m_route;
   bool mayHedge = m_environment->m_options.m_hedging && route.m_idempotent &&
                   aReason == AttemptReason::kFirst && route.m_maxAttempts > 1;
@@ -209,7 +222,7 @@
   }
   std::span<const ReplicaPtr> usable =
     m_environment->m_catalogue.Usable(aSubRequest.m_service);
-  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  Duration typical = TypicalLatency(aNow);
   const ReplicaPtr* replica =
     m_environment->m_load.Choose(usable, tried, typical, aNow);
   if (replica == nullptr && aAllowTried) {
@@ -222,6 +235,23 @@
   return replica;
 }
 
+Duration
+ForwardRun::TypicalLatency(TimePoint aNow) const
+{
+  return m_environment->m_load.PlacesByWork()
+           ? ExpectWork(aNow).Mean()
+           : m_environment->m_latencies.Typical(*m_request.m_route);
+}
+
+ExpectedWork
+ForwardRun::ExpectWork(TimePoint aNow) const
+{
+  ExpectedWork work = m_environment->m_work.Expect(
+    *m_request.m_route, m_request.m_workspace, aNow);
+  work.m_gathered = m_gatheredWork;
+  return work;
+}
+
 bool
 ForwardRun::MayRetry(const SubRequest& aSubRequest,
                      AttemptOutcome aOutcome) const
@@ -358,7 +388,7 @@
     return;
   }
   const ReplicaLoad& load = m_environment->m_load;
-  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  Duration typical = TypicalLatency(aNow);
   bool useful =
     load.HasFreeSlot(**replica) &&
     aNow + load.PredictLatency(**replica, typical, aNow) < m_timeoutAt;
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -23,6 +23,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,7 +35,8 @@
 
 namespace ebonykeel {
 
-// The environment of a run. Its methods must not call back into the run.
+// The environment of a run. Its methods must not call back into the run, except
+// `ExpectedWorkOf`.
 class ForwardPort
 {
 public:
@@ -73,6 +75,13 @@
   // not call `Finish`.
   void Abandon();
 
+  // Returns the expected work of an attempt, with which it is sent.
+  [[nodiscard]] const ExpectedWork& ExpectedWorkOf(uint32_t aSubRequest,
+                                                   uint32_t aAttempt) const
+  {
+    return m_subRequests[aSubRequest].m_attempts[aAttempt].m_work;
+  }
+
   // Returns when `OnTimer` is due; nothing once the run has ended.
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
   [[nodiscard]] bool Ended() const { return m_ended; }
@@ -82,6 +91,9 @@
   {
     ReplicaPtr m_replica;
     TimePoint m_sentAt;
+    ExpectedWork m_work;
+    // When the answer was expected at the time of sending.
+    Duration m_predicted{};
     bool m_open = true;
     bool m_mayHaveRun = true;
   };
@@ -110,6 +122,10 @@
   [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
                                                 bool aAllowTried,
                                                 TimePoint aNow) const;
+  // Returns what is expected of an attempt that is sent now, as
+  // `ReplicaLoad::Choose` takes it.
+  [[nodiscard]] Duration TypicalLatency(TimePoint aNow) const;
+  [[nodiscard]] ExpectedWork ExpectWork(TimePoint aNow) const;
   [[nodiscard]] bool MayRetry(const SubRequest& aSubRequest,
                               AttemptOutcome aOutcome) const;
   [[nodiscard]] static bool HasOpenAttempt(const SubRequest& aSubRequest);
@@ -138,6 +154,9 @@
   ForwardEnvironment* m_environment;
   ForwardPort* m_port;
   std::vector<SubRequest> m_subRequests;
+  // What the answered parts say about the open ones; null unless the request is
+  // gathered and placed by work.
+  std::shared_ptr<GatheredWork> m_gatheredWork;
   TimePoint m_earlyAnswerAt;
   TimePoint m_timeoutAt;
   // Set by `EndBy`.
--- a/packages/core/forward/refusal_policy.cc
+++ b/packages/core/forward/refusal_policy.cc
@@ -90,12 +90,17 @@
   if (!m_request.IsGathered()) {
     return std::nullopt;
   }
-  OverloadForecast forecast(
-    m_environment.m_catalogue,
-    m_environment.m_load,
-    m_environment.m_waiters,
-    m_environment.m_latencies.Typical(*m_request.m_route),
-    m_now);
+  Duration typical =
+    m_environment.m_load.PlacesByWork()
+      ? m_environment.m_work
+          .Expect(*m_request.m_route, m_request.m_workspace, m_now)
+          .Mean()
+      : m_environment.m_latencies.Typical(*m_request.m_route);
+  OverloadForecast forecast(m_environment.m_catalogue,
+                            m_environment.m_load,
+                            m_environment.m_waiters,
+                            typical,
+                            m_now);
   Duration expected =
     forecast.ExpectedLatency(m_request.m_services, m_request.Required());
   Duration remaining = aTimeoutAt - m_now;
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -13,6 +13,15 @@
 // cannot exclude an upstream for long.
 constexpr double kMinLatencyFactor = 0.25;
 constexpr double kMaxLatencyFactor = 40;
+// The weight and the bounds of a sample of the latency factor with placement by
+// work. They are smaller than those above: the work of single requests varies,
+// and with a bound of 40 an upstream that had paused was avoided for seconds in
+// favour of one that was slow all the time (`placement_trial`).
+constexpr double kWorkSampleWeight = 0.1;
+constexpr double kMinWorkRatio = 0.25;
+constexpr double kMaxWorkRatio = 5;
+// How much the spread of the expected work lowers the weight of such a sample.
+constexpr double kSpreadDamping = 4;
 // An unanswered request counts against its upstream once its age exceeds the
 // typical latency by this factor, or by more if the upstream is known to be
 // slow.
@@ -75,30 +84,57 @@
   if (state == nullptr) {
     return typical;
   }
-  double inFlight = static_cast<double>(state->m_outstanding.size());
+  Duration work = m_options.m_placeByWork
+                    ? PredictByWork(*state, typical, aNow)
+                    : PredictByCount(aReplica, *state, typical, aNow);
+  std::optional<TimePoint> stallEnd =
+    m_forecast.ExpectedStallEnd(state->m_stalls, aNow, work);
+  return stallEnd ? *stallEnd - aNow + work : work;
+}
+
+Duration
+ReplicaLoad::PredictByCount(const Replica& aReplica,
+                            const State& aState,
+                            Duration aTypicalLatency,
+                            TimePoint aNow) const
+{
+  Duration typical = aTypicalLatency;
+  double inFlight = static_cast<double>(aState.m_unfinished.Count());
   double slots = aReplica.m_slots;
   double queue = std::max(0.0, inFlight + 1 - slots) / slots;
-  double factor = LatencyFactor(*state, aNow);
+  double factor = LatencyFactor(aState, aNow);
   double predicted =
     static_cast<double>(typical.count()) * factor * (1 + queue);
-  if (!state->m_outstanding.empty()) {
-    Duration age = aNow - *state->m_outstanding.begin();
+  if (!aState.m_unfinished.IsEmpty()) {
+    Duration age = aNow - aState.m_unfinished.OldestSentAt();
     if (age > typical * kOverdueFactor * std::max(1.0, factor)) {
       predicted = std::max(
         predicted, static_cast<double>((age + typical * (1 + queue)).count()));
     }
   }
-  Duration work(static_cast<int64_t>(predicted));
-  std::optional<TimePoint> stallEnd =
-    m_forecast.ExpectedStallEnd(state->m_stalls, aNow, work);
-  return stallEnd ? *stallEnd - aNow + work : work;
+  return Duration(static_cast<int64_t>(predicted));
+}
+
+Duration
+ReplicaLoad::PredictByWork(const State& aState,
+                           Duration aWork,
+                           TimePoint aNow) const
+{
+  double factor = LatencyFactor(aState, aNow);
+  Duration own(
+    static_cast<int64_t>(static_cast<double>(aWork.count()) * factor));
+  // A pause holds up a new request too, however short it is.
+  Duration overdue = aState.m_unfinished.OverdueAge(
+    kOverdueFactor * std::max(1.0, factor), aNow);
+  return overdue + own +
+         aState.m_unfinished.ExpectedWait(aState.m_slots, factor, aNow);
 }
 
 size_t
 ReplicaLoad::InFlight(const Replica& aReplica) const
 {
   const State* state = Find(aReplica);
-  return state == nullptr ? 0 : state->m_outstanding.size();
+  return state == nullptr ? 0 : state->m_unfinished.Count();
 }
 
 bool
@@ -134,19 +170,33 @@
                   m_pushback.Until(aReplica, aNow));
 }
 
-void
-ReplicaLoad::OnSent(const Replica& aReplica, TimePoint aNow)
+Duration
+ReplicaLoad::RemainingWork(TimePoint aNow) const
 {
-  FindOrCreate(aReplica).m_outstanding.insert(aNow);
+  Duration total{};
+  for (const auto& [id, state] : m_states) {
+    total += state.m_unfinished.Remaining(LatencyFactor(state, aNow), aNow);
+  }
+  return total;
 }
 
 void
+ReplicaLoad::OnSent(const Replica& aReplica,
+                    TimePoint aNow,
+                    const ExpectedWork& aWork)
+{
+  State& state = FindOrCreate(aReplica);
+  state.m_slots = aReplica.m_slots;
+  state.m_unfinished.Add(aNow, aWork, aReplica.m_slots);
+}
+
+std::optional<WorkSample>
 ReplicaLoad::OnAnswered(const Replica& aReplica,
                         TimePoint aSentAt,
                         Duration aTypicalLatency,
                         TimePoint aNow)
 {
-  OnAttemptCancelled(aReplica, aSentAt);
+  std::optional<EndedWork> ended = RemoveUnfinished(aReplica, aSentAt, aNow);
   m_pushback.OnAnswered(aReplica, aNow);
   State& state = FindOrCreate(aReplica);
   state.m_unreachableCount = 0;
@@ -154,9 +204,13 @@
   state.m_errorRate = state.m_errorRate * DecayFactor(state.m_errorAt, aNow) *
                       (1 - kSampleWeight);
   state.m_errorAt = aNow;
+  if (m_options.m_placeByWork) {
+    return ended ? AddWorkSample(state, *ended, aNow) : std::nullopt;
+  }
   if (!RecordStall(state, aSentAt, aTypicalLatency, aNow)) {
     AddLatencySample(state, aNow - aSentAt, aTypicalLatency, aNow);
   }
+  return std::nullopt;
 }
 
 void
@@ -165,19 +219,22 @@
                                     Duration aTypicalLatency,
                                     TimePoint aNow)
 {
-  OnAttemptCancelled(aReplica, aSentAt);
-  AddLatencySample(
-    FindOrCreate(aReplica), aNow - aSentAt, aTypicalLatency, aNow);
+  std::optional<EndedWork> ended = RemoveUnfinished(aReplica, aSentAt, aNow);
+  State& state = FindOrCreate(aReplica);
+  if (!m_options.m_placeByWork) {
+    AddLatencySample(state, aNow - aSentAt, aTypicalLatency, aNow);
+  } else if (ended && IsSlowerThanKnown(state, *ended, aNow)) {
+    // How long it would have taken is not known.
+    AddWorkSample(state, *ended, aNow);
+  }
 }
 
 void
-ReplicaLoad::OnAttemptCancelled(const Replica& aReplica, TimePoint aSentAt)
+ReplicaLoad::OnAttemptCancelled(const Replica& aReplica,
+                                TimePoint aSentAt,
+                                TimePoint aNow)
 {
-  State& state = FindOrCreate(aReplica);
-  auto sent = state.m_outstanding.find(aSentAt);
-  if (sent != state.m_outstanding.end()) {
-    state.m_outstanding.erase(sent);
-  }
+  RemoveUnfinished(aReplica, aSentAt, aNow);
 }
 
 void
@@ -185,7 +242,7 @@
                       TimePoint aSentAt,
                       TimePoint aNow)
 {
-  OnAttemptCancelled(aReplica, aSentAt);
+  OnAttemptCancelled(aReplica, aSentAt, aNow);
   State& state = FindOrCreate(aReplica);
   double rate = state.m_errorRate * DecayFactor(state.m_errorAt, aNow);
   state.m_errorRate = rate + kSampleWeight * (1 - rate);
@@ -197,7 +254,7 @@
                            TimePoint aSentAt,
                            TimePoint aNow)
 {
-  OnAttemptCancelled(aReplica, aSentAt);
+  OnAttemptCancelled(aReplica, aSentAt, aNow);
   State& state = FindOrCreate(aReplica);
   Duration backoff =
     m_options.m_minBackoff *
@@ -273,6 +330,49 @@
   aState.m_latencyFactorAt = aNow;
 }
 
+std::optional<EndedWork>
+ReplicaLoad::RemoveUnfinished(const Replica& aReplica,
+                              TimePoint aSentAt,
+                              TimePoint aNow)
+{
+  return FindOrCreate(aReplica).m_unfinished.Remove(
+    aSentAt, aReplica.m_slots, aNow);
+}
+
+bool
+ReplicaLoad::IsSlowerThanKnown(const State& aState,
+                               const EndedWork& aEnded,
+                               TimePoint aNow) const
+{
+  return static_cast<double>((aNow - aEnded.m_startedAt).count()) >
+         static_cast<double>(aEnded.m_expected.count()) *
+           LatencyFactor(aState, aNow);
+}
+
+std::optional<WorkSample>
+ReplicaLoad::AddWorkSample(State& aState,
+                           const EndedWork& aEnded,
+                           TimePoint aNow)
+{
+  double factor = LatencyFactor(aState, aNow);
+  auto expected =
+    static_cast<double>(std::max(aEnded.m_expected, Duration(1)).count());
+  auto spread = static_cast<double>(aEnded.m_spread.count());
+  Duration slowest(static_cast<int64_t>((expected + spread) * factor));
+  if (RecordStall(aState, aEnded.m_startedAt, slowest, aNow)) {
+    return std::nullopt;
+  }
+  auto took = static_cast<double>((aNow - aEnded.m_startedAt).count());
+  double variation = spread / expected;
+  double weight =
+    kWorkSampleWeight / (1 + kSpreadDamping * variation * variation);
+  double observed = std::clamp(took / expected, kMinWorkRatio, kMaxWorkRatio);
+  aState.m_latencyFactor = factor + weight * (observed - factor);
+  aState.m_latencyFactorAt = aNow;
+  return WorkSample{ .m_expected = aEnded.m_expected,
+                     .m_seen = Duration(static_cast<int64_t>(took / factor)) };
+}
+
 bool
 ReplicaLoad::RecordStall(State& aState,
                          TimePoint aSentAt,
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -8,6 +8,13 @@
 // intervals are forecast. An upstream that asked for no requests for a while is
 // not chosen.
 //
+// With `m_placeByWork`, a request goes where it is expected to end first: the
+// unfinished work of this instance's requests at an upstream, and its own,
+// over the upstream's speed and slots. Requests on one route may cost very
+// different amounts of work, so that counting them does not show how long a
+// queue is. The latency factor then compares the time that an answer took
+// without waiting with what was expected of that request.
+//
 //   ReplicaLoad load(options);
 //   const ReplicaPtr* best = load.Choose(candidates, {}, typical, now);
 //   load.OnSent(**best, now);
@@ -16,15 +23,16 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
+#include "core/replica/expected_work.h"
 #include "core/replica/replica.h"
 #include "core/replica/replica_pushback.h"
 #include "core/replica/stall_forecast.h"
+#include "core/replica/unfinished_work.h"
 
 namespace ebonykeel {
 
@@ -50,9 +58,20 @@
   Duration m_decayHalfLife = Milliseconds(1500);
   // Whether stalls are forecast. Off only for comparison.
   bool m_forecastStalls = true;
+  // Whether upstreams are chosen by expected completion instead of by latency.
+  bool m_placeByWork = false;
   ReplicaPushbackOptions m_pushback;
 };
 
+// What an answer showed about the work of its request.
+struct WorkSample
+{
+  Duration m_expected{};
+  // The time that it took without waiting, as an upstream of typical speed
+  // would have needed.
+  Duration m_seen{};
+};
+
 class ReplicaLoad
 {
 public:
@@ -60,7 +79,8 @@
 
   // Returns the upstream that is expected to answer first, penalties included,
   // among those that are not in `aTried` and may receive another request; null
-  // if there is none. `aTypicalLatency` is the typical latency of the request.
+  // if there is none. `aTypicalLatency` is the typical latency of the request,
+  // or with `m_placeByWork` its expected work; so it is in all methods.
   [[nodiscard]] const ReplicaPtr* Choose(
     std::span<const ReplicaPtr> aCandidates,
     std::span<const ReplicaPtr> aTried,
@@ -106,13 +126,22 @@
     return m_forecast.Interval().value_or(Duration{});
   }
 
-  void OnSent(const Replica& aReplica, TimePoint aNow);
+  [[nodiscard]] bool PlacesByWork() const { return m_options.m_placeByWork; }
+  // Returns the expected work that is left of this instance's unanswered
+  // requests at all upstreams.
+  [[nodiscard]] Duration RemainingWork(TimePoint aNow) const;
+
+  // `aWork` is not needed unless `m_placeByWork`.
+  void OnSent(const Replica& aReplica,
+              TimePoint aNow,
+              const ExpectedWork& aWork = {});
   // Called when an attempt got a complete answer. `aTypicalLatency` as in
-  // `Choose`.
-  void OnAnswered(const Replica& aReplica,
-                  TimePoint aSentAt,
-                  Duration aTypicalLatency,
-                  TimePoint aNow);
+  // `Choose`. Returns what the answer showed about the request's work; nothing
+  // if it was held up.
+  std::optional<WorkSample> OnAnswered(const Replica& aReplica,
+                                       TimePoint aSentAt,
+                                       Duration aTypicalLatency,
+                                       TimePoint aNow);
   // Called when an unanswered attempt was cancelled much later than its typical
   // latency.
   void OnAttemptCancelledLate(const Replica& aReplica,
@@ -120,8 +149,10 @@
                               Duration aTypicalLatency,
                               TimePoint aNow);
   // Called when an attempt ended without any evidence about the upstream: it
-  // was cancelled or not sent.
-  void OnAttemptCancelled(const Replica& aReplica, TimePoint aSentAt);
+  // was cancelled or not sent. `aNow` is not needed unless `m_placeByWork`.
+  void OnAttemptCancelled(const Replica& aReplica,
+                          TimePoint aSentAt,
+                          TimePoint aNow = {});
   // Called when the upstream failed or shed the request, or its answer was
   // lost.
   void OnFailed(const Replica& aReplica, TimePoint aSentAt, TimePoint aNow);
@@ -142,8 +173,9 @@
   struct State
   {
     uint64_t m_startUnixMs = 0;
-    // The send times of the unanswered requests.
-    std::multiset<TimePoint> m_outstanding;
+    uint32_t m_slots = 1;
+    // The unanswered requests.
+    UnfinishedWork m_unfinished;
     // The observed latency relative to the typical one; 1 is typical.
     double m_latencyFactor = 1;
     TimePoint m_latencyFactorAt;
@@ -160,6 +192,27 @@
   State& FindOrCreate(const Replica& aReplica);
   [[nodiscard]] double DecayFactor(TimePoint aSince, TimePoint aNow) const;
   [[nodiscard]] double LatencyFactor(const State& aState, TimePoint aNow) const;
+  // Removes an unanswered request; returns what `UnfinishedWork::Remove` does.
+  std::optional<EndedWork> RemoveUnfinished(const Replica& aReplica,
+                                            TimePoint aSentAt,
+                                            TimePoint aNow);
+  // Records an answer's time without waiting. Returns the sample of its work;
+  // nothing if a forecast stall explains the time.
+  std::optional<WorkSample> AddWorkSample(State& aState,
+                                          const EndedWork& aEnded,
+                                          TimePoint aNow);
+  // Returns whether the request has run longer than expected at an upstream as
+  // slow as this one is known to be.
+  [[nodiscard]] bool IsSlowerThanKnown(const State& aState,
+                                       const EndedWork& aEnded,
+                                       TimePoint aNow) const;
+  [[nodiscard]] Duration PredictByWork(const State& aState,
+                                       Duration aWork,
+                                       TimePoint aNow) const;
+  [[nodiscard]] Duration PredictByCount(const Replica& aReplica,
+                                        const State& aState,
+                                        Duration aTypicalLatency,
+                                        TimePoint aNow) const;
   // Records an observed latency.
   void AddLatencySample(State& aState,
                         Duration aLatency,
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -9,6 +9,7 @@
 #include "core/base/stable_hash.h"
 #include "core/fleet/store_readers.h"
 #include "core/forward/service_coverage.h"
+#include "node/entry/work_metrics.h"
 
 namespace ebonykeel {
 namespace {
@@ -119,6 +120,7 @@
   , m_controlClient(aLoop, {})
   , m_load({ .m_dataCentre = m_settings.m_dataCentre,
              .m_forecastStalls = m_settings.m_foreseeStalls,
+             .m_placeByWork = m_settings.m_placement == PlacementPolicy::kWork,
              .m_pushback = { .m_seed = StableHash(m_settings.m_host) } })
   , m_budget({ .m_share = m_settings.m_extraShare,
                .m_burst = static_cast<double>(m_settings.m_extraBurst),
@@ -551,6 +553,11 @@
   gauge("ebonykeel_replicas_age_seconds", ToMillisecondsF(FeedAge()) / 1000);
   gauge("ebonykeel_stall_interval_seconds",
         ToMillisecondsF(m_load.StallInterval()) / 1000);
+  if (m_load.PlacesByWork()) {
+    gauge("ebonykeel_unfinished_work_seconds",
+          ToMillisecondsF(m_load.RemainingWork(m_loop.Now())) / 1000);
+    text += RenderWorkRatios(m_forward.Work());
+  }
   gauge("ebonykeel_configuration_version",
         m_routing.Routes() == nullptr
           ? 0
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -42,6 +42,7 @@
              aRouting,
              aLoad,
              m_latencies,
+             m_environment.m_work,
              m_stats,
              aLog,
              aOptions.m_sender)
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -62,6 +62,7 @@
   void StopBy(TimePoint aEnd);
 
   [[nodiscard]] const ForwardStats& Stats() const { return m_stats; }
+  [[nodiscard]] const WorkModel& Work() const { return m_environment.m_work; }
 
 private:
   // Queues a request until the instance can route or the wait ends; returns
--- a/packages/node/entry/request_job.cc
+++ b/packages/node/entry/request_job.cc
@@ -45,7 +45,8 @@
                           .m_services = std::move(aServices),
                           .m_receivedAt = m_exchange->ReceivedAt(),
                           .m_remaining = m_remaining,
-                          .m_elapsed = ElapsedBeforeRead() },
+                          .m_elapsed = ElapsedBeforeRead(),
+                          .m_priority = m_route.m_priority },
           aContext.m_environment,
           *this)
 {
@@ -103,6 +104,8 @@
                            .m_replica = aReplica,
                            .m_routes = m_routes,
                            .m_route = &m_route,
+                           .m_work =
+                             m_run.ExpectedWorkOf(aSubRequest, aAttempt),
                            .m_attemptId = m_caller.m_attemptId };
   if (aAttempt > 0) {
     attempt.m_excludedConnections = UsedConnections(aSubRequest);
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -1,5 +1,6 @@
 #include "node/entry/upstream_sender.h"
 
+#include <optional>
 #include <utility>
 
 namespace ebonykeel {
@@ -19,6 +20,7 @@
                                RoutingState& aRouting,
                                ReplicaLoad& aLoad,
                                LatencyModel& aLatencies,
+                               WorkModel& aWork,
                                ForwardStats& aStats,
                                LineLog& aLog,
                                UpstreamSenderOptions aOptions)
@@ -28,6 +30,7 @@
   , m_routing(aRouting)
   , m_load(aLoad)
   , m_latencies(aLatencies)
+  , m_work(aWork)
   , m_stats(aStats)
   , m_log(aLog)
   , m_options(aOptions)
@@ -42,9 +45,11 @@
 {
   auto attempt = std::make_shared<UpstreamAttempt>(std::move(aAttempt));
   const Replica& replica = *attempt->m_replica;
-  attempt->m_typicalLatency = m_latencies.Typical(*attempt->m_route);
+  attempt->m_typicalLatency =
+    m_load.PlacesByWork() ? attempt->m_work.Mean() + attempt->m_work.Spread()
+                          : m_latencies.Typical(*attempt->m_route);
   attempt->m_sentAt = m_loop.Now();
-  m_load.OnSent(replica, attempt->m_sentAt);
+  m_load.OnSent(replica, attempt->m_sentAt, attempt->m_work);
   Http1Request request =
     m_protocol.MakeUpstreamRequest(aRequest, replica, aDeadline);
   Http1Call call{ .m_address = replica.m_address,
@@ -86,7 +91,7 @@
                                   aAttempt->m_typicalLatency,
                                   now);
   } else {
-    m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt);
+    m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt, now);
   }
   m_stats.OnAttemptEnded("any", "dropped");
 }
@@ -139,8 +144,14 @@
   m_stats.OnAttemptEnded("any", AttemptOutcomeName(aOutcome));
   switch (aOutcome) {
     case AttemptOutcome::kSuccess:
-      m_load.OnAnswered(
-        replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now);
+      if (std::optional<WorkSample> sample = m_load.OnAnswered(
+            replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now)) {
+        m_work.Add(*aAttempt.m_route,
+                   aAttempt.m_workspace,
+                   sample->m_expected,
+                   sample->m_seen,
+                   now);
+      }
       m_latencies.Add(*aAttempt.m_route, now - aAttempt.m_sentAt);
       break;
     case AttemptOutcome::kFailure:
--- a/packages/node/entry/upstream_sender.h
+++ b/packages/node/entry/upstream_sender.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "core/forward/latency_model.h"
+#include "core/forward/work_model.h"
 #include "core/replica/replica_load.h"
 #include "core/traffic/traffic_config.h"
 #include "node/entry/forward_stats.h"
@@ -48,6 +49,9 @@
   std::shared_ptr<const RouteTable> m_routes;
   // Belongs to `m_routes`.
   const Route* m_route = nullptr;
+  // The name of the caller's workspace; empty without one.
+  std::string m_workspace;
+  ExpectedWork m_work;
   // Identifies the caller attempt; empty if the caller gave no identifier.
   std::string m_attemptId;
   // The numbers of connections that must not carry the attempt.
@@ -86,6 +90,7 @@
                  RoutingState& aRouting,
                  ReplicaLoad& aLoad,
                  LatencyModel& aLatencies,
+                 WorkModel& aWork,
                  ForwardStats& aStats,
                  LineLog& aLog,
                  UpstreamSenderOptions aOptions);
@@ -120,6 +125,7 @@
   RoutingState& m_routing;
   ReplicaLoad& m_load;
   LatencyModel& m_latencies;
+  WorkModel& m_work;
   ForwardStats& m_stats;
   LineLog& m_log;
   UpstreamSenderOptions m_options;
