--- a/packages/core/forward/forward_request.h
+++ b/packages/core/forward/forward_request.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/base/time.h"
-#include "core/forward/capacity_waiters.h"
+#include "core/forward/capacity_queue.h"
 #include "core/forward/extra_budget.h"
 #include "core/forward/latency_model.h"
 #include "core/forward/retry_spread.h"
@@ -48,7 +48,7 @@
   LatencyModel& m_latencies;
   ExtraBudget& m_budget;
   ForwardOptions m_options;
-  CapacityWaiters m_waiters{};
+  CapacityQueue m_waiters{};
   RetrySpread m_retrySpread{};
   WorkModel m_work{};
 };
@@ -71,6 +71,8 @@
   uint32_t m_priority = 0;
   // The caller's workspace; empty if it has none.
   std::string m_workspace;
+  // Whether the configuration has workspaces.
+  bool m_usesWorkspaces = false;
 
   [[nodiscard]] bool IsGathered() const
   {
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "core/forward/refusal_policy.h"
-#include "core/forward/service_coverage.h"
 
 namespace ebonykeel {
 namespace {
@@ -13,9 +12,6 @@
 // Attempts that were not executed do not count against that limit, but must be
 // bounded too.
 constexpr uint32_t kMaxNotRunAttempts = 2;
-// A request to one service waits for capacity before its first attempt for at
-// most the target latency divided by this.
-constexpr int kCapacityWaitDivisor = 5;
 // A failed attempt is not retried with less remaining time than this: no
 // upstream could use it.
 constexpr Duration kMinDeadline = Milliseconds(2);
@@ -44,6 +40,7 @@
   }
   Duration wait = std::min(route.m_timeout, m_request.m_remaining);
   m_timeoutAt = m_request.m_receivedAt + wait;
+  m_refuseUnsentAt = UnsentRefusalTime();
   m_earlyAnswerAt = m_timeoutAt;
   if (m_request.IsGathered() && m_environment->m_options.m_earlyAnswers) {
     m_earlyAnswerAt = std::min(m_timeoutAt, EarlyAnswerTime());
@@ -53,6 +50,13 @@
   }
 }
 
+ForwardRun::~ForwardRun()
+{
+  std::ranges::for_each(m_subRequests, [this](SubRequest& aSubRequest) {
+    StopWaiting(aSubRequest);
+  });
+}
+
 TimePoint
 ForwardRun::EarlyAnswerTime() const
 {
@@ -79,8 +83,12 @@
        ++subRequest) {
     m_environment->m_budget.OnFirstAttempt(m_subRequests[subRequest].m_service,
                                            aNow);
+    m_environment->m_waiters.OnRequest(
+      m_subRequests[subRequest].m_service, m_request.m_priority, aNow);
     const ReplicaPtr* replica =
-      ChooseReplica(m_subRequests[subRequest], false, aNow);
+      MayStartBeforeWaiting(m_subRequests[subRequest], aNow)
+        ? ChooseReplica(m_subRequests[subRequest], false, aNow)
+        : nullptr;
     if (replica != nullptr) {
       SendTo(subRequest, *replica, AttemptReason::kFirst, aNow);
     } else if (HasAvailableReplica(m_subRequests[subRequest].m_service, aNow)) {
@@ -184,6 +192,9 @@
       next = std::min(next, subRequest.m_nextCapacityCheck);
     }
   }
+  if (WaitsUnsent()) {
+    next = std::min(next, m_refuseUnsentAt);
+  }
   return next;
 }
 
@@ -208,6 +219,8 @@
   subRequest.m_hedgeAt =
     mayHedge ? aNow + m_environment->m_latencies.LateThreshold(route)
              : TimePoint{};
+  m_environment->m_waiters.OnSent(
+    m_request.m_workspace, TypicalLatency(aNow), aNow);
   m_port->Send(aSubRequest, attempt, aReplica, aReason, m_timeoutAt - aNow);
 }
 
@@ -216,7 +229,8 @@
                           bool aAllowTried,
                           TimePoint aNow) const
 {
-  std::vector<ReplicaPtr> tried;
+  std::vector<ReplicaPtr> reserved = ReservedReplicas(aSubRequest, aNow);
+  std::vector<ReplicaPtr> tried = reserved;
   for (const Attempt& attempt : aSubRequest.m_attempts) {
     tried.push_back(attempt.m_replica);
   }
@@ -226,7 +240,7 @@
   const ReplicaPtr* replica =
     m_environment->m_load.Choose(usable, tried, typical, aNow);
   if (replica == nullptr && aAllowTried) {
-    replica = m_environment->m_load.Choose(usable, {}, typical, aNow);
+    replica = m_environment->m_load.Choose(usable, reserved, typical, aNow);
   }
   if (replica != nullptr &&
       m_environment->m_load.UnreachableUntil(**replica, aNow)) {
@@ -305,64 +319,6 @@
   subRequest.m_failed = !HasOpenAttempt(subRequest);
 }
 
-void
-ForwardRun::WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow)
-{
-  if (!aSubRequest.m_waitingForCapacity) {
-    aSubRequest.m_waitingForCapacity = true;
-    m_environment->m_waiters.Enter(aSubRequest.m_service);
-  }
-  aSubRequest.m_nextCapacityCheck =
-    aNow + m_environment->m_options.m_capacityRecheckInterval;
-}
-
-void
-ForwardRun::StopWaiting(SubRequest& aSubRequest)
-{
-  if (std::exchange(aSubRequest.m_waitingForCapacity, false)) {
-    m_environment->m_waiters.Leave(aSubRequest.m_service);
-  }
-}
-
-void
-ForwardRun::SendWaitingSubRequests(TimePoint aNow)
-{
-  for (uint32_t index = 0; index < m_subRequests.size(); ++index) {
-    SubRequest& subRequest = m_subRequests[index];
-    if (!subRequest.m_waitingForCapacity ||
-        subRequest.m_nextCapacityCheck > aNow) {
-      continue;
-    }
-    const ReplicaPtr* replica = ChooseReplica(subRequest, true, aNow);
-    bool first = subRequest.m_attempts.empty();
-    if (replica != nullptr && (first || m_environment->m_budget.TryTake(
-                                          subRequest.m_service, aNow))) {
-      StopWaiting(subRequest);
-      SendTo(index,
-             *replica,
-             first ? AttemptReason::kFirst : AttemptReason::kRetry,
-             aNow);
-    } else if (HasAvailableReplica(subRequest.m_service, aNow)) {
-      WaitForCapacity(subRequest, aNow);
-    } else {
-      StopWaiting(subRequest);
-      subRequest.m_failed = true;
-    }
-  }
-}
-
-bool
-ForwardRun::HasAvailableReplica(const std::string& aService,
-                                TimePoint aNow) const
-{
-  return !UnavailableUntil(aService,
-                           m_environment->m_catalogue,
-                           m_environment->m_load,
-                           m_environment->m_options.m_noReplicaRetryAfter,
-                           aNow)
-            .has_value();
-}
-
 void
 ForwardRun::HedgeLateSubRequests(TimePoint aNow)
 {
@@ -387,6 +343,9 @@
     subRequest.m_hedgeAt = TimePoint{};
     return;
   }
+  if (!MayStartBeforeWaiting(subRequest, aNow)) {
+    return;
+  }
   const ReplicaLoad& load = m_environment->m_load;
   Duration typical = TypicalLatency(aNow);
   bool useful =
@@ -397,127 +356,4 @@
   }
 }
 
-void
-ForwardRun::FinishIfDue(TimePoint aNow)
-{
-  if (m_ended) {
-    return;
-  }
-  if (m_request.IsGathered()) {
-    FinishGathered(aNow);
-  } else {
-    FinishSingle(aNow);
-  }
-}
-
-void
-ForwardRun::FinishGathered(TimePoint aNow)
-{
-  ForwardResult result;
-  uint32_t pending = 0;
-  for (uint32_t index = 0; index < m_subRequests.size(); ++index) {
-    const SubRequest& subRequest = m_subRequests[index];
-    if (subRequest.m_answer) {
-      result.m_answers.push_back({ index, *subRequest.m_answer });
-    } else if (!subRequest.m_failed) {
-      ++pending;
-    }
-  }
-  auto answered = static_cast<uint32_t>(result.m_answers.size());
-  result.m_missing = static_cast<uint32_t>(m_subRequests.size()) - answered;
-  bool enough = answered >= m_request.Required();
-  if (enough && (pending == 0 || aNow >= m_earlyAnswerAt)) {
-    result.m_status =
-      result.m_missing == 0 ? ForwardStatus::kWhole : ForwardStatus::kPartial;
-    result.m_reason = pending == 0 ? "complete" : "early";
-    Finish(result);
-    return;
-  }
-  if (aNow >= m_timeoutAt) {
-    FinishWithoutAnswer(true, aNow);
-  } else if (answered + pending < m_request.Required()) {
-    FinishWithoutAnswer(false, aNow);
-  }
-}
-
-void
-ForwardRun::FinishSingle(TimePoint aNow)
-{
-  const SubRequest& subRequest = m_subRequests.front();
-  // If every upstream is full, an early refusal serves the caller better than a
-  // late one.
-  bool waitedTooLong =
-    subRequest.m_waitingForCapacity && subRequest.m_attempts.empty() &&
-    aNow - m_request.m_receivedAt >=
-      m_request.m_route->m_targetLatency / kCapacityWaitDivisor;
-  if (waitedTooLong) {
-    FinishWithoutAnswer(false, aNow);
-    return;
-  }
-  if (subRequest.m_answer) {
-    Finish({ .m_status = ForwardStatus::kWhole,
-             .m_answers = { { 0, *subRequest.m_answer } },
-             .m_reason = "complete" });
-  } else if (subRequest.m_failed && subRequest.m_failure &&
-             !subRequest.m_outcomeUnknown) {
-    Finish({ .m_status = ForwardStatus::kUpstreamFailure,
-             .m_answers = { { 0, *subRequest.m_failure } },
-             .m_missing = 1,
-             .m_reason = "upstream-failure" });
-  } else if (subRequest.m_failed) {
-    FinishWithoutAnswer(false, aNow);
-  } else if (aNow >= m_timeoutAt) {
-    FinishWithoutAnswer(true, aNow);
-  }
-}
-
-void
-ForwardRun::FinishWithoutAnswer(bool aTimedOut, TimePoint aNow)
-{
-  bool mayHaveRun =
-    std::ranges::any_of(m_subRequests, [](const SubRequest& aSubRequest) {
-      return std::ranges::any_of(aSubRequest.m_attempts,
-                                 &Attempt::m_mayHaveRun);
-    });
-  CancelOpenAttempts();
-  if (!mayHaveRun) {
-    Finish(RefusalPolicy(m_request, *m_environment, aNow).RefuseNotRun());
-    return;
-  }
-  Finish(
-    { .m_status = aTimedOut ? ForwardStatus::kTimedOut : ForwardStatus::kFailed,
-      .m_missing = static_cast<uint32_t>(m_subRequests.size()),
-      .m_reason = aTimedOut ? "timeout" : "upstream-broken" });
-}
-
-void
-ForwardRun::Finish(const ForwardResult& aResult)
-{
-  End();
-  m_port->Finish(aResult);
-}
-
-void
-ForwardRun::End()
-{
-  std::ranges::for_each(m_subRequests, [this](SubRequest& aSubRequest) {
-    StopWaiting(aSubRequest);
-  });
-  m_ended = true;
-}
-
-void
-ForwardRun::CancelOpenAttempts()
-{
-  for (uint32_t index = 0; index < m_subRequests.size(); ++index) {
-    for (uint32_t attempt = 0; attempt < m_subRequests[index].m_attempts.size();
-         ++attempt) {
-      if (m_subRequests[index].m_attempts[attempt].m_open) {
-        m_subRequests[index].m_attempts[attempt].m_open = false;
-        m_port->Cancel(index, attempt);
-      }
-    }
-  }
-}
-
 } // namespace ebonykeel
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -15,8 +15,8 @@
 // Each upstream gets a limited number of concurrent requests from one instance.
 // A sub-request whose upstreams are all full, or that was shed, waits here for
 // capacity: after a burst, or when all callers return at once, requests that
-// pile up at the upstreams would only be shed there. `RefusalPolicy` decides
-// which requests are refused.
+// pile up at the upstreams would only be shed there. `CapacityQueue` decides
+// whose turn it is, `RefusalPolicy` which requests are refused.
 //
 // A sub-request is the part of the request that goes to one service. A route to
 // one service has one sub-request, a gathered route one for each shard.
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/forward/capacity_queue.h"
 #include "core/forward/forward_request.h"
 #include "core/forward/forward_result.h"
 #include "core/replica/replica.h"
@@ -36,7 +37,7 @@
 namespace ebonykeel {
 
 // The environment of a run. Its methods must not call back into the run, except
-// `ExpectedWorkOf`.
+// `ExpectedWorkOf` and `NextTimer`.
 class ForwardPort
 {
 public:
@@ -49,16 +50,22 @@
                     Duration aDeadline) = 0;
   // Cancels an attempt whose answer is no longer needed.
   virtual void Cancel(uint32_t aSubRequest, uint32_t aAttempt) = 0;
+  // Asks for a call of `OnTimer` soon, but not within this call: what
+  // `NextTimer` returns has become earlier.
+  virtual void RequestTimer() {}
   // Reports the result of the run. Called once, as the last call.
   virtual void Finish(const ForwardResult& aResult) = 0;
 };
 
-class ForwardRun
+class ForwardRun : private CapacityWaiter
 {
 public:
   ForwardRun(ForwardRequest aRequest,
              ForwardEnvironment& aEnvironment,
              ForwardPort& aPort);
+  ~ForwardRun() override;
+  ForwardRun(const ForwardRun&) = delete;
+  ForwardRun& operator=(const ForwardRun&) = delete;
 
   void Start(TimePoint aNow);
   void OnOutcome(uint32_t aSubRequest,
@@ -109,6 +116,7 @@
     TimePoint m_hedgeAt;
     // Set while the sub-request waits for capacity.
     TimePoint m_nextCapacityCheck;
+    uint64_t m_ticket = 0;
     bool m_waitingForCapacity = false;
   };
 
@@ -132,6 +140,22 @@
   void OnFailedAttempt(uint32_t aSubRequest,
                        AttemptOutcome aOutcome,
                        TimePoint aNow);
+  // Returns when a request is refused of which nothing has been sent by then.
+  [[nodiscard]] TimePoint UnsentRefusalTime() const;
+  // Returns whether the request waits for capacity and nothing has been sent.
+  [[nodiscard]] bool WaitsUnsent() const;
+  [[nodiscard]] WaitingRank RankAt(TimePoint aNow) const;
+  // Returns whether no other sub-request that waits goes before this one.
+  [[nodiscard]] bool MayStartBeforeWaiting(const SubRequest& aSubRequest,
+                                           TimePoint aNow) const;
+  // Returns the upstreams whose places are left to more urgent requests.
+  [[nodiscard]] std::vector<ReplicaPtr> ReservedReplicas(
+    const SubRequest& aSubRequest,
+    TimePoint aNow) const;
+  // Returns whether another sub-request to the same service could be sent.
+  [[nodiscard]] bool IsCapacityLeft(const SubRequest& aSubRequest,
+                                    TimePoint aNow) const;
+  void OnTurn(uint64_t aTicket) override;
   // Makes a sub-request wait until an upstream may receive another request.
   void WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow);
   void StopWaiting(SubRequest& aSubRequest);
@@ -159,6 +183,7 @@
   std::shared_ptr<GatheredWork> m_gatheredWork;
   TimePoint m_earlyAnswerAt;
   TimePoint m_timeoutAt;
+  TimePoint m_refuseUnsentAt;
   // Set by `EndBy`.
   std::optional<TimePoint> m_endBy;
   bool m_ended = false;
--- a/packages/core/forward/overload_forecast.cc
+++ b/packages/core/forward/overload_forecast.cc
@@ -7,12 +7,14 @@
 
 OverloadForecast::OverloadForecast(const ReplicaCatalogue& aCatalogue,
                                    const ReplicaLoad& aLoad,
-                                   const CapacityWaiters& aWaiters,
+                                   const CapacityQueue& aWaiters,
+                                   uint32_t aPriority,
                                    Duration aTypicalLatency,
                                    TimePoint aNow)
   : m_catalogue(aCatalogue)
   , m_load(aLoad)
   , m_waiters(aWaiters)
+  , m_priority(aPriority)
   , m_typicalLatency(aTypicalLatency)
   , m_now(aNow)
 {
@@ -42,7 +44,8 @@
       continue;
     }
     Duration latency = m_load.PredictLatency(*replica, m_typicalLatency, m_now);
-    auto ahead = static_cast<int64_t>(m_waiters.Count(aService));
+    auto ahead =
+      static_cast<int64_t>(m_waiters.CountAhead(aService, m_priority));
     auto inFlight = static_cast<int64_t>(m_load.InFlight(*replica));
     best = std::min(best, latency + latency * ahead / (inFlight + 1));
   }
--- a/packages/core/forward/overload_forecast.h
+++ b/packages/core/forward/overload_forecast.h
@@ -3,18 +3,19 @@
 //
 // The load that it answers: shards get more requests than their upstreams can
 // answer. Requests queue at the upstreams, and those that wait here for
-// capacity are ahead of a new one.
+// capacity and are at least as urgent are ahead of a new one.
 //
 //   OverloadForecast forecast(catalogue, load, waiters, typical, now);
 //   if (forecast.ExpectedLatency(services, required) > remaining) { ... }
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string>
 
 #include "core/base/time.h"
-#include "core/forward/capacity_waiters.h"
+#include "core/forward/capacity_queue.h"
 #include "core/replica/replica_catalogue.h"
 #include "core/replica/replica_load.h"
 
@@ -24,10 +25,11 @@
 class OverloadForecast
 {
 public:
-  // `aTypicalLatency` is the typical latency of the request's route.
+  // `aPriority` and `aTypicalLatency` are those of the request.
   OverloadForecast(const ReplicaCatalogue& aCatalogue,
                    const ReplicaLoad& aLoad,
-                   const CapacityWaiters& aWaiters,
+                   const CapacityQueue& aWaiters,
+                   uint32_t aPriority,
                    Duration aTypicalLatency,
                    TimePoint aNow);
 
@@ -43,7 +45,8 @@
 
   const ReplicaCatalogue& m_catalogue;
   const ReplicaLoad& m_load;
-  const CapacityWaiters& m_waiters;
+  const CapacityQueue& m_waiters;
+  uint32_t m_priority;
   Duration m_typicalLatency;
   TimePoint m_now;
 };
--- a/packages/core/forward/refusal_policy.cc
+++ b/packages/core/forward/refusal_policy.cc
@@ -10,6 +10,9 @@
 // The shortest retry delay after a refusal for overload: a queue takes this
 // long to become noticeably shorter.
 constexpr Duration kMinOverloadRetryAfter = Milliseconds(50);
+// The longest time over which the callers that were refused for overload
+// return.
+constexpr Duration kMaxOverloadSpread = Seconds(2);
 
 } // namespace
 
@@ -46,11 +49,30 @@
   Duration typical = m_environment.m_latencies.Typical(*m_request.m_route);
   return { .m_status = ForwardStatus::kRefused,
            .m_missing = static_cast<uint32_t>(m_request.m_services.size()),
-           .m_retryAfter =
-             std::max(typical, m_environment.m_options.m_hedgeRecheckInterval),
+           .m_retryAfter = SpreadOverload(
+             std::max(typical, m_environment.m_options.m_hedgeRecheckInterval)),
            .m_reason = "not-run" };
 }
 
+Duration
+RefusalPolicy::SpreadOverload(Duration aDelay) const
+{
+  Duration typical = m_environment.m_latencies.Typical(*m_request.m_route);
+  Duration range = aDelay;
+  for (const std::string& service : m_request.m_services) {
+    int64_t slots = 0;
+    for (const ReplicaPtr& replica :
+         m_environment.m_catalogue.Usable(service)) {
+      slots += replica->m_slots;
+    }
+    auto ahead = static_cast<int64_t>(
+      m_environment.m_waiters.CountAhead(service, m_request.m_priority));
+    range = std::max(range, typical * ahead / std::max<int64_t>(slots, 1));
+  }
+  return m_environment.m_retrySpread.Spread(
+    aDelay, std::min(range, kMaxOverloadSpread));
+}
+
 std::optional<ForwardResult>
 RefusalPolicy::RefuseIfStopping(std::optional<TimePoint> aEndBy) const
 {
@@ -99,6 +121,7 @@
   OverloadForecast forecast(m_environment.m_catalogue,
                             m_environment.m_load,
                             m_environment.m_waiters,
+                            m_request.m_priority,
                             typical,
                             m_now);
   Duration expected =
@@ -107,12 +130,12 @@
   if (expected <= remaining) {
     return std::nullopt;
   }
-  return ForwardResult{
-    .m_status = ForwardStatus::kRefused,
-    .m_missing = static_cast<uint32_t>(m_request.m_services.size()),
-    .m_retryAfter = std::max(expected - remaining, kMinOverloadRetryAfter),
-    .m_reason = "overloaded"
-  };
+  return ForwardResult{ .m_status = ForwardStatus::kRefused,
+                        .m_missing =
+                          static_cast<uint32_t>(m_request.m_services.size()),
+                        .m_retryAfter = SpreadOverload(std::max(
+                          expected - remaining, kMinOverloadRetryAfter)),
+                        .m_reason = "overloaded" };
 }
 
 ServiceCoverage
--- a/packages/core/forward/refusal_policy.h
+++ b/packages/core/forward/refusal_policy.h
@@ -42,6 +42,10 @@
   [[nodiscard]] std::optional<ForwardResult> RefuseIfUnavailable() const;
   [[nodiscard]] std::optional<ForwardResult> RefuseIfOverloaded(
     TimePoint aTimeoutAt) const;
+  // Returns `aDelay`, or more so that callers that were refused for overload
+  // return over the time that the upstreams need for what waits here, or over
+  // `aDelay` if that is longer.
+  [[nodiscard]] Duration SpreadOverload(Duration aDelay) const;
   [[nodiscard]] ServiceCoverage CountCoverage() const;
   // Returns whether too few services are available, and enough were if their
   // upstreams did not push back.
--- a/packages/core/forward/retry_spread.h
+++ b/packages/core/forward/retry_spread.h
@@ -20,9 +20,13 @@
   Duration Extend(Duration aDelay)
   {
     Duration delay = std::max(aDelay, Duration{});
-    Duration range = std::min(delay / kShareDivisor, kMaxRange);
+    return Spread(delay, std::min(delay / kShareDivisor, kMaxRange));
+  }
+  // Returns a delay between `aDelay` and `aRange` more, spread in the same way.
+  Duration Spread(Duration aDelay, Duration aRange)
+  {
     m_position = (m_position + kStep) % kPositions;
-    return delay + range * m_position / kPositions;
+    return aDelay + aRange * m_position / kPositions;
   }
 
 private:
--- a/packages/node/entry/request_job.cc
+++ b/packages/node/entry/request_job.cc
@@ -134,6 +134,12 @@
   }
 }
 
+void
+RequestJob::RequestTimer()
+{
+  RearmTimer();
+}
+
 void
 RequestJob::Finish(const ForwardResult& aResult)
 {
--- a/packages/node/entry/request_job.h
+++ b/packages/node/entry/request_job.h
@@ -95,6 +95,7 @@
             AttemptReason aReason,
             Duration aDeadline) override;
   void Cancel(uint32_t aSubRequest, uint32_t aAttempt) override;
+  void RequestTimer() override;
   void Finish(const ForwardResult& aResult) override;
 
   [[nodiscard]] TimePoint Deadline() const;
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -18,9 +18,7 @@
                                Http1Client& aClient,
                                const TrafficProtocol& aProtocol,
                                RoutingState& aRouting,
-                               ReplicaLoad& aLoad,
-                               LatencyModel& aLatencies,
-                               WorkModel& aWork,
+                               ForwardEnvironment& aEnvironment,
                                ForwardStats& aStats,
                                LineLog& aLog,
                                UpstreamSenderOptions aOptions)
@@ -28,9 +26,9 @@
   , m_client(aClient)
   , m_protocol(aProtocol)
   , m_routing(aRouting)
-  , m_load(aLoad)
-  , m_latencies(aLatencies)
-  , m_work(aWork)
+  , m_environment(aEnvironment)
+  , m_load(aEnvironment.m_load)
+  , m_latencies(aEnvironment.m_latencies)
   , m_stats(aStats)
   , m_log(aLog)
   , m_options(aOptions)
@@ -93,6 +91,7 @@
   } else {
     m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt, now);
   }
+  m_environment.m_waiters.OnCapacity(aAttempt->m_replica->m_service, now);
   m_stats.OnAttemptEnded("any", "dropped");
 }
 
@@ -125,7 +124,9 @@
   aAttempt->m_httpCall = 0;
   aAttempt->m_connection = aResult.m_connection;
   RecordOutcome(*aAttempt, answer.m_outcome, aResult.m_problem);
-  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, m_loop.Now());
+  TimePoint now = m_loop.Now();
+  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, now);
+  m_environment.m_waiters.OnCapacity(aAttempt->m_replica->m_service, now);
   if (auto observer = aAttempt->m_observer.lock()) {
     observer->OnAttemptEnded(aAttempt->m_subRequest,
                              aAttempt->m_attempt,
@@ -146,11 +147,11 @@
     case AttemptOutcome::kSuccess:
       if (std::optional<WorkSample> sample = m_load.OnAnswered(
             replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now)) {
-        m_work.Add(*aAttempt.m_route,
-                   aAttempt.m_workspace,
-                   sample->m_expected,
-                   sample->m_seen,
-                   now);
+        m_environment.m_work.Add(*aAttempt.m_route,
+                                 aAttempt.m_workspace,
+                                 sample->m_expected,
+                                 sample->m_seen,
+                                 now);
       }
       m_latencies.Add(*aAttempt.m_route, now - aAttempt.m_sentAt);
       break;
--- a/packages/node/entry/upstream_sender.h
+++ b/packages/node/entry/upstream_sender.h
@@ -14,8 +14,8 @@
 #include <string_view>
 #include <vector>
 
+#include "core/forward/forward_request.h"
 #include "core/forward/latency_model.h"
-#include "core/forward/work_model.h"
 #include "core/replica/replica_load.h"
 #include "core/traffic/traffic_config.h"
 #include "node/entry/forward_stats.h"
@@ -88,9 +88,7 @@
                  Http1Client& aClient,
                  const TrafficProtocol& aProtocol,
                  RoutingState& aRouting,
-                 ReplicaLoad& aLoad,
-                 LatencyModel& aLatencies,
-                 WorkModel& aWork,
+                 ForwardEnvironment& aEnvironment,
                  ForwardStats& aStats,
                  LineLog& aLog,
                  UpstreamSenderOptions aOptions);
@@ -123,9 +121,9 @@
   Http1Client& m_client;
   const TrafficProtocol& m_protocol;
   RoutingState& m_routing;
+  ForwardEnvironment& m_environment;
   ReplicaLoad& m_load;
   LatencyModel& m_latencies;
-  WorkModel& m_work;
   ForwardStats& m_stats;
   LineLog& m_log;
   UpstreamSenderOptions m_options;
