--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -48,8 +48,8 @@
                           : m_latencies.Typical(*attempt->m_route);
   attempt->m_sentAt = m_loop.Now();
   m_load.OnSent(replica, attempt->m_sentAt, attempt->m_work);
-  Http1Request request =
-    m_protocol.MakeUpstreamRequest(aRequest, replica, aDeadline);
+  Http1Request request = m_protocol.MakeUpstreamRequest(
+    aRequest, replica, attempt->m_caller, aDeadline);
   Http1Call call{ .m_address = replica.m_address,
                   .m_bytes = SerializeRequest(request),
                   .m_isHead = request.m_method == "HEAD",
@@ -148,7 +148,7 @@
       if (std::optional<WorkSample> sample = m_load.OnAnswered(
             replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now)) {
         m_environment.m_work.Add(*aAttempt.m_route,
-                                 aAttempt.m_workspace,
+                                 aAttempt.m_caller.m_workspace,
                                  sample->m_expected,
                                  sample->m_seen,
                                  now);
--- a/packages/node/entry/upstream_sender.h
+++ b/packages/node/entry/upstream_sender.h
@@ -49,11 +49,10 @@
   std::shared_ptr<const RouteTable> m_routes;
   // Belongs to `m_routes`.
   const Route* m_route = nullptr;
-  // The name of the caller's workspace; empty without one.
-  std::string m_workspace;
   ExpectedWork m_work;
   // Identifies the caller attempt; empty if the caller gave no identifier.
   std::string m_attemptId;
+  CallerIdentity m_caller;
   // The numbers of connections that must not carry the attempt.
   std::vector<uint64_t> m_excludedConnections;
 
