--- a/packages/core/forward/forward_request.h
+++ b/packages/core/forward/forward_request.h
@@ -7,11 +7,12 @@
 #include <vector>
 
 #include "core/base/time.h"
-#include "core/forward/capacity_waiters.h"
+#include "core/forward/capacity_queue.h"
 #include "core/forward/extra_budget.h"
 #include "core/forward/latency_model.h"
 #include "core/forward/retry_spread.h"
 #include "core/forward/service_coverage.h"
+#include "core/forward/work_model.h"
 #include "core/replica/replica_catalogue.h"
 #include "core/replica/replica_load.h"
 #include "core/replica/version_filter.h"
@@ -48,8 +49,9 @@
   LatencyModel& m_latencies;
   ExtraBudget& m_budget;
   ForwardOptions m_options;
-  CapacityWaiters m_waiters{};
+  CapacityQueue m_waiters{};
   RetrySpread m_retrySpread{};
+  WorkModel m_work{};
   // Null if upstreams of all versions get requests.
   VersionFilter* m_versions = nullptr;
 };
@@ -72,6 +74,8 @@
   uint32_t m_priority = 0;
   // The caller's workspace; empty if it has none.
   std::string m_workspace;
+  // Whether the configuration has workspaces.
+  bool m_usesWorkspaces = false;
 
   [[nodiscard]] bool IsGathered() const
   {
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "core/forward/refusal_policy.h"
-#include "core/forward/service_coverage.h"
 
 namespace ebonykeel {
 namespace {
@@ -13,9 +12,6 @@
 // Attempts that were not executed do not count against that limit, but must be
 // bounded too.
 constexpr uint32_t kMaxNotRunAttempts = 2;
-// A request to one service waits for capacity before its first attempt for at
-// most the target latency divided by this.
-constexpr int kCapacityWaitDivisor = 5;
 // A failed attempt is not retried with less remaining time than this: no
 // upstream could use it.
 constexpr Duration kMinDeadline = Milliseconds(2);
@@ -44,10 +40,21 @@
   }
   Duration wait = std::min(route.m_timeout, m_request.m_remaining);
   m_timeoutAt = m_request.m_receivedAt + wait;
+  m_refuseUnsentAt = UnsentRefusalTime();
   m_earlyAnswerAt = m_timeoutAt;
   if (m_request.IsGathered() && m_environment->m_options.m_earlyAnswers) {
     m_earlyAnswerAt = std::min(m_timeoutAt, EarlyAnswerTime());
   }
+  if (m_request.IsGathered() && m_environment->m_load.PlacesByWork()) {
+    m_gatheredWork = std::make_shared<GatheredWork>();
+  }
+}
+
+ForwardRun::~ForwardRun()
+{
+  std::ranges::for_each(m_subRequests, [this](SubRequest& aSubRequest) {
+    StopWaiting(aSubRequest);
+  });
 }
 
 TimePoint
@@ -76,8 +83,12 @@
        ++subRequest) {
     m_environment->m_budget.OnFirstAttempt(m_subRequests[subRequest].m_service,
                                            aNow);
+    m_environment->m_waiters.OnRequest(
+      m_subRequests[subRequest].m_service, m_request.m_priority, aNow);
     const ReplicaPtr* replica =
-      ChooseReplica(m_subRequests[subRequest], false, aNow);
+      MayStartBeforeWaiting(m_subRequests[subRequest], aNow)
+        ? ChooseReplica(m_subRequests[subRequest], false, aNow)
+        : nullptr;
     if (replica != nullptr) {
       SendTo(subRequest, *replica, AttemptReason::kFirst, aNow);
     } else if (HasAvailableReplica(m_subRequests[subRequest].m_service, aNow)) {
@@ -108,6 +119,10 @@
   if (aOutcome == AttemptOutcome::kSuccess) {
     subRequest.m_answer = aAttempt;
     subRequest.m_failed = false;
+    if (m_gatheredWork != nullptr) {
+      m_gatheredWork->OnPartAnswered(attempt.m_predicted,
+                                     aNow - attempt.m_sentAt);
+    }
     for (uint32_t other = 0; other < subRequest.m_attempts.size(); ++other) {
       if (subRequest.m_attempts[other].m_open) {
         subRequest.m_attempts[other].m_open = false;
@@ -177,6 +192,9 @@
       next = std::min(next, subRequest.m_nextCapacityCheck);
     }
   }
+  if (WaitsUnsent()) {
+    next = std::min(next, m_refuseUnsentAt);
+  }
   return next;
 }
 
@@ -189,12 +207,20 @@
   SubRequest& subRequest = m_subRequests[aSubRequest];
   auto attempt = static_cast<uint32_t>(subRequest.m_attempts.size());
   subRequest.m_attempts.push_back({ .m_replica = aReplica, .m_sentAt = aNow });
+  const ReplicaLoad& load = m_environment->m_load;
+  if (load.PlacesByWork()) {
+    Attempt& sent = subRequest.m_attempts.back();
+    sent.m_work = ExpectWork(aNow);
+    sent.m_predicted = load.PredictLatency(*aReplica, sent.m_work.m_mean, aNow);
+  }
   const Route& route = *m_request.m_route;
   bool mayHedge = m_environment->m_options.m_hedging && route.m_idempotent &&
                   aReason == AttemptReason::kFirst && route.m_maxAttempts > 1;
   subRequest.m_hedgeAt =
     mayHedge ? aNow + m_environment->m_latencies.LateThreshold(route)
              : TimePoint{};
+  m_environment->m_waiters.OnSent(
+    m_request.m_workspace, TypicalLatency(aNow), aNow);
   m_port->Send(aSubRequest, attempt, aReplica, aReason, m_timeoutAt - aNow);
 }
 
@@ -218,16 +244,17 @@
                           bool aAllowTried,
                           TimePoint aNow) const
 {
-  std::vector<ReplicaPtr> tried;
+  std::vector<ReplicaPtr> reserved = ReservedReplicas(aSubRequest, aNow);
+  std::vector<ReplicaPtr> tried = reserved;
   for (const Attempt& attempt : aSubRequest.m_attempts) {
     tried.push_back(attempt.m_replica);
   }
   std::span<const ReplicaPtr> usable = UsableReplicas(aSubRequest, aNow);
-  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  Duration typical = TypicalLatency(aNow);
   const ReplicaPtr* replica =
     m_environment->m_load.Choose(usable, tried, typical, aNow);
   if (replica == nullptr && aAllowTried) {
-    replica = m_environment->m_load.Choose(usable, {}, typical, aNow);
+    replica = m_environment->m_load.Choose(usable, reserved, typical, aNow);
   }
   if (replica != nullptr &&
       m_environment->m_load.UnreachableUntil(**replica, aNow)) {
@@ -241,6 +268,23 @@
   return replica;
 }
 
+Duration
+ForwardRun::TypicalLatency(TimePoint aNow) const
+{
+  return m_environment->m_load.PlacesByWork()
+           ? ExpectWork(aNow).Mean()
+           : m_environment->m_latencies.Typical(*m_request.m_route);
+}
+
+ExpectedWork
+ForwardRun::ExpectWork(TimePoint aNow) const
+{
+  ExpectedWork work = m_environment->m_work.Expect(
+    *m_request.m_route, m_request.m_workspace, aNow);
+  work.m_gathered = m_gatheredWork;
+  return work;
+}
+
 bool
 ForwardRun::MayRetry(const SubRequest& aSubRequest,
                      AttemptOutcome aOutcome) const
@@ -294,64 +338,6 @@
   subRequest.m_failed = !HasOpenAttempt(subRequest);
 }
 
-void
-ForwardRun::WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow)
-{
-  if (!aSubRequest.m_waitingForCapacity) {
-    aSubRequest.m_waitingForCapacity = true;
-    m_environment->m_waiters.Enter(aSubRequest.m_service);
-  }
-  aSubRequest.m_nextCapacityCheck =
-    aNow + m_environment->m_options.m_capacityRecheckInterval;
-}
-
-void
-ForwardRun::StopWaiting(SubRequest& aSubRequest)
-{
-  if (std::exchange(aSubRequest.m_waitingForCapacity, false)) {
-    m_environment->m_waiters.Leave(aSubRequest.m_service);
-  }
-}
-
-void
-ForwardRun::SendWaitingSubRequests(TimePoint aNow)
-{
-  for (uint32_t index = 0; index < m_subRequests.size(); ++index) {
-    SubRequest& subRequest = m_subRequests[index];
-    if (!subRequest.m_waitingForCapacity ||
-        subRequest.m_nextCapacityCheck > aNow) {
-      continue;
-    }
-    const ReplicaPtr* replica = ChooseReplica(subRequest, true, aNow);
-    bool first = subRequest.m_attempts.empty();
-    if (replica != nullptr && (first || m_environment->m_budget.TryTake(
-                                          subRequest.m_service, aNow))) {
-      StopWaiting(subRequest);
-      SendTo(index,
-             *replica,
-             first ? AttemptReason::kFirst : AttemptReason::kRetry,
-             aNow);
-    } else if (HasAvailableReplica(subRequest.m_service, aNow)) {
-      WaitForCapacity(subRequest, aNow);
-    } else {
-      StopWaiting(subRequest);
-      subRequest.m_failed = true;
-    }
-  }
-}
-
-bool
-ForwardRun::HasAvailableReplica(const std::string& aService,
-                                TimePoint aNow) const
-{
-  return !UnavailableUntil(aService,
-                           m_environment->m_catalogue,
-                           m_environment->m_load,
-                           m_environment->m_options.m_noReplicaRetryAfter,
-                           aNow)
-            .has_value();
-}
-
 void
 ForwardRun::HedgeLateSubRequests(TimePoint aNow)
 {
@@ -376,8 +362,11 @@
     subRequest.m_hedgeAt = TimePoint{};
     return;
   }
+  if (!MayStartBeforeWaiting(subRequest, aNow)) {
+    return;
+  }
   const ReplicaLoad& load = m_environment->m_load;
-  Duration typical = m_environment->m_latencies.Typical(*m_request.m_route);
+  Duration typical = TypicalLatency(aNow);
   bool useful =
     load.HasFreeSlot(**replica) &&
     aNow + load.PredictLatency(**replica, typical, aNow) < m_timeoutAt;
@@ -386,127 +375,4 @@
   }
 }
 
-void
-ForwardRun::FinishIfDue(TimePoint aNow)
-{
-  if (m_ended) {
-    return;
-  }
-  if (m_request.IsGathered()) {
-    FinishGathered(aNow);
-  } else {
-    FinishSingle(aNow);
-  }
-}
-
-void
-ForwardRun::FinishGathered(TimePoint aNow)
-{
-  ForwardResult result;
-  uint32_t pending = 0;
-  for (uint32_t index = 0; index < m_subRequests.size(); ++index) {
-    const SubRequest& subRequest = m_subRequests[index];
-    if (subRequest.m_answer) {
-      result.m_answers.push_back({ index, *subRequest.m_answer });
-    } else if (!subRequest.m_failed) {
-      ++pending;
-    }
-  }
-  auto answered = static_cast<uint32_t>(result.m_answers.size());
-  result.m_missing = static_cast<uint32_t>(m_subRequests.size()) - answered;
-  bool enough = answered >= m_request.Required();
-  if (enough && (pending == 0 || aNow >= m_earlyAnswerAt)) {
-    result.m_status =
-      result.m_missing == 0 ? ForwardStatus::kWhole : ForwardStatus::kPartial;
-    result.m_reason = pending == 0 ? "complete" : "early";
-    Finish(result);
-    return;
-  }
-  if (aNow >= m_timeoutAt) {
-    FinishWithoutAnswer(true, aNow);
-  } else if (answered + pending < m_request.Required()) {
-    FinishWithoutAnswer(false, aNow);
-  }
-}
-
-void
-ForwardRun::FinishSingle(TimePoint aNow)
-{
-  const SubRequest& subRequest = m_subRequests.front();
-  // If every upstream is full, an early refusal serves the caller better than a
-  // late one.
-  bool waitedTooLong =
-    subRequest.m_waitingForCapacity && subRequest.m_attempts.empty() &&
-    aNow - m_request.m_receivedAt >=
-      m_request.m_route->m_targetLatency / kCapacityWaitDivisor;
-  if (waitedTooLong) {
-    FinishWithoutAnswer(false, aNow);
-    return;
-  }
-  if (subRequest.m_answer) {
-    Finish({ .m_status = ForwardStatus::kWhole,
-             .m_answers = { { 0, *subRequest.m_answer } },
-             .m_reason = "complete" });
-  } else if (subRequest.m_failed && subRequest.m_failure &&
-             !subRequest.m_outcomeUnknown) {
-    Finish({ .m_status = ForwardStatus::kUpstreamFailure,
-             .m_answers = { { 0, *subRequest.m_failure } },
-             .m_missing = 1,
-             .m_reason = "upstream-failure" });
-  } else if (subRequest.m_failed) {
-    FinishWithoutAnswer(false, aNow);
-  } else if (aNow >= m_timeoutAt) {
-    FinishWithoutAnswer(true, aNow);
-  }
-}
-
-void
-ForwardRun::FinishWithoutAnswer(bool aTimedOut, TimePoint aNow)
-{
-  bool mayHaveRun =
-    std::ranges::any_of(m_subRequests, [](const SubRequest& aSubRequest) {
-      return std::ranges::any_of(aSubRequest.m_attempts,
-                                 &Attempt::m_mayHaveRun);
-    });
-  CancelOpenAttempts();
-  if (!mayHaveRun) {
-    Finish(RefusalPolicy(m_request, *m_environment, aNow).RefuseNotRun());
-    return;
-  }
-  Finish(
-    { .m_status = aTimedOut ? ForwardStatus::kTimedOut : ForwardStatus::kFailed,
-      .m_missing = static_cast<uint32_t>(m_subRequests.size()),
-      .m_reason = aTimedOut ? "timeout" : "upstream-broken" });
-}
-
-void
-ForwardRun::Finish(const ForwardResult& aResult)
-{
-  End();
-  m_port->Finish(aResult);
-}
-
-void
-ForwardRun::End()
-{
-  std::ranges::for_each(m_subRequests, [this](SubRequest& aSubRequest) {
-    StopWaiting(aSubRequest);
-  });
-  m_ended = true;
-}
-
-void
-ForwardRun::CancelOpenAttempts()
-{
-  for (uint32_t index = 0; index < m_subRequests.size(); ++index) {
-    for (uint32_t attempt = 0; attempt < m_subRequests[index].m_attempts.size();
-         ++attempt) {
-      if (m_subRequests[index].m_attempts[attempt].m_open) {
-        m_subRequests[index].m_attempts[attempt].m_open = false;
-        m_port->Cancel(index, attempt);
-      }
-    }
-  }
-}
-
 } // namespace ebonykeel
--- a/packages/node/entry/request_job.cc
+++ b/packages/node/entry/request_job.cc
@@ -62,7 +62,8 @@
                           .m_remaining = m_remaining,
                           .m_elapsed = ElapsedBeforeRead(),
                           .m_priority = EffectivePriority(m_route, aWorkspace),
-                          .m_workspace = m_identity.m_workspace },
+                          .m_workspace = m_identity.m_workspace,
+                          .m_usesWorkspaces = m_identity.m_usesWorkspaces },
           aContext.m_environment,
           *this)
 {
@@ -141,6 +142,8 @@
                            .m_replica = aReplica,
                            .m_routes = m_routes,
                            .m_route = &m_route,
+                           .m_work =
+                             m_run.ExpectedWorkOf(aSubRequest, aAttempt),
                            .m_attemptId = m_caller.m_attemptId,
                            .m_caller = m_identity };
   if (aAttempt > 0) {
@@ -170,6 +173,12 @@
   }
 }
 
+void
+RequestJob::RequestTimer()
+{
+  RearmTimer();
+}
+
 void
 RequestJob::Finish(const ForwardResult& aResult)
 {
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -1,5 +1,6 @@
 #include "node/entry/upstream_sender.h"
 
+#include <optional>
 #include <utility>
 
 namespace ebonykeel {
@@ -34,8 +35,7 @@
                                Http1Client& aClient,
                                const TrafficProtocol& aProtocol,
                                RoutingState& aRouting,
-                               ReplicaLoad& aLoad,
-                               LatencyModel& aLatencies,
+                               ForwardEnvironment& aEnvironment,
                                ForwardStats& aStats,
                                LineLog& aLog,
                                UpstreamSenderOptions aOptions)
@@ -43,8 +43,9 @@
   , m_client(aClient)
   , m_protocol(aProtocol)
   , m_routing(aRouting)
-  , m_load(aLoad)
-  , m_latencies(aLatencies)
+  , m_environment(aEnvironment)
+  , m_load(aEnvironment.m_load)
+  , m_latencies(aEnvironment.m_latencies)
   , m_stats(aStats)
   , m_log(aLog)
   , m_options(aOptions)
@@ -59,9 +60,11 @@
 {
   auto attempt = std::make_shared<UpstreamAttempt>(std::move(aAttempt));
   const Replica& replica = *attempt->m_replica;
-  attempt->m_typicalLatency = m_latencies.Typical(*attempt->m_route);
+  attempt->m_typicalLatency =
+    m_load.PlacesByWork() ? attempt->m_work.Mean() + attempt->m_work.Spread()
+                          : m_latencies.Typical(*attempt->m_route);
   attempt->m_sentAt = m_loop.Now();
-  m_load.OnSent(replica, attempt->m_sentAt);
+  m_load.OnSent(replica, attempt->m_sentAt, attempt->m_work);
   if (m_versions != nullptr) {
     m_versions->OnSent(replica, attempt->m_attempt == 0);
   }
@@ -106,8 +109,9 @@
                                   aAttempt->m_typicalLatency,
                                   now);
   } else {
-    m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt);
+    m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt, now);
   }
+  m_environment.m_waiters.OnCapacity(aAttempt->m_replica->m_service, now);
   m_stats.OnAttemptEnded("any", "dropped");
   ReportToVersions(*aAttempt, VersionAnswer::kCancelled);
 }
@@ -158,7 +162,9 @@
   aAttempt->m_connection = aResult.m_connection;
   RecordOutcome(*aAttempt, answer.m_outcome, aResult.m_problem);
   ReportToVersions(*aAttempt, VersionAnswerOf(answer.m_outcome));
-  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, m_loop.Now());
+  TimePoint now = m_loop.Now();
+  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, now);
+  m_environment.m_waiters.OnCapacity(aAttempt->m_replica->m_service, now);
   if (auto observer = aAttempt->m_observer.lock()) {
     observer->OnAttemptEnded(aAttempt->m_subRequest,
                              aAttempt->m_attempt,
@@ -177,8 +183,14 @@
   m_stats.OnAttemptEnded("any", AttemptOutcomeName(aOutcome));
   switch (aOutcome) {
     case AttemptOutcome::kSuccess:
-      m_load.OnAnswered(
-        replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now);
+      if (std::optional<WorkSample> sample = m_load.OnAnswered(
+            replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now)) {
+        m_environment.m_work.Add(*aAttempt.m_route,
+                                 aAttempt.m_caller.m_workspace,
+                                 sample->m_expected,
+                                 sample->m_seen,
+                                 now);
+      }
       m_latencies.Add(*aAttempt.m_route, now - aAttempt.m_sentAt);
       break;
     case AttemptOutcome::kFailure:
