BurstShare: the division of a burst is a class of its own

Cause: the quota's reserve is divided among instances like the burst of extra requests.

Change: BurstShare takes the division out of ExtraBudget, with the fractions that are held and refilled as options.

Result: core_forward_test passes unchanged (62 cases).

--- a/packages/core/forward/extra_budget.h
+++ b/packages/core/forward/extra_budget.h
@@ -8,13 +8,13 @@
 //   if (budget.TryTake("shard-07", now)) { ... make an extra attempt ... }
 #pragma once
 
-#include <cstdint>
 #include <set>
 #include <string>
 #include <unordered_map>
 
 #include "core/base/time.h"
 #include "core/forward/expiring_tokens.h"
+#include "core/quota/burst_share.h"
 
 namespace ebonykeel {
 
@@ -33,9 +33,7 @@
 //
 // - Each first attempt earns a part of the share for its own instance. What is
 //   not used soon expires, so that no instance saves it up.
-// - The burst is divided among the participants. It is divided into whole
-//   requests: if there are more participants than requests that may be held,
-//   only some of them get a part, chosen for each service by a hash.
+// - The burst is divided among the participants by `BurstShare`.
 //
 // So the sum over all instances does not depend on their number.
 class ExtraBudget
@@ -52,36 +50,9 @@
   [[nodiscard]] bool TryTake(const std::string& aService, TimePoint aNow);
 
 private:
-  // This instance's part of a service's burst.
-  struct BurstPart
-  {
-    // The number of requests that may be held.
-    double m_capacity = 0;
-    // The number of requests that are added over a window.
-    double m_refillPerWindow = 0;
-  };
-  struct Account
-  {
-    ExpiringTokens m_earned;
-    double m_burstTokens = 0;
-    // When the burst was last refilled.
-    TimePoint m_refilledAt;
-    BurstPart m_part;
-    // The participants for which `m_part` was computed.
-    uint64_t m_participantsVersion = 0;
-  };
-
-  [[nodiscard]] BurstPart PartOf(const std::string& aService) const;
-  // Returns the account of the service, refilled up to `aNow`.
-  Account& RefilledAccount(const std::string& aService, TimePoint aNow);
-
   ExtraBudgetLimit m_limit;
-  std::string m_host;
-  std::set<std::string> m_participants;
-  // Counts the changes of `m_participants`.
-  uint64_t m_participantsVersion = 0;
-  TimePoint m_participantsChangedAt;
-  std::unordered_map<std::string, Account> m_accounts;
+  BurstShare m_bursts;
+  std::unordered_map<std::string, ExpiringTokens> m_earned;
 };
 
 } // namespace ebonykeel
