--- a/packages/core/quota/quota_bound_property_test.cc
+++ b/packages/core/quota/quota_bound_property_test.cc
@@ -19,6 +19,8 @@
     kCutDataCentre,
     kCutInstance,
     kSplitDataCentre,
+    kMoveToOtherDataCentre,
+    kMoveCallers,
     kHeal,
     kFreeze,
     kRestart,
@@ -62,6 +64,9 @@
            { .m_name = "small",
              .m_ratePerSecond = 20 * aFactor,
              .m_burst = 40 * aFactor },
+           { .m_name = "bursty",
+             .m_ratePerSecond = 10 * aFactor,
+             .m_burst = 400 * aFactor },
            { .m_name = "tiny", .m_ratePerSecond = 2 * aFactor, .m_burst = 1 } };
 }
 
@@ -71,6 +76,7 @@
 {
   aFleet.SetDemand("large", 900 * aFactor);
   aFleet.SetDemand("small", 140 * aFactor);
+  aFleet.SetDemand("bursty", 400 * aFactor);
   aFleet.SetDemand("tiny", 30 * aFactor);
 }
 
@@ -107,6 +113,16 @@
           m_fleet.SetSide(dataCentre * m_perDataCentre + i, 10 + side);
         }
         break;
+      case Step::kMoveToOtherDataCentre:
+        // The instance reaches another data centre, but not its own.
+        m_isCut = true;
+        m_fleet.SetSideOfDataCentre(
+          (instance / m_perDataCentre + 1) % m_dataCentres, 20 + side);
+        m_fleet.SetSide(instance, 20 + side);
+        break;
+      case Step::kMoveCallers:
+        m_fleet.MoveCallersTo(instance);
+        break;
       case Step::kHeal:
         Heal();
         break;
--- a/packages/core/quota/quota_fleet_simulation.cc
+++ b/packages/core/quota/quota_fleet_simulation.cc
@@ -60,6 +60,16 @@
   m_demand[aWorkspace] = aRate;
 }
 
+void
+QuotaFleetSimulation::MoveCallersTo(size_t aInstance)
+{
+  constexpr double kNearlyAll = 1000;
+  for (Instance& instance : m_instances) {
+    instance.m_weight = 1;
+  }
+  m_instances[aInstance].m_weight = kNearlyAll;
+}
+
 void
 QuotaFleetSimulation::SetSide(size_t aInstance, int aSide)
 {
--- a/packages/core/quota/quota_fleet_simulation.h
+++ b/packages/core/quota/quota_fleet_simulation.h
@@ -63,6 +63,8 @@
 
   // Sets the requests per second of a workspace over all instances.
   void SetDemand(const std::string& aWorkspace, double aRate);
+  // Lets nearly all callers use one instance.
+  void MoveCallersTo(size_t aInstance);
   void SetFaults(const QuotaNetworkFaults& aFaults) { m_faults = aFaults; }
   // Puts instances on sides that cannot reach each other.
   void SetSide(size_t aInstance, int aSide);
