Quota messages: schema and codec

Cause: instances exchange requests for tokens, grants and votes in datagrams.

Change: quota.capnp with its codec; packing is shared with fleet_codec in packed_message.h.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 generate:
 	capnp compile -oc++ -I/usr/include packages/runtime/peer/peer.capnp
 	cd packages && capnp compile -oc++:. -I/usr/include runtime/fleet/fleet.capnp
+	cd packages && capnp compile -oc++:. -I/usr/include runtime/fleet/quota.capnp
 
 # Draws the plots of all result folders under RESULTS.
 RESULTS ?= results
--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -2,12 +2,8 @@
 
 #include <algorithm>
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-
 #include "runtime/fleet/fleet.capnp.h"
+#include "runtime/fleet/packed_message.h"
 
 namespace ebonykeel {
 namespace {
@@ -49,32 +45,6 @@
            .m_capacity = aReader.getCapacity() };
 }
 
-std::string
-Pack(capnp::MallocMessageBuilder& aMessage)
-{
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, aMessage);
-  auto bytes = stream.getArray();
-  return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
-}
-
-// Calls `aRead` with the message in `aBytes`; returns false if they are not a
-// valid message.
-template<typename Read>
-bool
-Unpack(std::string_view aBytes, Read aRead)
-{
-  auto problem = kj::runCatchingExceptions([&]() {
-    kj::ArrayInputStream stream(kj::arrayPtr(
-      reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMaxMessageWords;
-    capnp::PackedMessageReader reader(stream, options);
-    aRead(reader);
-  });
-  return problem == nullptr;
-}
-
 FleetMessage
 ReadMessage(wire::FleetDatagram::Reader aReader)
 {
@@ -164,16 +134,17 @@
       kj::arrayPtr(reinterpret_cast<const kj::byte*>(aMessage.m_payload.data()),
                    aMessage.m_payload.size()));
   }
-  return Pack(builder);
+  return PackMessage(builder);
 }
 
 std::optional<FleetMessage>
 DecodeFleetMessage(std::string_view aBytes)
 {
   FleetMessage message;
-  bool decoded = Unpack(aBytes, [&](capnp::MessageReader& aReader) {
-    message = ReadMessage(aReader.getRoot<wire::FleetDatagram>());
-  });
+  bool decoded =
+    UnpackMessage(aBytes, kMaxMessageWords, [&](capnp::MessageReader& aReader) {
+      message = ReadMessage(aReader.getRoot<wire::FleetDatagram>());
+    });
   if (!decoded) {
     return std::nullopt;
   }
@@ -189,18 +160,19 @@
   for (size_t i = 0; i < aDeltas.size(); ++i) {
     WriteDelta(aDeltas[i], deltas[i]);
   }
-  return Pack(builder);
+  return PackMessage(builder);
 }
 
 std::optional<std::vector<FeedDelta>>
 DecodeDeltas(std::string_view aBytes)
 {
   std::vector<FeedDelta> result;
-  bool decoded = Unpack(aBytes, [&](capnp::MessageReader& aReader) {
-    for (auto delta : aReader.getRoot<wire::FeedAnswer>().getDeltas()) {
-      result.push_back(ReadDelta(delta));
-    }
-  });
+  bool decoded =
+    UnpackMessage(aBytes, kMaxMessageWords, [&](capnp::MessageReader& aReader) {
+      for (auto delta : aReader.getRoot<wire::FeedAnswer>().getDeltas()) {
+        result.push_back(ReadDelta(delta));
+      }
+    });
   if (!decoded) {
     return std::nullopt;
   }
