Quota leases: fewer tokens are asked for in vain

Cause: beside a workspace at seven times its quota, four of 27,600 requests of others at half of theirs were refused, and 1% to 3% at 0.9 of the quota.

Change: the rate leaves out the latest arrival.

--- a/packages/core/quota/quota_fleet_test.cc
+++ b/packages/core/quota/quota_fleet_test.cc
@@ -64,7 +64,7 @@
     DOCTEST_CHECK(RefusedShare(below) <= 0.002);
     QuotaTally near = PlayDemand(fleet, 0.9 * kRate, Seconds(30));
     Print("0.9 of the quota", near);
-    DOCTEST_CHECK(RefusedShare(near) <= 0.06);
+    DOCTEST_CHECK(RefusedShare(near) <= 0.03);
     // Guards against a quota that is kept by refusing more than necessary.
     QuotaTally above = PlayDemand(fleet, 7 * kRate, Seconds(30));
     Print("7 times the quota", above);
--- a/packages/core/quota/quota_leases.cc
+++ b/packages/core/quota/quota_leases.cc
@@ -309,7 +309,9 @@
                               TimePoint aNow) const
 {
   double age = InSeconds(aNow - aAccount.m_arrivalsAt) / kRateTime.count();
-  double rate = aAccount.m_arrivals * std::exp(-age) / kRateTime.count();
+  // The latest arrival counts no more than others: without it, the mean over
+  // the times of arrivals is the rate.
+  double rate = (aAccount.m_arrivals - 1) * std::exp(-age) / kRateTime.count();
   return rate * InSeconds(aSpan);
 }
 
