Quotas in the forward mode

Cause: requests beyond a workspace's quota must be refused before they cost an upstream anything.

Change: after the access check ForwardService asks QuotaService; a request waits for a token for at most 20 ms and a fifth of its route's target latency, or gets 429 with the time until a token comes. One that ends without having run gives its token back. Without [quota] nothing is limited.

--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -139,6 +139,7 @@
             aLog,
             FleetOptionsFrom(m_settings),
             *this)
+  , m_quota(QuotaService::Make(aLoop, *this, aLog, m_settings))
   , m_forward(aLoop,
               m_upstreamClient,
               aTraffic,
@@ -146,6 +147,7 @@
               *this,
               m_load,
               m_budget,
+              m_quota ? &*m_quota : nullptr,
               aLog,
               ForwardOptionsFrom(m_settings))
   , m_callerServer(aLoop, m_forward, {})
@@ -245,6 +247,7 @@
 ForwardInstance::OnFleetChanged()
 {
   UpdateReaderRole();
+  UpdateQuota();
 }
 
 void
@@ -262,18 +265,28 @@
 }
 
 void
-ForwardInstance::OnPeerPayload(const FleetRecord& /*aSender*/,
+ForwardInstance::OnPeerPayload(const FleetRecord& aSender,
                                PeerTopic aTopic,
-                               std::string_view /*aPayload*/)
+                               std::string_view aPayload)
 {
   switch (aTopic) {
     case PeerTopic::kQuota:
+      if (m_quota) {
+        m_quota->OnPeerPayload(aSender, aPayload);
+      }
+      break;
     case PeerTopic::kRollout:
     case PeerTopic::kNone:
       break;
   }
 }
 
+void
+ForwardInstance::SendQuotaMessage(const std::string& aHost, std::string aBytes)
+{
+  m_fleet.SendPayload(aHost, PeerTopic::kQuota, std::move(aBytes));
+}
+
 Duration
 ForwardInstance::FeedAge() const
 {
@@ -290,6 +303,7 @@
   MaintainInstanceList();
   UpdateReachability();
   UpdateBudget();
+  UpdateQuota();
   m_routing.LogResumed(m_loop.Now());
   if (m_stoppingSince) {
     ContinueStop();
@@ -305,6 +319,9 @@
   std::shared_ptr<const RouteTable> previous = m_routing.Routes();
   m_routing.ApplyObject(aKind, aObject, m_loop.Now());
   if (m_routing.Routes() != previous) {
+    if (m_quota) {
+      m_quota->SetConfiguration(m_routing.Routes()->Config());
+    }
     m_forward.OnConfigurationChanged();
   }
 }
@@ -362,6 +379,26 @@
                            m_loop.Now());
 }
 
+void
+ForwardInstance::UpdateQuota()
+{
+  if (!m_quota) {
+    return;
+  }
+  m_hadContact = m_hadContact || m_fleet.InContact();
+  bool knowsOthers =
+    std::ranges::any_of(m_settings.m_seeds, [&](const std::string& aSeed) {
+      return aSeed != m_settings.m_host;
+    });
+  std::vector<FleetRecord> live = m_fleet.View().LiveMembers();
+  std::set<std::string> named =
+    InstancesForAllCallers(live, m_upstreamCounts, DirectoryOptions());
+  m_quota->SetFleet({ .m_liveInstances = std::move(live),
+                      .m_namedHosts = std::move(named),
+                      .m_mayBeIncomplete = knowsOthers && !m_hadContact,
+                      .m_isInContact = m_fleet.InContact() });
+}
+
 CallerDirectoryOptions
 ForwardInstance::DirectoryOptions() const
 {
@@ -535,6 +572,9 @@
 ForwardInstance::RenderMetrics() const
 {
   std::string text = m_forward.Stats().Render();
+  if (m_quota) {
+    text += m_quota->RenderMetrics();
+  }
   auto gauge = [&text](std::string_view aName, auto aValue) {
     absl::StrAppend(&text,
                     "# TYPE ",
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/config/forward_settings.h"
@@ -16,6 +17,7 @@
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
 #include "node/entry/protocol.h"
+#include "node/entry/quota_service.h"
 #include "node/entry/routing_state.h"
 #include "node/entry/store_reader.h"
 #include "runtime/http1/client.h"
@@ -30,6 +32,7 @@
   : private StoreReaderObserver
   , private FleetObserver
   , private ReplicaFeedAge
+  , private QuotaPeers
 {
 public:
   ForwardInstance(UvLoop& aLoop,
@@ -60,6 +63,7 @@
                      PeerTopic aTopic,
                      std::string_view aPayload) override;
   Duration FeedAge() const override;
+  void SendQuotaMessage(const std::string& aHost, std::string aBytes) override;
 
   void OnTick();
   // Applies a changed object of a feed.
@@ -70,6 +74,8 @@
   // Updates this instance's part of the burst budget, which is divided among
   // the instances that are offered to callers.
   void UpdateBudget();
+  // Tells the quota which instances there are.
+  void UpdateQuota();
   void ApplyLimits();
   // Adds a suspension since the last check to the age of the feeds.
   void CheckSuspension();
@@ -109,6 +115,8 @@
   RoutingState m_routing;
   StoreReader m_reader;
   FleetService m_fleet;
+  // Nothing if quotas are not enforced.
+  std::optional<QuotaService> m_quota;
   ForwardService m_forward;
   Http1Server m_callerServer;
   std::unique_ptr<AuxiliaryHandler> m_auxiliaryHandler;
@@ -119,6 +127,8 @@
   std::map<DataCentre, size_t> m_upstreamCounts;
   UpstreamReachability m_reachability;
   bool m_storeReachable = true;
+  // Whether another instance was ever heard.
+  bool m_hadContact = false;
   bool m_instanceListRequested = false;
   std::vector<std::string> m_listedInstances;
   std::optional<TimePoint> m_stoppingSince;
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -13,8 +13,14 @@
 
 constexpr int kUnauthorizedStatus = 401;
 constexpr int kNotFoundStatus = 404;
+constexpr int kTooManyRequestsStatus = 429;
 constexpr int kUnavailableStatus = 503;
 
+// The longest wait for a token of a quota, and its share of the route's target
+// latency.
+constexpr Duration kMaxQuotaWait = Milliseconds(20);
+constexpr int kQuotaWaitsPerTarget = 5;
+
 } // namespace
 
 ForwardService::ForwardService(UvLoop& aLoop,
@@ -24,12 +30,14 @@
                                const ReplicaFeedAge& aReplicaFeedAge,
                                ReplicaLoad& aLoad,
                                ExtraBudget& aBudget,
+                               QuotaService* aQuota,
                                LineLog& aLog,
                                ForwardServiceOptions aOptions)
   : m_loop(aLoop)
   , m_protocol(aProtocol)
   , m_routing(aRouting)
   , m_replicaFeedAge(aReplicaFeedAge)
+  , m_quota(aQuota)
   , m_log(aLog)
   , m_options(aOptions)
   , m_environment{ .m_catalogue = aRouting.Catalogue(),
@@ -148,7 +156,8 @@
 }
 
 void
-ForwardService::Serve(std::shared_ptr<Http1Exchange> aExchange)
+ForwardService::Serve(std::shared_ptr<Http1Exchange> aExchange,
+                      std::optional<Admission> aAdmission)
 {
   CallerRequest caller = m_protocol.ReadCallerRequest(aExchange->Request());
   std::shared_ptr<const RouteTable> routes = m_routing.Routes();
@@ -156,15 +165,29 @@
     routes == nullptr
       ? nullptr
       : routes->Find(caller.m_host, PathOf(aExchange->Request().m_target));
+  CallerAccess access;
+  if (route != nullptr) {
+    access = CheckAccess(*routes, *route, caller.m_key);
+  }
+  // The configuration may have changed while the request waited.
+  if (aAdmission && (access.m_workspace == nullptr ||
+                     access.m_workspace->m_name != aAdmission->m_workspace)) {
+    GiveBack(*std::exchange(aAdmission, std::nullopt));
+  }
   if (route == nullptr) {
     RejectWithoutRoute(*aExchange, caller);
     return;
   }
-  CallerAccess access = CheckAccess(*routes, *route, caller.m_key);
   if (access.m_refusal) {
     aExchange->Answer(MakeAccessRefusal(caller, *route, *access.m_refusal));
     return;
   }
+  if (m_quota != nullptr && access.m_workspace != nullptr && !aAdmission) {
+    aAdmission = AskQuota(aExchange, caller, *route, *access.m_workspace);
+    if (!aAdmission) {
+      return;
+    }
+  }
   std::vector<std::string> services = ChooseServices(*route);
   auto job = std::make_shared<RequestJob>(m_jobContext,
                                           std::move(aExchange),
@@ -174,9 +197,91 @@
                                           access.m_workspace,
                                           std::move(services));
   m_jobs.emplace(job.get(), job);
+  if (aAdmission) {
+    m_admissions.emplace(job.get(), std::move(*aAdmission));
+  }
   job->Start(m_stopBy);
 }
 
+std::optional<ForwardService::Admission>
+ForwardService::AskQuota(const std::shared_ptr<Http1Exchange>& aExchange,
+                         const CallerRequest& aCaller,
+                         const Route& aRoute,
+                         const Workspace& aWorkspace)
+{
+  const std::string& workspace = aWorkspace.m_name;
+  Duration maxWait =
+    std::min(kMaxQuotaWait, aRoute.m_targetLatency / kQuotaWaitsPerTarget);
+  QuotaAdmission admission = m_quota->Admit(
+    aWorkspace,
+    maxWait,
+    [this, exchange = aExchange, workspace](const QuotaDecision& aDecision) {
+      OnQuotaDecision(exchange, workspace, aDecision);
+    });
+  if (!admission.m_decision) {
+    aExchange->OnCallerDisconnect(
+      [this, id = admission.m_id]() { m_quota->Cancel(id); });
+    return std::nullopt;
+  }
+  if (admission.m_decision->m_outcome == QuotaOutcome::kRefused) {
+    RefuseByQuota(
+      *aExchange, aCaller, aRoute.m_name, admission.m_decision->m_retryAfter);
+    return std::nullopt;
+  }
+  return Admission{ workspace, *admission.m_decision };
+}
+
+void
+ForwardService::OnQuotaDecision(std::shared_ptr<Http1Exchange> aExchange,
+                                const std::string& aWorkspace,
+                                const QuotaDecision& aDecision)
+{
+  aExchange->OnCallerDisconnect({});
+  if (aDecision.m_outcome == QuotaOutcome::kAdmitted) {
+    Serve(std::move(aExchange), Admission{ aWorkspace, aDecision });
+    return;
+  }
+  CallerRequest caller = m_protocol.ReadCallerRequest(aExchange->Request());
+  const Route* route = m_routing.Routes()->Find(
+    caller.m_host, PathOf(aExchange->Request().m_target));
+  RefuseByQuota(*aExchange,
+                caller,
+                route == nullptr ? "" : route->m_name,
+                aDecision.m_retryAfter);
+}
+
+void
+ForwardService::RefuseByQuota(Http1Exchange& aExchange,
+                              const CallerRequest& aCaller,
+                              std::string_view aRoute,
+                              Duration aRetryAfter)
+{
+  Duration took = m_loop.Now() - aExchange.ReceivedAt();
+  std::string route(aRoute);
+  m_stats.OnRequestEnded(route, "over-quota", took);
+  m_log.Write(
+    Event::kForwardEnded,
+    { { "request", aCaller.m_attemptId },
+      { "route", route },
+      { "version", absl::StrCat(m_routing.Routes()->Config()->m_version) },
+      { "status", "refused" },
+      { "outcome", "not-run" },
+      { "reason", "over-quota" },
+      { "took_ms", absl::StrCat(ToMilliseconds(took)) },
+      { "sends", "" } });
+  // Rounded up, so that the caller does not return before the token comes.
+  aExchange.Answer(m_protocol.MakeOwnAnswer(
+    kTooManyRequestsStatus,
+    "over-quota",
+    std::chrono::ceil<std::chrono::milliseconds>(aRetryAfter)));
+}
+
+void
+ForwardService::GiveBack(const Admission& aAdmission)
+{
+  m_quota->GiveBack(aAdmission.m_workspace, aAdmission.m_decision);
+}
+
 void
 ForwardService::RejectWithoutRoute(Http1Exchange& aExchange,
                                    const CallerRequest& aCaller)
@@ -245,7 +350,12 @@
 void
 ForwardService::OnJobEnded(const RequestJob& aJob)
 {
+  auto admission = m_admissions.extract(&aJob);
+  bool mayHaveRun = aJob.MayHaveRun();
   m_jobs.erase(&aJob);
+  if (!admission.empty() && !mayHaveRun) {
+    GiveBack(admission.mapped());
+  }
 }
 
 } // namespace ebonykeel
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -16,6 +16,7 @@
 #include "core/traffic/weighted_choice.h"
 #include "node/entry/forward_stats.h"
 #include "node/entry/protocol.h"
+#include "node/entry/quota_service.h"
 #include "node/entry/replica_feed_age.h"
 #include "node/entry/request_job.h"
 #include "node/entry/routing_state.h"
@@ -45,6 +46,7 @@
   , private RequestJobObserver
 {
 public:
+  // `aQuota` is null if quotas are not enforced.
   ForwardService(UvLoop& aLoop,
                  Http1Client& aClient,
                  const TrafficProtocol& aProtocol,
@@ -52,6 +54,7 @@
                  const ReplicaFeedAge& aReplicaFeedAge,
                  ReplicaLoad& aLoad,
                  ExtraBudget& aBudget,
+                 QuotaService* aQuota,
                  LineLog& aLog,
                  ForwardServiceOptions aOptions);
   ~ForwardService() override;
@@ -68,12 +71,38 @@
   [[nodiscard]] const ForwardStats& Stats() const { return m_stats; }
 
 private:
+  // A request that was admitted, and the workspace whose token it has.
+  struct Admission
+  {
+    std::string m_workspace;
+    QuotaDecision m_decision;
+  };
+
   // Queues a request until the instance can route or the wait ends; returns
   // false if it may not wait.
   [[nodiscard]] bool WaitForStart(
     const std::shared_ptr<Http1Exchange>& aExchange);
   void ServeWaiting();
-  void Serve(std::shared_ptr<Http1Exchange> aExchange);
+  // Serves a request. `aAdmission` is empty unless it has waited for a token of
+  // its workspace's quota.
+  void Serve(std::shared_ptr<Http1Exchange> aExchange,
+             std::optional<Admission> aAdmission = std::nullopt);
+  // Asks whether the quota of the workspace admits the request. Returns nothing
+  // if the request waits, or was refused and answered.
+  [[nodiscard]] std::optional<Admission> AskQuota(
+    const std::shared_ptr<Http1Exchange>& aExchange,
+    const CallerRequest& aCaller,
+    const Route& aRoute,
+    const Workspace& aWorkspace);
+  void OnQuotaDecision(std::shared_ptr<Http1Exchange> aExchange,
+                       const std::string& aWorkspace,
+                       const QuotaDecision& aDecision);
+  // Answers a request that is beyond the quota of its workspace.
+  void RefuseByQuota(Http1Exchange& aExchange,
+                     const CallerRequest& aCaller,
+                     std::string_view aRoute,
+                     Duration aRetryAfter);
+  void GiveBack(const Admission& aAdmission);
   void RejectWithoutRoute(Http1Exchange& aExchange,
                           const CallerRequest& aCaller);
   // Returns the answer to a request whose key does not allow it.
@@ -90,6 +119,7 @@
   const TrafficProtocol& m_protocol;
   RoutingState& m_routing;
   const ReplicaFeedAge& m_replicaFeedAge;
+  QuotaService* m_quota;
   LineLog& m_log;
   ForwardServiceOptions m_options;
   CallerDeadlines m_deadlines;
@@ -101,6 +131,8 @@
   RequestJobContext m_jobContext;
   // The requests in flight.
   std::map<const RequestJob*, std::shared_ptr<RequestJob>> m_jobs;
+  // The requests in flight that were admitted by a quota.
+  std::map<const RequestJob*, Admission> m_admissions;
   // When every request must be answered; nothing unless the process stops.
   std::optional<TimePoint> m_stopBy;
   bool m_started = false;
--- a/packages/node/entry/quota_service.cc
+++ b/packages/node/entry/quota_service.cc
@@ -4,6 +4,7 @@
 #include <bit>
 #include <utility>
 
+#include "absl/random/random.h"
 #include "absl/strings/str_cat.h"
 
 #include "runtime/fleet/quota_codec.h"
@@ -25,6 +26,27 @@
 {
 }
 
+std::optional<QuotaService>
+QuotaService::Make(UvLoop& aLoop,
+                   QuotaPeers& aPeers,
+                   LineLog& aLog,
+                   const ForwardSettings& aSettings)
+{
+  if (!aSettings.m_quota) {
+    return std::nullopt;
+  }
+  return std::optional<QuotaService>(
+    std::in_place,
+    aLoop,
+    aPeers,
+    aLog,
+    QuotaCoordinatorOptions{ .m_settings = *aSettings.m_quota,
+                             .m_dataCentre = aSettings.m_dataCentre,
+                             .m_host = aSettings.m_host,
+                             .m_processStart =
+                               absl::Uniform<uint64_t>(absl::BitGen()) });
+}
+
 void
 QuotaService::SetFleet(const QuotaFleet& aFleet)
 {
@@ -51,7 +73,7 @@
   }
 }
 
-uint64_t
+QuotaAdmission
 QuotaService::Admit(const Workspace& aWorkspace,
                     Duration aMaxWait,
                     Callback aDone)
@@ -60,13 +82,18 @@
   QuotaDecision decision = m_coordinator.Admit(aWorkspace, id, aMaxWait, Now());
   if (decision.m_outcome != QuotaOutcome::kWaiting) {
     Flush();
-    aDone(decision);
-    return 0;
+    return { .m_decision = decision };
   }
-  m_waiting.emplace(id, std::move(aDone));
   // A granter on this instance decides at once.
+  std::optional<QuotaDecision> atOnce;
+  m_waiting.emplace(
+    id, [&atOnce](const QuotaDecision& aDecision) { atOnce = aDecision; });
   Flush();
-  return m_waiting.contains(id) ? id : 0;
+  if (atOnce) {
+    return { .m_decision = atOnce };
+  }
+  m_waiting[id] = std::move(aDone);
+  return { .m_id = id };
 }
 
 void
--- a/packages/node/entry/quota_service.h
+++ b/packages/node/entry/quota_service.h
@@ -1,13 +1,14 @@
 // Keeps the quotas of workspaces: connects `QuotaCoordinator` to the loop, the
 // other instances and the log.
 //
-//   uint64_t id = quota.Admit(workspace, Milliseconds(20),
-//                             [](const QuotaDecision& aDecision) { ... });
-//   if (id != 0) { ... the callback is called later ... }
+//   QuotaAdmission admission = quota.Admit(
+//     workspace, Milliseconds(20), [](const QuotaDecision& aDecision) { ... });
+//   if (admission.m_decision) { ... else the callback is called later ... }
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,6 +30,14 @@
                                 std::string aBytes) = 0;
 };
 
+struct QuotaAdmission
+{
+  // Identifies a request that waits.
+  uint64_t m_id = 0;
+  // Nothing if the request waits.
+  std::optional<QuotaDecision> m_decision;
+};
+
 // Everything that is passed by reference must outlive the service.
 class QuotaService
 {
@@ -40,17 +49,24 @@
                LineLog& aLog,
                QuotaCoordinatorOptions aOptions);
 
+  // Returns the service of an instance; nothing if its settings enforce no
+  // quotas.
+  [[nodiscard]] static std::optional<QuotaService> Make(
+    UvLoop& aLoop,
+    QuotaPeers& aPeers,
+    LineLog& aLog,
+    const ForwardSettings& aSettings);
+
   void SetFleet(const QuotaFleet& aFleet);
   // Applies the limits of a configuration at once.
   void SetConfiguration(const TrafficConfigPtr& aConfig);
   void OnPeerPayload(const FleetRecord& aSender, std::string_view aBytes);
 
-  // Decides on a request of a workspace. Calls `aDone` before it returns, and
-  // returns 0; or later, after at most `aMaxWait`, and returns a number for
-  // `Cancel`.
-  uint64_t Admit(const Workspace& aWorkspace,
-                 Duration aMaxWait,
-                 Callback aDone);
+  // Decides on a request of a workspace. Calls `aDone` only if the request
+  // waits: after at most `aMaxWait`.
+  [[nodiscard]] QuotaAdmission Admit(const Workspace& aWorkspace,
+                                     Duration aMaxWait,
+                                     Callback aDone);
   // Called when the caller of a waiting request disconnected; the callback is
   // not called any more.
   void Cancel(uint64_t aId);
