--- a/packages/core/quota/quota_coordinator.cc
+++ b/packages/core/quota/quota_coordinator.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace ebonykeel {
 namespace {
@@ -46,7 +45,8 @@
   // The granters of the other data centres' first group are the witnesses: a
   // few instances in different places.
   std::set<std::string> witnesses;
-  for (const QuotaGranters& others : granters | std::views::drop(1)) {
+  for (const QuotaGranters& others :
+       std::span(granters).subspan(std::min<size_t>(1, granters.size()))) {
     if (!others.front().empty()) {
       witnesses.insert(others.front());
     }
--- a/packages/core/quota/quota_leases.cc
+++ b/packages/core/quota/quota_leases.cc
@@ -13,6 +13,8 @@
 // fewer than the requests expected until then; it covers `kLeaseSpan`.
 constexpr Duration kRenewalLead = Milliseconds(150);
 constexpr Duration kLeaseSpan = Milliseconds(300);
+// The same for tokens that are asked for in a message which is sent anyway.
+constexpr Duration kSharedRenewalLead = Milliseconds(250);
 // Tokens that expire within this time and are not expected to be spent are
 // given back with the next request.
 constexpr Duration kReturnLead = Milliseconds(200);
@@ -78,7 +80,8 @@
   DropExpired(account, aNow);
   if (account.m_waiters.empty()) {
     if (std::optional<TimePoint> expiresAt = TakeToken(account, aNow)) {
-      RenewAhead(hash, account, aNow);
+      RenewAhead(
+        hash, account, kRenewalLead, m_options.m_renewalInterval, aNow);
       return { .m_tokenExpiresAt = expiresAt };
     }
   }
@@ -389,13 +392,17 @@
 }
 
 void
-QuotaLeases::RenewAhead(WorkspaceHash aHash, Account& aAccount, TimePoint aNow)
+QuotaLeases::RenewAhead(WorkspaceHash aHash,
+                        Account& aAccount,
+                        Duration aLead,
+                        Duration aMinInterval,
+                        TimePoint aNow)
 {
   if (!aAccount.m_round && aNow >= aAccount.m_refusedUntil &&
-      aNow - aAccount.m_lastRenewal >= m_options.m_renewalInterval &&
+      aNow - aAccount.m_lastRenewal >= aMinInterval &&
       ExpectedArrivals(aAccount, kLeaseSpan, aNow) >= kMinExpectedForRenewal &&
-      TokensValidAt(aAccount, aNow + kRenewalLead) <
-        ExpectedArrivals(aAccount, kRenewalLead, aNow)) {
+      TokensValidAt(aAccount, aNow + aLead) <
+        ExpectedArrivals(aAccount, aLead, aNow)) {
     StartRound(aHash, aAccount);
   }
 }
@@ -495,7 +502,14 @@
     if (QuotaGroupOf(hash) != aGroup) {
       continue;
     }
-    RenewAhead(hash, account, aNow);
+    // A message that is sent anyway also asks for what will be due soon.
+    if (aPosition == 0 && !skipped) {
+      RenewAhead(hash,
+                 account,
+                 kSharedRenewalLead,
+                 m_options.m_renewalInterval / 2,
+                 aNow);
+    }
     if (!account.m_round || account.m_round->m_sequence != 0 ||
         account.m_round->m_position != aPosition) {
       continue;
--- a/packages/core/quota/quota_leases.h
+++ b/packages/core/quota/quota_leases.h
@@ -196,8 +196,13 @@
   void StartRound(WorkspaceHash aHash, Account& aAccount);
   // Notes that messages of the group may be due.
   void MarkPending(uint32_t aGroup);
-  // Starts a round if tokens run out soon.
-  void RenewAhead(WorkspaceHash aHash, Account& aAccount, TimePoint aNow);
+  // Starts a round if tokens run out within `aLead` and none was started within
+  // `aMinInterval`.
+  void RenewAhead(WorkspaceHash aHash,
+                  Account& aAccount,
+                  Duration aLead,
+                  Duration aMinInterval,
+                  TimePoint aNow);
   void Advance(Account& aAccount, TimePoint aNow);
   void EndRound(Account& aAccount, TimePoint aNow);
   void ServeWaiters(Account& aAccount, TimePoint aNow);
