--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -271,6 +271,12 @@
     "A request has no key, or one that the configuration in force does "
     "not contain.",
     "request route version reason status" },
+  EventInfo{ Event::kGranterRoleChanged,
+             Severity::kInfo,
+             "granter_changed",
+             "The groups of workspaces changed whose quota tokens this "
+             "instance grants in its data centre.",
+             "groups" },
 };
 
 const EventInfo&
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -62,6 +62,7 @@
   kForwardStarted = 1904,
   kReachabilityChanged = 1905,
   kAccessRefused = 1906,
+  kGranterRoleChanged = 2001,
 };
 
 enum class Severity
