--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -10,6 +10,7 @@
 
 // Greater ages are sent as this one: a feed of that age is of no use.
 constexpr Duration kMaxAge = Seconds(3600);
+constexpr uint64_t kMaxMessageWords = uint64_t{ 8 } << 20;
 
 uint32_t
 EncodeAge(Duration aAge)
@@ -140,9 +141,10 @@
 DecodeFleetMessage(std::string_view aBytes)
 {
   FleetMessage message;
-  bool decoded = UnpackMessage(aBytes, [&](capnp::MessageReader& aReader) {
-    message = ReadMessage(aReader.getRoot<wire::FleetDatagram>());
-  });
+  bool decoded =
+    UnpackMessage(aBytes, kMaxMessageWords, [&](capnp::MessageReader& aReader) {
+      message = ReadMessage(aReader.getRoot<wire::FleetDatagram>());
+    });
   if (!decoded) {
     return std::nullopt;
   }
@@ -165,11 +167,12 @@
 DecodeDeltas(std::string_view aBytes)
 {
   std::vector<FeedDelta> result;
-  bool decoded = UnpackMessage(aBytes, [&](capnp::MessageReader& aReader) {
-    for (auto delta : aReader.getRoot<wire::FeedAnswer>().getDeltas()) {
-      result.push_back(ReadDelta(delta));
-    }
-  });
+  bool decoded =
+    UnpackMessage(aBytes, kMaxMessageWords, [&](capnp::MessageReader& aReader) {
+      for (auto delta : aReader.getRoot<wire::FeedAnswer>().getDeltas()) {
+        result.push_back(ReadDelta(delta));
+      }
+    });
   if (!decoded) {
     return std::nullopt;
   }
--- a/packages/runtime/fleet/packed_message.h
+++ b/packages/runtime/fleet/packed_message.h
@@ -1,6 +1,7 @@
-// Packed Cap'n Proto messages as bytes.
+// Packs and unpacks Cap'n Proto messages of other instances.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -11,7 +12,7 @@
 
 namespace ebonykeel {
 
-[[nodiscard]] inline std::string
+inline std::string
 PackMessage(capnp::MallocMessageBuilder& aMessage)
 {
   kj::VectorOutputStream stream;
@@ -21,17 +22,16 @@
 }
 
 // Calls `aRead` with the message in `aBytes`; returns false if they are not a
-// valid message.
+// valid message. At most `aMaxWords` words are read.
 template<typename Read>
 bool
-UnpackMessage(std::string_view aBytes, Read aRead)
+UnpackMessage(std::string_view aBytes, uint64_t aMaxWords, Read aRead)
 {
-  constexpr uint64_t kMaxWords = uint64_t{ 8 } << 20;
   auto problem = kj::runCatchingExceptions([&]() {
     kj::ArrayInputStream stream(kj::arrayPtr(
       reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
     capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMaxWords;
+    options.traversalLimitInWords = aMaxWords;
     capnp::PackedMessageReader reader(stream, options);
     aRead(reader);
   });
--- a/packages/runtime/fleet/rollout_codec.cc
+++ b/packages/runtime/fleet/rollout_codec.cc
@@ -12,6 +12,8 @@
 
 // Greater ages are sent as this one: orders last minutes.
 constexpr Duration kMaxAge = Seconds(86400);
+// A message fits into a datagram.
+constexpr uint64_t kMaxMessageWords = 4096;
 // A greater number of answers is not believed.
 constexpr uint64_t kMaxCount = uint64_t{ 1 } << 48U;
 
@@ -190,17 +192,18 @@
 DecodeRolloutMessage(std::string_view aBytes)
 {
   std::optional<RolloutMessage> result;
-  bool decoded = UnpackMessage(aBytes, [&](capnp::MessageReader& aReader) {
-    auto message = aReader.getRoot<wire::RolloutMessage>();
-    switch (message.which()) {
-      case wire::RolloutMessage::REPORT:
-        result = ReadReport(message.getReport());
-        break;
-      case wire::RolloutMessage::ANNOUNCEMENT:
-        result = ReadAnnouncement(message.getAnnouncement());
-        break;
-    }
-  });
+  bool decoded =
+    UnpackMessage(aBytes, kMaxMessageWords, [&](capnp::MessageReader& aReader) {
+      auto message = aReader.getRoot<wire::RolloutMessage>();
+      switch (message.which()) {
+        case wire::RolloutMessage::REPORT:
+          result = ReadReport(message.getReport());
+          break;
+        case wire::RolloutMessage::ANNOUNCEMENT:
+          result = ReadAnnouncement(message.getAnnouncement());
+          break;
+      }
+    });
   return decoded ? result : std::nullopt;
 }
 
