--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -159,7 +159,7 @@
     const SubRequest& aSubRequest,
     TimePoint aNow) const;
   // Returns whether another sub-request to the same service could be sent.
-  [[nodiscard]] bool IsCapacityLeft(const SubRequest& aSubRequest,
+  [[nodiscard]] bool IsCapacityLeft(SubRequest& aSubRequest,
                                     TimePoint aNow) const;
   void OnTurn(uint64_t aTicket) override;
   // Makes a sub-request wait until an upstream may receive another request.
--- a/packages/core/forward/forward_run_waiting.cc
+++ b/packages/core/forward/forward_run_waiting.cc
@@ -73,13 +73,12 @@
 }
 
 bool
-ForwardRun::IsCapacityLeft(const SubRequest& aSubRequest, TimePoint aNow) const
+ForwardRun::IsCapacityLeft(SubRequest& aSubRequest, TimePoint aNow) const
 {
   std::vector<ReplicaPtr> reserved = ReservedReplicas(aSubRequest, aNow);
   const ReplicaLoad& load = m_environment->m_load;
   return std::ranges::any_of(
-    m_environment->m_catalogue.Usable(aSubRequest.m_service),
-    [&](const ReplicaPtr& aReplica) {
+    UsableReplicas(aSubRequest, aNow), [&](const ReplicaPtr& aReplica) {
       return load.HasQueueCapacity(*aReplica, aNow) &&
              !load.UnavailableUntil(*aReplica, aNow) &&
              std::ranges::find(reserved, aReplica) == reserved.end();
