Parser: a status without exactly three digits is malformed

Cause: http_parser reads any number of digits up to the value 999. An answer with the status 0200 was taken as 200 and passed on, and its connection was used again; 0100 counted as an interim answer.

Change: the parser counts the digits of the status. Any other number than three makes the answer malformed, like a status out of 100 to 599.

--- a/packages/runtime/http1/parser.cc
+++ b/packages/runtime/http1/parser.cc
@@ -70,6 +70,7 @@
     m_progress = Progress::kHeaders;
   }
   bool inHeaders = m_progress == Progress::kHeaders;
+  CountStatusDigits(aBytes);
   m_input = aBytes;
   size_t used =
     http_parser_execute(&m_parser, &Settings(), aBytes.data(), aBytes.size());
@@ -111,6 +112,8 @@
   m_inValue = false;
   m_atLineStart = false;
   m_headerBytesRead = 0;
+  m_statusLinePart = StatusLinePart::kVersion;
+  m_statusDigits = 0;
   m_reason.clear();
   m_request = Http1Request{ .m_method = "", .m_target = "" };
   m_response = Http1Response{ .m_status = 0 };
@@ -185,11 +188,36 @@
   return m_kind == Kind::kRequest ? m_request.m_body : m_response.m_body;
 }
 
+void
+Http1Parser::CountStatusDigits(std::string_view aBytes)
+{
+  for (char character : aBytes) {
+    switch (m_statusLinePart) {
+      case StatusLinePart::kVersion:
+        if (character == ' ') {
+          m_statusLinePart = StatusLinePart::kStatus;
+        }
+        break;
+      case StatusLinePart::kStatus:
+        if (absl::ascii_isdigit(static_cast<unsigned char>(character))) {
+          ++m_statusDigits;
+        } else if (m_statusDigits > 0) {
+          m_statusLinePart = StatusLinePart::kRest;
+        }
+        break;
+      case StatusLinePart::kRest:
+        return;
+    }
+  }
+}
+
 bool
 Http1Parser::HasValidStatus() const
 {
+  constexpr size_t kStatusDigits = 3;
   return m_kind == Kind::kRequest ||
-         IsValidStatus(static_cast<int>(m_parser.status_code));
+         (m_statusDigits == kStatusDigits &&
+          IsValidStatus(static_cast<int>(m_parser.status_code)));
 }
 
 bool
--- a/packages/runtime/http1/parser.h
+++ b/packages/runtime/http1/parser.h
@@ -76,6 +76,9 @@
   static Http1Parser& Self(http_parser* aParser);
   [[nodiscard]] std::vector<Http1Header>& Headers();
   [[nodiscard]] std::string& Body();
+  // Counts the digits of the status in the next bytes of a response.
+  void CountStatusDigits(std::string_view aBytes);
+  // The library accepts statuses with any number of digits, such as 0200.
   [[nodiscard]] bool HasValidStatus() const;
   // The library accepts names that contain a blank, or a blank after them.
   [[nodiscard]] bool HasValidHeaderNames();
@@ -104,6 +107,15 @@
   // so far and their end.
   bool m_atLineStart = false;
   size_t m_headerBytesRead = 0;
+  // The part of a response's first line that is read next.
+  enum class StatusLinePart
+  {
+    kVersion,
+    kStatus,
+    kRest,
+  };
+  StatusLinePart m_statusLinePart = StatusLinePart::kVersion;
+  size_t m_statusDigits = 0;
   // The text after the status code of a response.
   std::string m_reason;
   Http1Request m_request;
--- a/packages/runtime/http1/parser_test.cc
+++ b/packages/runtime/http1/parser_test.cc
@@ -124,6 +124,33 @@
   }
 }
 
+// Guards against a status that receivers read differently, such as 0200.
+DOCTEST_TEST_CASE("a status without exactly three digits is malformed")
+{
+  auto parse = [](const std::string& aLine, bool aInPieces) {
+    Http1Parser parser = ResponseParser();
+    std::string bytes = "\r\n" + aLine + "\r\nContent-Length: 0\r\n\r\n";
+    size_t size = aInPieces ? 1 : bytes.size();
+    for (size_t at = 0; at < bytes.size(); at += size) {
+      parser.Feed(std::string_view(bytes).substr(at, size));
+    }
+    return parser.State();
+  };
+  for (bool inPieces : { false, true }) {
+    for (const char* line : { "HTTP/1.1 0200 200",
+                              "HTTP/1.1 00200",
+                              "HTTP/1.1 0404 Not Found",
+                              "HTTP/1.1 0100",
+                              "HTTP/1.1 20 0" }) {
+      DOCTEST_CHECK(parse(line, inPieces) == Progress::kMalformed);
+    }
+    for (const char* line :
+         { "HTTP/1.1 200", "HTTP/1.1 200 0200", "HTTP/1.1  404 X" }) {
+      DOCTEST_CHECK(parse(line, inPieces) == Progress::kComplete);
+    }
+  }
+}
+
 // Guards against a receiver that does not read a header which the sender acts
 // on, such as "Content-Length : 4".
 DOCTEST_TEST_CASE("a message with an invalid header name is malformed")
