--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -15,26 +15,29 @@
 // Each upstream gets a limited number of concurrent requests from one instance.
 // A sub-request whose upstreams are all full, or that was shed, waits here for
 // capacity: after a burst, or when all callers return at once, requests that
-// pile up at the upstreams would only be shed there. `RefusalPolicy` decides
-// which requests are refused.
+// pile up at the upstreams would only be shed there. `CapacityQueue` decides
+// whose turn it is, `RefusalPolicy` which requests are refused.
 //
 // A sub-request is the part of the request that goes to one service. A route to
 // one service has one sub-request, a gathered route one for each shard.
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/forward/capacity_queue.h"
 #include "core/forward/forward_request.h"
 #include "core/forward/forward_result.h"
 #include "core/replica/replica.h"
 
 namespace ebonykeel {
 
-// The environment of a run. Its methods must not call back into the run.
+// The environment of a run. Its methods must not call back into the run, except
+// `ExpectedWorkOf` and `NextTimer`.
 class ForwardPort
 {
 public:
@@ -47,16 +50,22 @@
                     Duration aDeadline) = 0;
   // Cancels an attempt whose answer is no longer needed.
   virtual void Cancel(uint32_t aSubRequest, uint32_t aAttempt) = 0;
+  // Asks for a call of `OnTimer` soon, but not within this call: what
+  // `NextTimer` returns has become earlier.
+  virtual void RequestTimer() {}
   // Reports the result of the run. Called once, as the last call.
   virtual void Finish(const ForwardResult& aResult) = 0;
 };
 
-class ForwardRun
+class ForwardRun : private CapacityWaiter
 {
 public:
   ForwardRun(ForwardRequest aRequest,
              ForwardEnvironment& aEnvironment,
              ForwardPort& aPort);
+  ~ForwardRun() override;
+  ForwardRun(const ForwardRun&) = delete;
+  ForwardRun& operator=(const ForwardRun&) = delete;
 
   void Start(TimePoint aNow);
   void OnOutcome(uint32_t aSubRequest,
@@ -73,6 +82,13 @@
   // not call `Finish`.
   void Abandon();
 
+  // Returns the expected work of an attempt, with which it is sent.
+  [[nodiscard]] const ExpectedWork& ExpectedWorkOf(uint32_t aSubRequest,
+                                                   uint32_t aAttempt) const
+  {
+    return m_subRequests[aSubRequest].m_attempts[aAttempt].m_work;
+  }
+
   // Returns when `OnTimer` is due; nothing once the run has ended.
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
   [[nodiscard]] bool Ended() const { return m_ended; }
@@ -82,6 +98,9 @@
   {
     ReplicaPtr m_replica;
     TimePoint m_sentAt;
+    ExpectedWork m_work;
+    // When the answer was expected at the time of sending.
+    Duration m_predicted{};
     bool m_open = true;
     bool m_mayHaveRun = true;
   };
@@ -97,6 +116,7 @@
     TimePoint m_hedgeAt;
     // Set while the sub-request waits for capacity.
     TimePoint m_nextCapacityCheck;
+    uint64_t m_ticket = 0;
     bool m_waitingForCapacity = false;
   };
 
@@ -110,12 +130,32 @@
   [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
                                                 bool aAllowTried,
                                                 TimePoint aNow) const;
+  // Returns what is expected of an attempt that is sent now, as
+  // `ReplicaLoad::Choose` takes it.
+  [[nodiscard]] Duration TypicalLatency(TimePoint aNow) const;
+  [[nodiscard]] ExpectedWork ExpectWork(TimePoint aNow) const;
   [[nodiscard]] bool MayRetry(const SubRequest& aSubRequest,
                               AttemptOutcome aOutcome) const;
   [[nodiscard]] static bool HasOpenAttempt(const SubRequest& aSubRequest);
   void OnFailedAttempt(uint32_t aSubRequest,
                        AttemptOutcome aOutcome,
                        TimePoint aNow);
+  // Returns when a request is refused of which nothing has been sent by then.
+  [[nodiscard]] TimePoint UnsentRefusalTime() const;
+  // Returns whether the request waits for capacity and nothing has been sent.
+  [[nodiscard]] bool WaitsUnsent() const;
+  [[nodiscard]] WaitingRank RankAt(TimePoint aNow) const;
+  // Returns whether no other sub-request that waits goes before this one.
+  [[nodiscard]] bool MayStartBeforeWaiting(const SubRequest& aSubRequest,
+                                           TimePoint aNow) const;
+  // Returns the upstreams whose places are left to more urgent requests.
+  [[nodiscard]] std::vector<ReplicaPtr> ReservedReplicas(
+    const SubRequest& aSubRequest,
+    TimePoint aNow) const;
+  // Returns whether another sub-request to the same service could be sent.
+  [[nodiscard]] bool IsCapacityLeft(const SubRequest& aSubRequest,
+                                    TimePoint aNow) const;
+  void OnTurn(uint64_t aTicket) override;
   // Makes a sub-request wait until an upstream may receive another request.
   void WaitForCapacity(SubRequest& aSubRequest, TimePoint aNow);
   void StopWaiting(SubRequest& aSubRequest);
@@ -138,8 +178,12 @@
   ForwardEnvironment* m_environment;
   ForwardPort* m_port;
   std::vector<SubRequest> m_subRequests;
+  // What the answered parts say about the open ones; null unless the request is
+  // gathered and placed by work.
+  std::shared_ptr<GatheredWork> m_gatheredWork;
   TimePoint m_earlyAnswerAt;
   TimePoint m_timeoutAt;
+  TimePoint m_refuseUnsentAt;
   // Set by `EndBy`.
   std::optional<TimePoint> m_endBy;
   bool m_ended = false;
--- a/packages/node/entry/upstream_sender.cc
+++ b/packages/node/entry/upstream_sender.cc
@@ -1,5 +1,6 @@
 #include "node/entry/upstream_sender.h"
 
+#include <optional>
 #include <utility>
 
 namespace ebonykeel {
@@ -17,8 +18,7 @@
                                Http1Client& aClient,
                                const TrafficProtocol& aProtocol,
                                RoutingState& aRouting,
-                               ReplicaLoad& aLoad,
-                               LatencyModel& aLatencies,
+                               ForwardEnvironment& aEnvironment,
                                ForwardStats& aStats,
                                LineLog& aLog,
                                UpstreamSenderOptions aOptions)
@@ -26,8 +26,9 @@
   , m_client(aClient)
   , m_protocol(aProtocol)
   , m_routing(aRouting)
-  , m_load(aLoad)
-  , m_latencies(aLatencies)
+  , m_environment(aEnvironment)
+  , m_load(aEnvironment.m_load)
+  , m_latencies(aEnvironment.m_latencies)
   , m_stats(aStats)
   , m_log(aLog)
   , m_options(aOptions)
@@ -42,9 +43,11 @@
 {
   auto attempt = std::make_shared<UpstreamAttempt>(std::move(aAttempt));
   const Replica& replica = *attempt->m_replica;
-  attempt->m_typicalLatency = m_latencies.Typical(*attempt->m_route);
+  attempt->m_typicalLatency =
+    m_load.PlacesByWork() ? attempt->m_work.Mean() + attempt->m_work.Spread()
+                          : m_latencies.Typical(*attempt->m_route);
   attempt->m_sentAt = m_loop.Now();
-  m_load.OnSent(replica, attempt->m_sentAt);
+  m_load.OnSent(replica, attempt->m_sentAt, attempt->m_work);
   Http1Request request = m_protocol.MakeUpstreamRequest(
     aRequest, replica, attempt->m_caller, aDeadline);
   Http1Call call{ .m_address = replica.m_address,
@@ -86,8 +89,9 @@
                                   aAttempt->m_typicalLatency,
                                   now);
   } else {
-    m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt);
+    m_load.OnAttemptCancelled(*aAttempt->m_replica, aAttempt->m_sentAt, now);
   }
+  m_environment.m_waiters.OnCapacity(aAttempt->m_replica->m_service, now);
   m_stats.OnAttemptEnded("any", "dropped");
 }
 
@@ -120,7 +124,9 @@
   aAttempt->m_httpCall = 0;
   aAttempt->m_connection = aResult.m_connection;
   RecordOutcome(*aAttempt, answer.m_outcome, aResult.m_problem);
-  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, m_loop.Now());
+  TimePoint now = m_loop.Now();
+  m_routing.ApplyNotices(*aAttempt->m_replica, answer.m_notices, now);
+  m_environment.m_waiters.OnCapacity(aAttempt->m_replica->m_service, now);
   if (auto observer = aAttempt->m_observer.lock()) {
     observer->OnAttemptEnded(aAttempt->m_subRequest,
                              aAttempt->m_attempt,
@@ -139,8 +145,14 @@
   m_stats.OnAttemptEnded("any", AttemptOutcomeName(aOutcome));
   switch (aOutcome) {
     case AttemptOutcome::kSuccess:
-      m_load.OnAnswered(
-        replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now);
+      if (std::optional<WorkSample> sample = m_load.OnAnswered(
+            replica, aAttempt.m_sentAt, aAttempt.m_typicalLatency, now)) {
+        m_environment.m_work.Add(*aAttempt.m_route,
+                                 aAttempt.m_caller.m_workspace,
+                                 sample->m_expected,
+                                 sample->m_seen,
+                                 now);
+      }
       m_latencies.Add(*aAttempt.m_route, now - aAttempt.m_sentAt);
       break;
     case AttemptOutcome::kFailure:
