Command explain-route: request and text view

Cause: operators cannot ask an instance where a request would go now; explain tells only from logs what became of one that ended.

Change: the command line reads host, path, workspace, body size and shard, and asks GET /explain-route at the metrics address of an instance, without a token. A view of its own renders the answer; the readers of JSON members that both views use are in json_text.

--- a/packages/cli/command_line.cc
+++ b/packages/cli/command_line.cc
@@ -28,6 +28,7 @@
   ebonykeel report [options]
   ebonykeel load FILE [options]
   ebonykeel explain ID [FILE...] [options]
+  ebonykeel explain-route HOST PATH [options]
   ebonykeel --help
   ebonykeel --version
 
@@ -46,10 +47,14 @@
   load         Run an experiment file: open-loop load with scheduled faults.
   explain      Explain, from the logs of instances (or standard input), how a
                request in forward mode ended.
+  explain-route  Ask an instance in forward mode where a request to HOST and PATH
+               would go now and why, without sending it.
 
 Options:
   --admin=HOST:PORT    Administration address of an instance [default: 127.0.0.1:7002].
   --node=HOST:PORT     Public address of an instance [default: 127.0.0.1:7001].
+  --metrics=HOST:PORT  Metrics address of an instance in forward mode
+                       [default: 127.0.0.1:9464].
   --token-file=FILE    File with the token of the administration address.
   --author=NAME        Author of the change [default: operator].
   --change-id=ID       Id of the change; use the same id to retry it.
@@ -69,6 +74,9 @@
   --payload-file=FILE  File with the payload of the filing.
   --issued-at-ms=N     When the filing was first issued, in Unix milliseconds;
                        use the same time to retry it; 0 means now [default: 0].
+  --workspace=NAME     Workspace of the request; its name, never a key.
+  --body-bytes=N       Size of the request's body.
+  --shard=NAME         Service of the route to show in detail.
   --result=FOLDER      Folder that load writes its result, data and plot
                        scripts to.
   --rate=N             Requests per second; overrides the experiment file.
@@ -140,6 +148,10 @@
     m_line.m_payloadFile = TextOf(m_values, "--payload-file");
     m_line.m_adminAddress = EndpointOf("--admin");
     m_line.m_publicAddress = EndpointOf("--node");
+    m_line.m_metricsAddress = EndpointOf("--metrics");
+    m_line.m_path = TextOf(m_values, "PATH");
+    m_line.m_workspace = TextOf(m_values, "--workspace");
+    m_line.m_shard = TextOf(m_values, "--shard");
     ReadOutput();
     if (!m_errors.empty()) {
       return { std::nullopt, m_errors, ExitCode::kUsage };
@@ -171,6 +183,7 @@
       { "report", Command::kReport, "" },
       { "load", Command::kLoad, "" },
       { "explain", Command::kExplain, "ID" },
+      { "explain-route", Command::kExplainRoute, "HOST" },
     };
     for (const CommandSpec& spec : kCommands) {
       if (IsSet(m_values, spec.m_name)) {
@@ -197,6 +210,9 @@
     m_line.m_limit = NumberOf("--limit");
     m_line.m_deadlineMs = NumberOf("--deadline-ms");
     m_line.m_issuedAtMs = NumberOf("--issued-at-ms");
+    if (!TextOf(m_values, "--body-bytes").empty()) {
+      m_line.m_bodyBytes = NumberOf("--body-bytes");
+    }
     m_line.m_resultFolder = TextOf(m_values, "--result");
     if (!TextOf(m_values, "--rate").empty()) {
       m_line.m_rate = static_cast<double>(NumberOf("--rate"));
--- a/packages/cli/command_line.h
+++ b/packages/cli/command_line.h
@@ -34,6 +34,7 @@
   kReport,
   kLoad,
   kExplain,
+  kExplainRoute,
 };
 
 enum class OutputFormat
@@ -51,7 +52,7 @@
   std::vector<std::string> m_files;
   // The main argument: the folder of `publish`, the service of `where` and
   // `file`, the name of the data centre, the id of the upstream, the text of
-  // `query`, or the request id of `explain`.
+  // `query`, the request id of `explain`, or the host of `explain-route`.
   std::string m_subject;
   // "out" or "in" for `data-centre`, "drain" or "restore" for `upstream`, the
   // operation for `file`.
@@ -59,6 +60,7 @@
   uint64_t m_generation = 0;
   Endpoint m_adminAddress;
   Endpoint m_publicAddress;
+  Endpoint m_metricsAddress;
   std::string m_tokenFile;
   std::string m_author;
   // Empty to use a random id.
@@ -81,6 +83,12 @@
   std::string m_payloadFile;
   // When the filing was first issued, in Unix milliseconds; 0 means now.
   uint64_t m_issuedAtMs = 0;
+  // The request that `explain-route` asks about, besides its host.
+  std::string m_path;
+  std::string m_workspace;
+  std::optional<uint64_t> m_bodyBytes;
+  // The service that `explain-route` shows in detail; empty to show several.
+  std::string m_shard;
   // The folder that `load` writes its result to; empty writes no files.
   std::string m_resultFolder;
   // Override the values of the experiment file.
--- a/packages/cli/requests.cc
+++ b/packages/cli/requests.cc
@@ -136,6 +136,30 @@
   return MakeChangeRequest(aLine, aContext, "POST", "/v1/admin/rollback", body);
 }
 
+InstanceRequest
+MakeExplainRouteRequest(const CommandLine& aLine)
+{
+  InstanceRequest request;
+  request.m_endpoint = aLine.m_metricsAddress;
+  request.m_http.m_path = "/explain-route";
+  request.m_http.m_query = absl::StrCat("host=",
+                                        PercentEncode(aLine.m_subject),
+                                        "&path=",
+                                        PercentEncode(aLine.m_path));
+  auto add = [&request](const char* aName, const std::string& aValue) {
+    if (!aValue.empty()) {
+      absl::StrAppend(
+        &request.m_http.m_query, "&", aName, "=", PercentEncode(aValue));
+    }
+  };
+  add("workspace", aLine.m_workspace);
+  add("service", aLine.m_shard);
+  if (aLine.m_bodyBytes) {
+    add("body_bytes", absl::StrCat(*aLine.m_bodyBytes));
+  }
+  return request;
+}
+
 } // namespace
 
 InstanceRequest
@@ -170,6 +194,8 @@
       return MakeAdminRequest(aLine, aContext, "GET", "/v1/admin/history");
     case Command::kReport:
       return MakeAdminRequest(aLine, aContext, "GET", "/v1/admin/report");
+    case Command::kExplainRoute:
+      return MakeExplainRouteRequest(aLine);
     case Command::kStatus:
     case Command::kCheck:
     case Command::kPublish:
--- a/packages/cli/text_view.cc
+++ b/packages/cli/text_view.cc
@@ -5,6 +5,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
+#include "cli/json_text.h"
+#include "cli/route_view.h"
 #include "core/base/finding.h"
 
 namespace ebonykeel::cli {
@@ -12,33 +14,6 @@
 
 using Json = nlohmann::json;
 
-const Json&
-Member(const Json& aObject, const char* aKey)
-{
-  static const Json kNull;
-  if (!aObject.is_object()) {
-    return kNull;
-  }
-  auto found = aObject.find(aKey);
-  return found == aObject.end() ? kNull : *found;
-}
-
-// Returns a JSON scalar as text: strings without quotes, null as empty text.
-std::string
-Scalar(const Json& aValue)
-{
-  if (aValue.is_string()) {
-    return aValue.get<std::string>();
-  }
-  return aValue.is_null() ? std::string() : aValue.dump();
-}
-
-std::string
-Text(const Json& aObject, const char* aKey)
-{
-  return Scalar(Member(aObject, aKey));
-}
-
 std::string
 JoinArray(const Json& aArray)
 {
@@ -51,20 +26,6 @@
   return text.empty() ? "none" : text;
 }
 
-template<typename Render>
-std::string
-RenderEach(const Json& aObject, const char* aKey, Render aRender)
-{
-  std::string text;
-  const Json& array = Member(aObject, aKey);
-  if (array.is_array()) {
-    for (const Json& entry : array) {
-      absl::StrAppend(&text, aRender(entry));
-    }
-  }
-  return text;
-}
-
 std::string
 RenderChange(const Json& aAnswer)
 {
@@ -232,6 +193,8 @@
       return RenderFiling(aAnswer);
     case Command::kReport:
       return RenderReport(aAnswer);
+    case Command::kExplainRoute:
+      return RenderRoute(aAnswer);
     case Command::kCheck:
     case Command::kLoad:
     case Command::kExplain:
