--- a/packages/node/entry/upstream_sender.h
+++ b/packages/node/entry/upstream_sender.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/forward/forward_request.h"
 #include "core/forward/latency_model.h"
 #include "core/replica/replica_load.h"
 #include "core/traffic/traffic_config.h"
@@ -48,6 +49,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   // Belongs to `m_routes`.
   const Route* m_route = nullptr;
+  ExpectedWork m_work;
   // Identifies the caller attempt; empty if the caller gave no identifier.
   std::string m_attemptId;
   CallerIdentity m_caller;
@@ -85,8 +87,7 @@
                  Http1Client& aClient,
                  const TrafficProtocol& aProtocol,
                  RoutingState& aRouting,
-                 ReplicaLoad& aLoad,
-                 LatencyModel& aLatencies,
+                 ForwardEnvironment& aEnvironment,
                  ForwardStats& aStats,
                  LineLog& aLog,
                  UpstreamSenderOptions aOptions);
@@ -119,6 +120,7 @@
   Http1Client& m_client;
   const TrafficProtocol& m_protocol;
   RoutingState& m_routing;
+  ForwardEnvironment& m_environment;
   ReplicaLoad& m_load;
   LatencyModel& m_latencies;
   ForwardStats& m_stats;
