Explain where a request would go, by the code that decides

Cause: only logs tell where a request went, and nothing tells why before it is sent.

Change: ForwardRun::PreviewStart returns what Start would do. Both use PlanStart, CapacityQueue's rank, RefusalPolicy and ReplicaLoad::Choose; what these advance (the rotation among equals, the spread of retry delays) is an argument, of which the preview takes a copy. ExplainRoute adds the state of each upstream, admission and a summary. The metrics address answers GET /explain-route as JSON; its parameters are bounded and checked, and problems do not repeat them. QuotaView is the place for the tokens that an instance holds and knows of none yet.

--- a/packages/core/forward/capacity_queue.cc
+++ b/packages/core/forward/capacity_queue.cc
@@ -35,12 +35,26 @@
                         TimePoint aNow)
 {
   auto service = m_services.find(aService);
-  if (service == m_services.end()) {
+  if (service != m_services.end()) {
+    FindFirst(service->second, aNow);
+  }
+  return WouldStart(aService, aRank, aNow);
+}
+
+bool
+CapacityQueue::WouldStart(const std::string& aService,
+                          const WaitingRank& aRank,
+                          TimePoint aNow) const
+{
+  auto found = m_services.find(aService);
+  if (found == m_services.end()) {
     return true;
   }
-  uint64_t first = FindFirst(service->second, aNow);
+  const Service& service = found->second;
+  uint64_t first =
+    IsFirstKnown(service, aNow) ? service.m_first : ComputeFirst(service, aNow);
   return first == 0 ||
-         !GoesBefore(service->second.m_entries.at(first).m_rank, aRank, aNow);
+         !GoesBefore(service.m_entries.at(first).m_rank, aRank, aNow);
 }
 
 uint64_t
@@ -169,29 +183,47 @@
     return leftInTime;
   }
   return aLeft.m_workspace == aRight.m_workspace ||
-         m_usage.At(aLeft.m_workspace, aNow) <=
-           m_usage.At(aRight.m_workspace, aNow);
+         UsageOf(aLeft, aNow) <= UsageOf(aRight, aNow);
+}
+
+double
+CapacityQueue::UsageOf(const WaitingRank& aRank, TimePoint aNow) const
+{
+  return m_usage.At(aRank.m_workspace, aNow) +
+         ToMillisecondsF(aRank.m_uncountedWork) / 1000;
+}
+
+bool
+CapacityQueue::IsFirstKnown(const Service& aService, TimePoint aNow)
+{
+  return aService.m_first != 0 && aNow - aService.m_firstAt < kFirstLifetime;
 }
 
 uint64_t
 CapacityQueue::FindFirst(Service& aService, TimePoint aNow)
 {
-  if (aService.m_first != 0 && aNow - aService.m_firstAt < kFirstLifetime) {
-    return aService.m_first;
+  if (!IsFirstKnown(aService, aNow)) {
+    aService.m_first = ComputeFirst(aService, aNow);
+    aService.m_firstAt = aNow;
   }
+  return aService.m_first;
+}
+
+uint64_t
+CapacityQueue::ComputeFirst(const Service& aService, TimePoint aNow) const
+{
   const Entry* first = nullptr;
-  aService.m_first = 0;
-  aService.m_firstAt = aNow;
+  uint64_t firstTicket = 0;
   for (const auto& [ticket, entry] : aService.m_entries) {
     if (aNow < entry.m_passedOverUntil) {
       continue;
     }
     if (first == nullptr || !GoesBefore(first->m_rank, entry.m_rank, aNow)) {
       first = &entry;
-      aService.m_first = ticket;
+      firstTicket = ticket;
     }
   }
-  return aService.m_first;
+  return firstTicket;
 }
 
 void
--- a/packages/core/forward/capacity_queue.h
+++ b/packages/core/forward/capacity_queue.h
@@ -53,6 +53,8 @@
   // latency.
   TimePoint m_inTimeUntil;
   std::string m_workspace;
+  // Work that the workspace is about to use and that is not counted yet.
+  Duration m_uncountedWork{};
 };
 
 class CapacityQueue
@@ -72,6 +74,10 @@
   [[nodiscard]] bool MayStart(const std::string& aService,
                               const WaitingRank& aRank,
                               TimePoint aNow);
+  // Returns what `MayStart` would, without keeping what it computes.
+  [[nodiscard]] bool WouldStart(const std::string& aService,
+                                const WaitingRank& aRank,
+                                TimePoint aNow) const;
   // Adds a sub-request. `aWaiter` must stay valid until `Leave`. Returns its
   // ticket, which is never 0.
   [[nodiscard]] uint64_t Enter(const std::string& aService,
@@ -140,7 +146,15 @@
   [[nodiscard]] bool GoesBefore(const WaitingRank& aLeft,
                                 const WaitingRank& aRight,
                                 TimePoint aNow) const;
+  // Returns what counts as used by the workspace, in seconds of work.
+  [[nodiscard]] double UsageOf(const WaitingRank& aRank, TimePoint aNow) const;
+  // Returns whether the first in rank is known as of about `aNow`.
+  [[nodiscard]] static bool IsFirstKnown(const Service& aService,
+                                         TimePoint aNow);
   // Returns the ticket of the first in rank; 0 if there is none.
+  [[nodiscard]] uint64_t ComputeFirst(const Service& aService,
+                                      TimePoint aNow) const;
+  // Returns the same, and keeps it for a short time.
   uint64_t FindFirst(Service& aService, TimePoint aNow);
   void CallFirst(Service& aService, TimePoint aNow);
 
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -73,7 +73,8 @@
 void
 ForwardRun::Start(TimePoint aNow)
 {
-  RefusalPolicy policy(m_request, *m_environment, aNow);
+  RefusalPolicy policy(
+    m_request, *m_environment, m_environment->m_retrySpread, aNow);
   if (std::optional<ForwardResult> refusal =
         policy.RefuseUnsent(m_timeoutAt, m_endBy)) {
     Finish(*refusal);
@@ -85,13 +86,14 @@
                                            aNow);
     m_environment->m_waiters.OnRequest(
       m_subRequests[subRequest].m_service, m_request.m_priority, aNow);
-    const ReplicaPtr* replica =
-      MayStartBeforeWaiting(m_subRequests[subRequest], aNow)
-        ? ChooseReplica(m_subRequests[subRequest], false, aNow)
-        : nullptr;
-    if (replica != nullptr) {
-      SendTo(subRequest, *replica, AttemptReason::kFirst, aNow);
-    } else if (HasAvailableReplica(m_subRequests[subRequest].m_service, aNow)) {
+    StartPlan plan =
+      PlanStart(m_subRequests[subRequest],
+                MayStartBeforeWaiting(m_subRequests[subRequest], aNow),
+                m_environment->m_load.Rotation(),
+                aNow);
+    if (plan.m_replica != nullptr) {
+      SendTo(subRequest, *plan.m_replica, AttemptReason::kFirst, aNow);
+    } else if (plan.m_waits) {
       WaitForCapacity(m_subRequests[subRequest], aNow);
     } else {
       m_subRequests[subRequest].m_failed = true;
@@ -100,6 +102,48 @@
   FinishIfDue(aNow);
 }
 
+StartPreview
+ForwardRun::PreviewStart(TimePoint aNow) const
+{
+  StartPreview preview{
+    .m_typical = TypicalLatency(aNow),
+    .m_maxUnsentWait = m_refuseUnsentAt - m_request.m_receivedAt,
+  };
+  // Copies take the changes that `Start` makes.
+  RetrySpread retrySpread = m_environment->m_retrySpread;
+  ChoiceRotation rotation = m_environment->m_load.Rotation();
+  WaitingRank rank = RankAt(aNow);
+  preview.m_refusal =
+    RefusalPolicy(m_request, *m_environment, retrySpread, aNow)
+      .RefuseUnsent(m_timeoutAt, m_endBy);
+  for (const SubRequest& subRequest : m_subRequests) {
+    PartPreview part{ .m_reserved = ReservedReplicas(subRequest, aNow) };
+    if (!preview.m_refusal) {
+      part.m_mayStart =
+        m_environment->m_waiters.WouldStart(subRequest.m_service, rank, aNow);
+      part.m_plan = PlanStart(subRequest, part.m_mayStart, rotation, aNow);
+    }
+    if (part.m_plan.m_replica != nullptr) {
+      rank.m_uncountedWork += preview.m_typical;
+    }
+    preview.m_parts.push_back(std::move(part));
+  }
+  return preview;
+}
+
+StartPlan
+ForwardRun::PlanStart(const SubRequest& aSubRequest,
+                      bool aMayStart,
+                      ChoiceRotation& aRotation,
+                      TimePoint aNow) const
+{
+  const ReplicaPtr* replica =
+    aMayStart ? ChooseReplica(aSubRequest, false, aRotation, aNow) : nullptr;
+  return { .m_replica = replica,
+           .m_waits = replica == nullptr &&
+                      HasAvailableReplica(aSubRequest.m_service, aNow) };
+}
+
 void
 ForwardRun::OnOutcome(uint32_t aSubRequest,
                       uint32_t aAttempt,
@@ -227,6 +271,7 @@
 const ReplicaPtr*
 ForwardRun::ChooseReplica(const SubRequest& aSubRequest,
                           bool aAllowTried,
+                          ChoiceRotation& aRotation,
                           TimePoint aNow) const
 {
   std::vector<ReplicaPtr> reserved = ReservedReplicas(aSubRequest, aNow);
@@ -238,9 +283,10 @@
     m_environment->m_catalogue.Usable(aSubRequest.m_service);
   Duration typical = TypicalLatency(aNow);
   const ReplicaPtr* replica =
-    m_environment->m_load.Choose(usable, tried, typical, aNow);
+    m_environment->m_load.Choose(usable, tried, typical, aRotation, aNow);
   if (replica == nullptr && aAllowTried) {
-    replica = m_environment->m_load.Choose(usable, reserved, typical, aNow);
+    replica =
+      m_environment->m_load.Choose(usable, reserved, typical, aRotation, aNow);
   }
   if (replica != nullptr &&
       m_environment->m_load.UnreachableUntil(**replica, aNow)) {
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -57,6 +57,36 @@
   virtual void Finish(const ForwardResult& aResult) = 0;
 };
 
+// How a sub-request starts.
+struct StartPlan
+{
+  // The upstream that it is sent to; null if it is not sent at once.
+  const ReplicaPtr* m_replica = nullptr;
+  // Whether it waits for capacity. If neither, it fails.
+  bool m_waits = false;
+};
+
+struct PartPreview
+{
+  StartPlan m_plan;
+  // Whether no other sub-request that waits goes before it.
+  bool m_mayStart = false;
+  // The upstreams whose places are left to more urgent requests.
+  std::vector<ReplicaPtr> m_reserved;
+};
+
+// What `ForwardRun::Start` would do.
+struct StartPreview
+{
+  std::optional<ForwardResult> m_refusal;
+  // One for each sub-request. Without plans if the request is refused.
+  std::vector<PartPreview> m_parts;
+  // What is expected of an attempt, as `ReplicaLoad::Choose` takes it.
+  Duration m_typical{};
+  // How long the request may wait before anything is sent.
+  Duration m_maxUnsentWait{};
+};
+
 class ForwardRun : private CapacityWaiter
 {
 public:
@@ -68,6 +98,9 @@
   ForwardRun& operator=(const ForwardRun&) = delete;
 
   void Start(TimePoint aNow);
+  // Returns what `Start` would do, without changing anything. The pointers in
+  // it are valid until the next change of the catalogue.
+  [[nodiscard]] StartPreview PreviewStart(TimePoint aNow) const;
   void OnOutcome(uint32_t aSubRequest,
                  uint32_t aAttempt,
                  AttemptOutcome aOutcome,
@@ -127,8 +160,23 @@
               const ReplicaPtr& aReplica,
               AttemptReason aReason,
               TimePoint aNow);
+  // Returns how a sub-request starts. `aMayStart` is false if others that wait
+  // go before it.
+  [[nodiscard]] StartPlan PlanStart(const SubRequest& aSubRequest,
+                                    bool aMayStart,
+                                    ChoiceRotation& aRotation,
+                                    TimePoint aNow) const;
+  [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
+                                                bool aAllowTried,
+                                                TimePoint aNow) const
+  {
+    return ChooseReplica(
+      aSubRequest, aAllowTried, m_environment->m_load.Rotation(), aNow);
+  }
+  // The same with another rotation; nothing else changes.
   [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
                                                 bool aAllowTried,
+                                                ChoiceRotation& aRotation,
                                                 TimePoint aNow) const;
   // Returns what is expected of an attempt that is sent now, as
   // `ReplicaLoad::Choose` takes it.
--- a/packages/core/forward/forward_run_finish.cc
+++ b/packages/core/forward/forward_run_finish.cc
@@ -85,7 +85,9 @@
     });
   CancelOpenAttempts();
   if (!mayHaveRun) {
-    Finish(RefusalPolicy(m_request, *m_environment, aNow).RefuseNotRun());
+    RefusalPolicy policy(
+      m_request, *m_environment, m_environment->m_retrySpread, aNow);
+    Finish(policy.RefuseNotRun());
     return;
   }
   Finish(
--- a/packages/core/forward/refusal_policy.cc
+++ b/packages/core/forward/refusal_policy.cc
@@ -17,10 +17,12 @@
 } // namespace
 
 RefusalPolicy::RefusalPolicy(const ForwardRequest& aRequest,
-                             ForwardEnvironment& aEnvironment,
+                             const ForwardEnvironment& aEnvironment,
+                             RetrySpread& aRetrySpread,
                              TimePoint aNow)
   : m_request(aRequest)
   , m_environment(aEnvironment)
+  , m_retrySpread(aRetrySpread)
   , m_now(aNow)
 {
 }
@@ -69,8 +71,7 @@
       m_environment.m_waiters.CountAhead(service, m_request.m_priority));
     range = std::max(range, typical * ahead / std::max<int64_t>(slots, 1));
   }
-  return m_environment.m_retrySpread.Spread(
-    aDelay, std::min(range, kMaxOverloadSpread));
+  return m_retrySpread.Spread(aDelay, std::min(range, kMaxOverloadSpread));
 }
 
 std::optional<ForwardResult>
@@ -161,7 +162,7 @@
   Duration delay = aCoverage.AvailableAt(m_request.Required()) - m_now;
   return { .m_status = ForwardStatus::kRefused,
            .m_missing = static_cast<uint32_t>(aCoverage.UnavailableCount()),
-           .m_retryAfter = m_environment.m_retrySpread.Extend(delay),
+           .m_retryAfter = m_retrySpread.Extend(delay),
            .m_reason = "pushed-back" };
 }
 
--- a/packages/core/forward/refusal_policy.h
+++ b/packages/core/forward/refusal_policy.h
@@ -23,8 +23,10 @@
 class RefusalPolicy
 {
 public:
+  // `aRetrySpread` spreads the retry delays; nothing else changes.
   RefusalPolicy(const ForwardRequest& aRequest,
-                ForwardEnvironment& aEnvironment,
+                const ForwardEnvironment& aEnvironment,
+                RetrySpread& aRetrySpread,
                 TimePoint aNow);
 
   // Returns the refusal of a request of which nothing was sent; nothing if it
@@ -55,7 +57,8 @@
     const ServiceCoverage& aCoverage) const;
 
   const ForwardRequest& m_request;
-  ForwardEnvironment& m_environment;
+  const ForwardEnvironment& m_environment;
+  RetrySpread& m_retrySpread;
   TimePoint m_now;
 };
 
--- a/packages/core/replica/replica_catalogue.cc
+++ b/packages/core/replica/replica_catalogue.cc
@@ -69,6 +69,20 @@
   return found->second;
 }
 
+std::vector<ReplicaPtr>
+ReplicaCatalogue::Registered(std::string_view aService) const
+{
+  std::vector<ReplicaPtr> replicas;
+  auto ids = m_idsByService.find(aService);
+  if (ids != m_idsByService.end()) {
+    std::ranges::transform(
+      ids->second,
+      std::back_inserter(replicas),
+      [this](const std::string& aId) { return m_replicas.at(aId); });
+  }
+  return replicas;
+}
+
 std::map<DataCentre, size_t>
 ReplicaCatalogue::CountUsableByDataCentre(
   std::span<const std::string> aServices) const
--- a/packages/core/replica/replica_catalogue.h
+++ b/packages/core/replica/replica_catalogue.h
@@ -36,6 +36,20 @@
   // Returns the usable upstreams of a service. Valid until the next change.
   [[nodiscard]] std::span<const ReplicaPtr> Usable(
     std::string_view aService) const;
+  // Returns all upstreams of a service, also those that are not usable, by ID.
+  [[nodiscard]] std::vector<ReplicaPtr> Registered(
+    std::string_view aService) const;
+  // Returns whether the data centre's upstreams receive no requests.
+  [[nodiscard]] bool IsExcluded(const DataCentre& aDataCentre) const
+  {
+    return m_excluded.contains(aDataCentre);
+  }
+  // Returns whether this start of the upstream has announced that it is
+  // leaving.
+  [[nodiscard]] bool IsLeaving(const Replica& aReplica) const
+  {
+    return m_leaving.Contains(aReplica);
+  }
   [[nodiscard]] size_t Count() const { return m_replicas.size(); }
   // Returns the number of upstreams that announced that they are leaving.
   [[nodiscard]] size_t LeavingCount() const { return m_leaving.Count(); }
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -50,11 +50,12 @@
 ReplicaLoad::Choose(std::span<const ReplicaPtr> aCandidates,
                     std::span<const ReplicaPtr> aTried,
                     Duration aTypicalLatency,
-                    TimePoint aNow)
+                    ChoiceRotation& aRotation,
+                    TimePoint aNow) const
 {
   const ReplicaPtr* best = nullptr;
   Duration bestCost{};
-  size_t offset = aCandidates.empty() ? 0 : m_nextOffset++ % aCandidates.size();
+  size_t offset = aRotation.Next(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
     const ReplicaPtr& candidate =
       aCandidates[(i + offset) % aCandidates.size()];
@@ -74,6 +75,35 @@
   return best;
 }
 
+ReplicaStatus
+ReplicaLoad::Describe(const Replica& aReplica,
+                      Duration aTypicalLatency,
+                      TimePoint aNow) const
+{
+  ReplicaStatus status{
+    .m_isRemote = aReplica.m_dataCentre != m_options.m_dataCentre,
+    .m_hasQueueCapacity = HasQueueCapacity(aReplica, aNow),
+    .m_unreachableUntil = UnreachableUntil(aReplica, aNow),
+    .m_pushesBackUntil = m_pushback.Until(aReplica, aNow),
+    .m_isResuming = m_pushback.IsResuming(aReplica, aNow),
+    .m_predictedLatency = PredictLatency(aReplica, aTypicalLatency, aNow),
+    .m_cost = Cost(aReplica, aTypicalLatency, aNow),
+  };
+  const State* state = Find(aReplica);
+  if (state == nullptr) {
+    return status;
+  }
+  status.m_inFlight = state->m_unfinished.Count();
+  status.m_latencyFactor = LatencyFactor(*state, aNow);
+  status.m_unfinishedWork =
+    state->m_unfinished.Remaining(status.m_latencyFactor, aNow);
+  status.m_errorRate = state->m_errorRate * DecayFactor(state->m_errorAt, aNow);
+  if (aNow < state->m_coldUntil) {
+    status.m_coldUntil = state->m_coldUntil;
+  }
+  return status;
+}
+
 Duration
 ReplicaLoad::PredictLatency(const Replica& aReplica,
                             Duration aTypicalLatency,
--- a/packages/core/replica/replica_load.h
+++ b/packages/core/replica/replica_load.h
@@ -72,6 +72,41 @@
   Duration m_seen{};
 };
 
+// Rotates the choice among equal upstreams.
+class ChoiceRotation
+{
+public:
+  // Returns the position at which the next choice of `aCount` upstreams begins.
+  size_t Next(size_t aCount) { return aCount == 0 ? 0 : m_next++ % aCount; }
+
+private:
+  uint64_t m_next = 0;
+};
+
+// What is known about an upstream at one time.
+struct ReplicaStatus
+{
+  // Whether it is in another data centre.
+  bool m_isRemote = false;
+  size_t m_inFlight = 0;
+  bool m_hasQueueCapacity = true;
+  // The expected work that is left of the requests in flight, with
+  // `m_placeByWork`.
+  Duration m_unfinishedWork{};
+  // The observed latency relative to the typical one; 1 is typical.
+  double m_latencyFactor = 1;
+  // The share of failed requests.
+  double m_errorRate = 0;
+  std::optional<TimePoint> m_coldUntil;
+  std::optional<TimePoint> m_unreachableUntil;
+  std::optional<TimePoint> m_pushesBackUntil;
+  // Whether it gets one request at a time after a pushback.
+  bool m_isResuming = false;
+  Duration m_predictedLatency{};
+  // The predicted latency and the penalties, by which upstreams are chosen.
+  Duration m_cost{};
+};
+
 class ReplicaLoad
 {
 public:
@@ -81,11 +116,29 @@
   // among those that are not in `aTried` and may receive another request; null
   // if there is none. `aTypicalLatency` is the typical latency of the request,
   // or with `m_placeByWork` its expected work; so it is in all methods.
+  // `aRotation` is advanced, and nothing else changes.
   [[nodiscard]] const ReplicaPtr* Choose(
     std::span<const ReplicaPtr> aCandidates,
     std::span<const ReplicaPtr> aTried,
     Duration aTypicalLatency,
-    TimePoint aNow);
+    ChoiceRotation& aRotation,
+    TimePoint aNow) const;
+  // The same with `Rotation`.
+  [[nodiscard]] const ReplicaPtr* Choose(
+    std::span<const ReplicaPtr> aCandidates,
+    std::span<const ReplicaPtr> aTried,
+    Duration aTypicalLatency,
+    TimePoint aNow)
+  {
+    return Choose(aCandidates, aTried, aTypicalLatency, m_rotation, aNow);
+  }
+  // The rotation that all requests share.
+  [[nodiscard]] ChoiceRotation& Rotation() { return m_rotation; }
+
+  // Returns what `Choose` decides by.
+  [[nodiscard]] ReplicaStatus Describe(const Replica& aReplica,
+                                       Duration aTypicalLatency,
+                                       TimePoint aNow) const;
 
   // Returns the expected latency of a request sent now.
   [[nodiscard]] Duration PredictLatency(const Replica& aReplica,
@@ -234,8 +287,7 @@
   ReplicaPushback m_pushback;
   // The latest time until which some upstream counts as unreachable.
   TimePoint m_anyUnreachableUntil;
-  // Rotates the choice among equal upstreams.
-  uint64_t m_nextOffset = 0;
+  ChoiceRotation m_rotation;
 };
 
 } // namespace ebonykeel
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -152,9 +152,14 @@
               ForwardOptionsFrom(m_settings))
   , m_callerServer(aLoop, m_forward, {})
   , m_auxiliaryHandler(std::make_unique<AuxiliaryHandler>(*this))
+  , m_metricsHandler(aLoop,
+                     m_forward,
+                     { .m_id = m_settings.m_id.Text(),
+                       .m_dataCentre = m_settings.m_dataCentre },
+                     *m_auxiliaryHandler)
   , m_directoryServer(aLoop, *m_auxiliaryHandler, {})
   , m_readinessServer(aLoop, *m_auxiliaryHandler, {})
-  , m_metricsServer(aLoop, *m_auxiliaryHandler, {})
+  , m_metricsServer(aLoop, m_metricsHandler, {})
   , m_tickTimer(aLoop, [this]() { OnTick(); })
 {
 }
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -15,6 +15,7 @@
 #include "core/forward/extra_budget.h"
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
+#include "node/entry/metrics_handler.h"
 #include "node/entry/protocol.h"
 #include "node/entry/routing_state.h"
 #include "node/entry/store_reader.h"
@@ -112,6 +113,7 @@
   ForwardService m_forward;
   Http1Server m_callerServer;
   std::unique_ptr<AuxiliaryHandler> m_auxiliaryHandler;
+  MetricsHandler m_metricsHandler;
   Http1Server m_directoryServer;
   Http1Server m_readinessServer;
   Http1Server m_metricsServer;
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -113,6 +113,21 @@
   }
 }
 
+RouteAnswer
+ForwardService::ExplainRoute(const RouteQuestion& aQuestion)
+{
+  QuotaView quotas;
+  RouteContext context{ .m_routes = m_routing.Routes(),
+                        .m_isStarting = !m_started,
+                        .m_mayLackConfiguration = MayLackConfiguration(),
+                        .m_startRetryAfter = m_options.m_startRetryAfter,
+                        .m_environment = m_environment,
+                        .m_splits = m_splits,
+                        .m_quotas = quotas,
+                        .m_endBy = m_stopBy };
+  return ebonykeel::ExplainRoute(aQuestion, context, m_loop.Now());
+}
+
 bool
 ForwardService::WaitForStart(const std::shared_ptr<Http1Exchange>& aExchange)
 {
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -11,6 +11,7 @@
 
 #include "core/forward/caller_deadlines.h"
 #include "core/forward/forward_run.h"
+#include "core/forward/route_explanation.h"
 #include "core/forward/start_queue.h"
 #include "core/traffic/caller_access.h"
 #include "core/traffic/weighted_choice.h"
@@ -65,6 +66,9 @@
   // Answers every request by `aEnd`, when the process is about to stop.
   void StopBy(TimePoint aEnd);
 
+  // Returns where a request would go now. Changes nothing.
+  [[nodiscard]] RouteAnswer ExplainRoute(const RouteQuestion& aQuestion);
+
   [[nodiscard]] const ForwardStats& Stats() const { return m_stats; }
   [[nodiscard]] const WorkModel& Work() const { return m_environment.m_work; }
 
