--- a/packages/core/forward/route_explanation_test.cc
+++ b/packages/core/forward/route_explanation_test.cc
@@ -9,6 +9,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "core/forward/forward_run.h"
+
 namespace ebonykeel {
 namespace {
 
@@ -324,6 +326,70 @@
   DOCTEST_CHECK(board.m_services.at(0).m_reason == "all-full");
 }
 
+class SilentWaiter final : public CapacityWaiter
+{
+public:
+  void OnTurn(uint64_t /*aTicket*/) override {}
+};
+
+class CountingPort final : public ForwardPort
+{
+public:
+  void Send(uint32_t /*aSubRequest*/,
+            uint32_t /*aAttempt*/,
+            const ReplicaPtr& /*aReplica*/,
+            AttemptReason /*aReason*/,
+            Duration /*aDeadline*/) override
+  {
+    ++m_sent;
+  }
+  void Cancel(uint32_t /*aSubRequest*/, uint32_t /*aAttempt*/) override {}
+  void Finish(const ForwardResult& /*aResult*/) override {}
+
+  size_t m_sent = 0;
+};
+
+// Guards against a preview that forgets the work of the parts before: each part
+// that is sent counts against the workspace where others wait.
+DOCTEST_TEST_CASE("a sent part lets others go before the next part")
+{
+  Fixture fixture;
+  fixture.UseWorkspaces();
+  Route& search = fixture.m_config.m_routes[2];
+  search.m_services = { "s0", "s1" };
+  search.m_minShare = 0.5;
+  fixture.Put("s0", "u0");
+  fixture.Put("s1", "u1");
+  CapacityQueue& queue = fixture.m_environment.m_waiters;
+  SilentWaiter waiter;
+  // Less than the 12 ms that one part of "search" is expected to take.
+  queue.OnSent("floor", Milliseconds(10), kNow);
+  (void)queue.Enter("s1",
+                    { .m_priority = 1,
+                      .m_inTimeUntil = kNow + Seconds(1),
+                      .m_workspace = "floor" },
+                    waiter,
+                    kNow);
+  RouteExplanation explained = fixture.Explain(
+    { .m_host = "h", .m_path = "/search/", .m_workspace = "desk" });
+  DOCTEST_CHECK(explained.m_summary.m_sent == 1);
+  DOCTEST_CHECK(explained.m_summary.m_waiting == 1);
+
+  CountingPort port;
+  ForwardRun run({ .m_route = &search,
+                   .m_services = search.m_services,
+                   .m_receivedAt = kNow,
+                   .m_remaining = search.m_timeout,
+                   .m_priority = 1,
+                   .m_workspace = "desk",
+                   .m_usesWorkspaces = true },
+                 fixture.m_environment,
+                 port);
+  run.Start(kNow);
+  DOCTEST_CHECK(port.m_sent == explained.m_summary.m_sent);
+  run.Abandon();
+}
+
 DOCTEST_TEST_CASE("unfinished work is stated where requests are placed by it")
 {
   Fixture fixture;
