--- a/packages/core/forward/version_filter_test.cc
+++ b/packages/core/forward/version_filter_test.cc
@@ -24,6 +24,13 @@
     bool isTarget = aIsFirst && aChoice == VersionChoice::kTarget;
     return aUsable.subspan(isTarget ? 1 : 0, 1);
   }
+  std::span<const ReplicaPtr> Preview(std::string_view aService,
+                                      std::span<const ReplicaPtr> aUsable,
+                                      VersionChoice& aChoice,
+                                      TimePoint aNow) override
+  {
+    return Filter(aService, aUsable, aChoice, true, aNow);
+  }
 };
 
 struct Fixture : ForwardRunFixture
--- a/packages/core/replica/version_filter.h
+++ b/packages/core/replica/version_filter.h
@@ -31,6 +31,13 @@
     VersionChoice& aChoice,
     bool aIsFirst,
     TimePoint aNow) = 0;
+  // Returns what `Filter` would return for a first attempt, and changes nothing
+  // but `aChoice`.
+  [[nodiscard]] virtual std::span<const ReplicaPtr> Preview(
+    std::string_view aService,
+    std::span<const ReplicaPtr> aUsable,
+    VersionChoice& aChoice,
+    TimePoint aNow) = 0;
 };
 
 } // namespace ebonykeel
--- a/packages/core/rollout/version_chooser.cc
+++ b/packages/core/rollout/version_chooser.cc
@@ -101,21 +101,48 @@
                        VersionChoice& aChoice,
                        bool aIsFirst,
                        TimePoint aNow)
+{
+  auto found = m_rollouts.find(aService);
+  return FilterBy(found == m_rollouts.end() ? nullptr : &found->second,
+                  aUsable,
+                  aChoice,
+                  aIsFirst,
+                  aNow);
+}
+
+std::span<const ReplicaPtr>
+VersionChooser::Preview(std::string_view aService,
+                        std::span<const ReplicaPtr> aUsable,
+                        VersionChoice& aChoice,
+                        TimePoint aNow)
 {
   auto found = m_rollouts.find(aService);
   if (found == m_rollouts.end()) {
+    return FilterBy(nullptr, aUsable, aChoice, true, aNow);
+  }
+  LocalRollout copy = found->second;
+  return FilterBy(&copy, aUsable, aChoice, true, aNow);
+}
+
+std::span<const ReplicaPtr>
+VersionChooser::FilterBy(LocalRollout* aRollout,
+                         std::span<const ReplicaPtr> aUsable,
+                         VersionChoice& aChoice,
+                         bool aIsFirst,
+                         TimePoint aNow)
+{
+  if (aRollout == nullptr) {
     return HasSeveralVersions(aUsable)
              ? Keep(aUsable, LongestRunningVersion(aUsable, std::nullopt))
              : aUsable;
   }
-  LocalRollout& rollout = found->second;
-  const std::string& target = rollout.Entry().m_order.m_targetVersion;
+  const std::string& target = aRollout->Entry().m_order.m_targetVersion;
   bool hasTarget =
     std::ranges::any_of(aUsable, [&](const ReplicaPtr& aReplica) {
       return aReplica->m_version == target;
     });
   return Keep(aUsable,
-              Choose(rollout,
+              Choose(*aRollout,
                      hasTarget,
                      LongestRunningVersion(aUsable, target),
                      aChoice,
@@ -198,8 +225,7 @@
     return;
   }
   LocalRollout& rollout = found->second;
-  bool isTarget =
-    aReplica.m_version == rollout.Entry().m_order.m_targetVersion;
+  bool isTarget = aReplica.m_version == rollout.Entry().m_order.m_targetVersion;
   rollout.OnEnded(aRoute, isTarget, aAnswer, aLatency, aIsCold, aNow);
 }
 
--- a/packages/core/rollout/version_chooser.h
+++ b/packages/core/rollout/version_chooser.h
@@ -45,6 +45,10 @@
                                      VersionChoice& aChoice,
                                      bool aIsFirst,
                                      TimePoint aNow) override;
+  std::span<const ReplicaPtr> Preview(std::string_view aService,
+                                      std::span<const ReplicaPtr> aUsable,
+                                      VersionChoice& aChoice,
+                                      TimePoint aNow) override;
 
   // Records an attempt; `aIsFirst` if it is the first of its sub-request.
   void OnSent(const Replica& aReplica, bool aIsFirst);
@@ -66,6 +70,12 @@
 private:
   using Rollouts = std::map<std::string, LocalRollout, std::less<>>;
 
+  [[nodiscard]] std::span<const ReplicaPtr> FilterBy(
+    LocalRollout* aRollout,
+    std::span<const ReplicaPtr> aUsable,
+    VersionChoice& aChoice,
+    bool aIsFirst,
+    TimePoint aNow);
   // Returns those of `aUsable` whose version is `aVersion`.
   [[nodiscard]] std::span<const ReplicaPtr> Keep(
     std::span<const ReplicaPtr> aUsable,
--- a/packages/core/rollout/version_chooser_test.cc
+++ b/packages/core/rollout/version_chooser_test.cc
@@ -223,5 +223,19 @@
   DOCTEST_CHECK(fixture.m_chooser.MakeReport("s", kNow).m_inFlightCurrent == 0);
 }
 
+// Guards against an explanation that shifts the share of the requests.
+DOCTEST_TEST_CASE("a preview of the choice does not count")
+{
+  Fixture fixture;
+  fixture.m_chooser.SetEntry(Entry("s", RolloutState::kRunning), kNow);
+  fixture.Announce("s", 0.05);
+  for (int i = 0; i < 100; ++i) {
+    VersionChoice choice = VersionChoice::kUndecided;
+    (void)fixture.m_chooser.Preview("s", fixture.m_upstreams, choice, kNow);
+  }
+  DOCTEST_CHECK(fixture.m_chooser.MakeReport("s", kNow).m_targetRequests == 0);
+  DOCTEST_CHECK(fixture.CountTarget(100) == 5);
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -16,6 +16,7 @@
 #include "core/forward/extra_budget.h"
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
+#include "node/entry/metrics_handler.h"
 #include "node/entry/protocol.h"
 #include "node/entry/quota_service.h"
 #include "node/entry/rollout_service.h"
@@ -123,6 +124,7 @@
   ForwardService m_forward;
   Http1Server m_callerServer;
   std::unique_ptr<AuxiliaryHandler> m_auxiliaryHandler;
+  MetricsHandler m_metricsHandler;
   Http1Server m_directoryServer;
   Http1Server m_readinessServer;
   Http1Server m_metricsServer;
