Explain-route: the tokens that the instance holds for the workspace

Change: QuotaService is the QuotaView; QuotaLeases::HeldBy counts one workspace's valid tokens. Admission still leaves quotas out.

--- a/packages/core/quota/quota_leases.cc
+++ b/packages/core/quota/quota_leases.cc
@@ -298,6 +298,13 @@
                          });
 }
 
+uint64_t
+QuotaLeases::HeldBy(const std::string& aWorkspace, TimePoint aNow) const
+{
+  auto found = m_accounts.find(HashWorkspace(aWorkspace));
+  return found == m_accounts.end() ? 0 : TokensValidAt(found->second, aNow);
+}
+
 void
 QuotaLeases::CountArrival(Account& aAccount, TimePoint aNow)
 {
--- a/packages/core/quota/quota_leases.h
+++ b/packages/core/quota/quota_leases.h
@@ -122,6 +122,9 @@
 
   [[nodiscard]] const QuotaCounters& Counters() const { return m_counters; }
   [[nodiscard]] uint64_t Held(TimePoint aNow) const;
+  // Returns how many of the tokens are the workspace's.
+  [[nodiscard]] uint64_t HeldBy(const std::string& aWorkspace,
+                                TimePoint aNow) const;
   [[nodiscard]] size_t WaitingCount() const { return m_waitingIn.size(); }
 
 private:
--- a/packages/core/quota/quota_leases_test.cc
+++ b/packages/core/quota/quota_leases_test.cc
@@ -95,6 +95,23 @@
   DOCTEST_CHECK(decisions[0].second.m_outcome == QuotaOutcome::kAdmitted);
 }
 
+DOCTEST_TEST_CASE("the tokens of one workspace are stated until they end")
+{
+  LeasesFixture fixture;
+  DOCTEST_CHECK(fixture.m_leases.HeldBy("w", fixture.m_now) == 0);
+  (void)fixture.Admit(1);
+  (void)fixture.Admit(2);
+  OutgoingQuotaRequest message = fixture.TakeMessage();
+  fixture.m_leases.Cancel(2);
+  fixture.Grant(message, 2);
+  // Of the two tokens, the request that waits takes one.
+  DOCTEST_CHECK(fixture.m_leases.HeldBy("w", fixture.m_now) == 1);
+  DOCTEST_CHECK(fixture.m_leases.HeldBy("other", fixture.m_now) == 0);
+  TimePoint expired = fixture.m_now + Milliseconds(400);
+  DOCTEST_CHECK(fixture.m_leases.HeldBy("w", expired) == 0);
+  DOCTEST_CHECK(fixture.m_leases.HeldBy("w", fixture.m_now) == 1);
+}
+
 // Guards against tokens that are spent after a freeze or with a late answer.
 DOCTEST_TEST_CASE("a lease ends 0.4 s after its request")
 {
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -124,14 +124,15 @@
 RouteAnswer
 ForwardService::ExplainRoute(const RouteQuestion& aQuestion)
 {
-  QuotaView quotas;
+  QuotaView unknownQuotas;
   RouteContext context{ .m_routes = m_routing.Routes(),
                         .m_isStarting = !m_started,
                         .m_mayLackConfiguration = MayLackConfiguration(),
                         .m_startRetryAfter = m_options.m_startRetryAfter,
                         .m_environment = m_environment,
                         .m_splits = m_splits,
-                        .m_quotas = quotas,
+                        .m_quotas =
+                          m_quota == nullptr ? unknownQuotas : *m_quota,
                         .m_endBy = m_stopBy };
   return ebonykeel::ExplainRoute(aQuestion, context, m_loop.Now());
 }
--- a/packages/node/entry/quota_service.cc
+++ b/packages/node/entry/quota_service.cc
@@ -113,6 +113,12 @@
   }
 }
 
+std::optional<uint64_t>
+QuotaService::TokensHeld(const Workspace& aWorkspace, TimePoint /*aNow*/) const
+{
+  return m_coordinator.Leases().HeldBy(aWorkspace.m_name, Now());
+}
+
 std::string
 QuotaService::RenderMetrics() const
 {
--- a/packages/node/entry/quota_service.h
+++ b/packages/node/entry/quota_service.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "core/forward/quota_view.h"
 #include "core/quota/quota_coordinator.h"
 #include "core/traffic/traffic_config.h"
 #include "runtime/log/line_log.h"
@@ -39,7 +40,7 @@
 };
 
 // Everything that is passed by reference must outlive the service.
-class QuotaService
+class QuotaService final : public QuotaView
 {
 public:
   using Callback = std::function<void(const QuotaDecision&)>;
@@ -73,6 +74,11 @@
   // Gives back the token of an admitted request that was not run.
   void GiveBack(const std::string& aWorkspace, const QuotaDecision& aDecision);
 
+  // Uses the time for leases instead of `aNow`.
+  [[nodiscard]] std::optional<uint64_t> TokensHeld(
+    const Workspace& aWorkspace,
+    TimePoint aNow) const override;
+
   // Returns the metrics in the Prometheus text format.
   [[nodiscard]] std::string RenderMetrics() const;
 
