--- a/packages/core/forward/forward_request.h
+++ b/packages/core/forward/forward_request.h
@@ -15,6 +15,7 @@
 #include "core/forward/work_model.h"
 #include "core/replica/replica_catalogue.h"
 #include "core/replica/replica_load.h"
+#include "core/replica/version_filter.h"
 #include "core/traffic/traffic_config.h"
 
 namespace ebonykeel {
@@ -51,6 +52,8 @@
   CapacityQueue m_waiters{};
   RetrySpread m_retrySpread{};
   WorkModel m_work{};
+  // Null if upstreams of all versions get requests.
+  VersionFilter* m_versions = nullptr;
 };
 
 struct ForwardRequest
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -116,7 +116,8 @@
   preview.m_refusal =
     RefusalPolicy(m_request, *m_environment, retrySpread, aNow)
       .RefuseUnsent(m_timeoutAt, m_endBy);
-  for (const SubRequest& subRequest : m_subRequests) {
+  for (SubRequest subRequest : m_subRequests) {
+    subRequest.m_isPreview = true;
     PartPreview part{ .m_reserved = ReservedReplicas(subRequest, aNow) };
     if (!preview.m_refusal) {
       part.m_mayStart =
@@ -132,7 +133,7 @@
 }
 
 StartPlan
-ForwardRun::PlanStart(const SubRequest& aSubRequest,
+ForwardRun::PlanStart(SubRequest& aSubRequest,
                       bool aMayStart,
                       ChoiceRotation& aRotation,
                       TimePoint aNow) const
@@ -269,8 +270,27 @@
   m_port->Send(aSubRequest, attempt, aReplica, aReason, m_timeoutAt - aNow);
 }
 
+std::span<const ReplicaPtr>
+ForwardRun::UsableReplicas(SubRequest& aSubRequest, TimePoint aNow) const
+{
+  std::span<const ReplicaPtr> usable =
+    m_environment->m_catalogue.Usable(aSubRequest.m_service);
+  if (m_environment->m_versions == nullptr) {
+    return usable;
+  }
+  if (aSubRequest.m_isPreview) {
+    return m_environment->m_versions->Preview(
+      aSubRequest.m_service, usable, aSubRequest.m_version, aNow);
+  }
+  return m_environment->m_versions->Filter(aSubRequest.m_service,
+                                           usable,
+                                           aSubRequest.m_version,
+                                           aSubRequest.m_attempts.empty(),
+                                           aNow);
+}
+
 const ReplicaPtr*
-ForwardRun::ChooseReplica(const SubRequest& aSubRequest,
+ForwardRun::ChooseReplica(SubRequest& aSubRequest,
                           bool aAllowTried,
                           ChoiceRotation& aRotation,
                           TimePoint aNow) const
@@ -280,8 +300,7 @@
   for (const Attempt& attempt : aSubRequest.m_attempts) {
     tried.push_back(attempt.m_replica);
   }
-  std::span<const ReplicaPtr> usable =
-    m_environment->m_catalogue.Usable(aSubRequest.m_service);
+  std::span<const ReplicaPtr> usable = UsableReplicas(aSubRequest, aNow);
   Duration typical = TypicalLatency(aNow);
   const ReplicaPtr* replica =
     m_environment->m_load.Choose(usable, tried, typical, aRotation, aNow);
@@ -291,9 +310,19 @@
   }
   if (replica != nullptr &&
       m_environment->m_load.UnreachableUntil(**replica, aNow)) {
-    return nullptr;
+    replica = nullptr;
+  }
+  if (replica == nullptr && aSubRequest.m_version == VersionChoice::kTarget) {
+    // The current version serves the request instead.
+    aSubRequest.m_version = VersionChoice::kCurrent;
+    return ChooseReplica(aSubRequest, aAllowTried, aRotation, aNow);
+  }
+  if (replica == nullptr || m_environment->m_versions == nullptr) {
+    return replica;
   }
-  return replica;
+  // What the filter returned is valid until its next call only.
+  return &*std::ranges::find(
+    m_environment->m_catalogue.Usable(aSubRequest.m_service), *replica);
 }
 
 Duration
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -140,6 +141,9 @@
   struct SubRequest
   {
     std::string m_service;
+    VersionChoice m_version = VersionChoice::kUndecided;
+    // Nothing is sent: the choice of the version must not count.
+    bool m_isPreview = false;
     std::vector<Attempt> m_attempts;
     std::optional<uint32_t> m_answer;
     // The attempt whose failure answer is passed on if no attempt succeeds.
@@ -160,13 +164,17 @@
               const ReplicaPtr& aReplica,
               AttemptReason aReason,
               TimePoint aNow);
+  // Returns the upstreams that an attempt may be sent to.
+  [[nodiscard]] std::span<const ReplicaPtr> UsableReplicas(
+    SubRequest& aSubRequest,
+    TimePoint aNow) const;
   // Returns how a sub-request starts. `aMayStart` is false if others that wait
   // go before it.
-  [[nodiscard]] StartPlan PlanStart(const SubRequest& aSubRequest,
+  [[nodiscard]] StartPlan PlanStart(SubRequest& aSubRequest,
                                     bool aMayStart,
                                     ChoiceRotation& aRotation,
                                     TimePoint aNow) const;
-  [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
+  [[nodiscard]] const ReplicaPtr* ChooseReplica(SubRequest& aSubRequest,
                                                 bool aAllowTried,
                                                 TimePoint aNow) const
   {
@@ -174,7 +182,7 @@
       aSubRequest, aAllowTried, m_environment->m_load.Rotation(), aNow);
   }
   // The same with another rotation; nothing else changes.
-  [[nodiscard]] const ReplicaPtr* ChooseReplica(const SubRequest& aSubRequest,
+  [[nodiscard]] const ReplicaPtr* ChooseReplica(SubRequest& aSubRequest,
                                                 bool aAllowTried,
                                                 ChoiceRotation& aRotation,
                                                 TimePoint aNow) const;
@@ -201,7 +209,7 @@
     const SubRequest& aSubRequest,
     TimePoint aNow) const;
   // Returns whether another sub-request to the same service could be sent.
-  [[nodiscard]] bool IsCapacityLeft(const SubRequest& aSubRequest,
+  [[nodiscard]] bool IsCapacityLeft(SubRequest& aSubRequest,
                                     TimePoint aNow) const;
   void OnTurn(uint64_t aTicket) override;
   // Makes a sub-request wait until an upstream may receive another request.
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -9,7 +9,6 @@
 #include "core/base/stable_hash.h"
 #include "core/fleet/store_readers.h"
 #include "core/forward/service_coverage.h"
-#include "node/entry/work_metrics.h"
 
 namespace ebonykeel {
 namespace {
@@ -25,6 +24,8 @@
 constexpr Duration kMinSuspension = Milliseconds(300);
 // How long an instance must be dead before it is removed from the store's list.
 constexpr Duration kUnregisterDelay = Seconds(60);
+// If the feeds are older, the store counts as away for roll-outs.
+constexpr Duration kMaxRolloutFeedAge = Seconds(4);
 // Remote instances that were lost longer ago than this are not offered to
 // callers.
 constexpr Duration kMaxLostAge = Milliseconds(5500);
@@ -142,6 +143,17 @@
             FleetOptionsFrom(m_settings),
             *this)
   , m_quota(QuotaService::Make(aLoop, *this, aLog, m_settings))
+  , m_rollouts(
+      m_settings.m_rollout
+        ? std::make_unique<RolloutService>(
+            aLoop,
+            m_controlClient,
+            aStore,
+            m_routing,
+            m_fleet,
+            aLog,
+            RolloutOptionsFrom(m_settings, m_fleet.View().Self().m_incarnation))
+        : nullptr)
   , m_forward(aLoop,
               m_upstreamClient,
               aTraffic,
@@ -164,6 +176,9 @@
   , m_metricsServer(aLoop, m_metricsHandler, {})
   , m_tickTimer(aLoop, [this]() { OnTick(); })
 {
+  if (m_rollouts != nullptr) {
+    m_forward.SetVersionChooser(&m_rollouts->Chooser());
+  }
 }
 
 ForwardInstance::~ForwardInstance() = default;
@@ -283,6 +298,10 @@
       }
       break;
     case PeerTopic::kRollout:
+      if (m_rollouts != nullptr) {
+        m_rollouts->OnPayload(aSender.m_host, aPayload);
+      }
+      break;
     case PeerTopic::kNone:
       break;
   }
@@ -312,6 +331,9 @@
   UpdateBudget();
   UpdateQuota();
   m_routing.LogResumed(m_loop.Now());
+  if (m_rollouts != nullptr) {
+    m_rollouts->OnTimer(m_storeReachable && FeedAge() < kMaxRolloutFeedAge);
+  }
   if (m_stoppingSince) {
     ContinueStop();
   }
@@ -323,6 +345,9 @@
 void
 ForwardInstance::ApplyObject(FeedKind aKind, const FeedObject& aObject)
 {
+  if (m_rollouts != nullptr && aKind == FeedKind::kRollouts) {
+    m_rollouts->ApplyObject(aObject);
+  }
   std::shared_ptr<const RouteTable> previous = m_routing.Routes();
   m_routing.ApplyObject(aKind, aObject, m_loop.Now());
   if (m_routing.Routes() != previous) {
@@ -442,6 +467,9 @@
     for (ObjectFeed& feed : m_feeds) {
       feed.AddAge(suspendedTotal - m_suspendedTotal);
     }
+    if (m_rollouts != nullptr) {
+      m_rollouts->OnSuspended();
+    }
   }
   m_suspendedTotal = suspendedTotal;
 }
@@ -575,51 +603,4 @@
   return { .m_status = IsReady() ? kOkStatus : kUnavailableStatus };
 }
 
-std::string
-ForwardInstance::RenderMetrics() const
-{
-  std::string text = m_forward.Stats().Render();
-  if (m_quota) {
-    text += m_quota->RenderMetrics();
-  }
-  auto gauge = [&text](std::string_view aName, auto aValue) {
-    absl::StrAppend(&text,
-                    "# TYPE ",
-                    std::string(aName),
-                    " gauge\n",
-                    std::string(aName),
-                    " ",
-                    aValue,
-                    "\n");
-  };
-  gauge("ebonykeel_in_flight_requests", m_callerServer.InFlight());
-  gauge("ebonykeel_caller_connections", m_callerServer.Connections());
-  gauge("ebonykeel_searcher_connections_opened",
-        m_upstreamClient.ConnectionsOpened());
-  gauge("ebonykeel_store_calls", m_reader.CallCount());
-  gauge("ebonykeel_store_on_duty", m_reader.IsActive() ? 1 : 0);
-  gauge("ebonykeel_store_unreadable_objects", m_reader.UnreadableCount());
-  gauge("ebonykeel_replicas", m_routing.Catalogue().Count());
-  gauge("ebonykeel_replicas_leaving", m_routing.Catalogue().LeavingCount());
-  gauge("ebonykeel_replicas_pushing_back",
-        m_load.Pushback().Count(m_loop.Now()));
-  gauge("ebonykeel_replica_leaving_total", m_routing.LeavingTotal());
-  gauge("ebonykeel_replica_pushback_total", m_routing.PushbackTotal());
-  gauge("ebonykeel_replicas_age_seconds", ToMillisecondsF(FeedAge()) / 1000);
-  gauge("ebonykeel_stall_interval_seconds",
-        ToMillisecondsF(m_load.StallInterval()) / 1000);
-  if (m_load.PlacesByWork()) {
-    gauge("ebonykeel_unfinished_work_seconds",
-          ToMillisecondsF(m_load.RemainingWork(m_loop.Now())) / 1000);
-    text += RenderWorkRatios(m_forward.Work());
-  }
-  gauge("ebonykeel_configuration_version",
-        m_routing.Routes() == nullptr
-          ? 0
-          : m_routing.Routes()->Config()->m_version);
-  gauge("ebonykeel_instances", m_fleet.View().LiveMembers().size());
-  gauge("ebonykeel_log_lines_dropped", m_log.Dropped());
-  return text;
-}
-
 } // namespace ebonykeel
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -19,6 +19,7 @@
 #include "node/entry/metrics_handler.h"
 #include "node/entry/protocol.h"
 #include "node/entry/quota_service.h"
+#include "node/entry/rollout_service.h"
 #include "node/entry/routing_state.h"
 #include "node/entry/store_reader.h"
 #include "runtime/http1/client.h"
@@ -118,6 +119,8 @@
   FleetService m_fleet;
   // Nothing if quotas are not enforced.
   std::optional<QuotaService> m_quota;
+  // Null if the settings have no table for roll-outs.
+  std::unique_ptr<RolloutService> m_rollouts;
   ForwardService m_forward;
   Http1Server m_callerServer;
   std::unique_ptr<AuxiliaryHandler> m_auxiliaryHandler;
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -85,6 +85,13 @@
   }
 }
 
+void
+ForwardService::SetVersionChooser(VersionChooser* aVersions)
+{
+  m_environment.m_versions = aVersions;
+  m_sender.SetVersionChooser(aVersions);
+}
+
 void
 ForwardService::OnConfigurationChanged()
 {
--- a/packages/node/entry/forward_service.h
+++ b/packages/node/entry/forward_service.h
@@ -63,6 +63,9 @@
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
   // Called when the instance can route; serves the requests that waited for it.
   void OnStarted();
+  // Restricts upstreams by their versions; null for no restriction. Called
+  // before the first request.
+  void SetVersionChooser(VersionChooser* aVersions);
   // Called when a newer configuration is in force. Requests that no upstream
   // has run are checked again: they are refused if their key is gone.
   void OnConfigurationChanged();
