Quotas: buckets and the reserve use the slack for requests within the limit

Change: a bucket holds a quarter of the slack beside the burst, in place of one token at least, which uses the same part of the slack. The reserve also serves a workspace that is within its limit when the granters have no token.

--- a/packages/core/quota/quota_leases.cc
+++ b/packages/core/quota/quota_leases.cc
@@ -87,7 +87,7 @@
   }
   if (aNow < account.m_refusedUntil) {
     return account.m_unanswered ? DecideWithoutGranter(account, aNow)
-                                : Refuse(account, aNow);
+                                : DecideWithoutToken(account, aNow);
   }
   if (m_granters.empty() || m_waitingIn.size() >= m_options.m_maxWaiting) {
     return DecideWithoutGranter(account, aNow);
@@ -235,7 +235,7 @@
           aNow + account.m_round->m_availableIn.value_or(kMaxPause);
       }
       m_decisions.emplace_back(id,
-                               answered ? Refuse(account, aNow)
+                               answered ? DecideWithoutToken(account, aNow)
                                         : DecideWithoutGranter(account, aNow));
     }
   }
@@ -365,18 +365,45 @@
 QuotaDecision
 QuotaLeases::DecideWithoutGranter(Account& aAccount, TimePoint aNow)
 {
-  std::optional<Duration> wait =
-    m_reserve.UntilAvailable(aAccount.m_name, aNow);
-  if (wait && *wait == Duration{}) {
-    m_reserve.Take(aAccount.m_name, 1, aNow);
-    ++m_counters.m_fromReserve;
+  if (TakeFromReserve(aAccount, aNow)) {
     return {};
   }
+  std::optional<Duration> wait =
+    m_reserve.UntilAvailable(aAccount.m_name, aNow);
   aAccount.m_tokenAt =
     aNow + std::min(wait.value_or(kTakeoverTime), kTakeoverTime);
   return Refuse(aAccount, aNow);
 }
 
+QuotaDecision
+QuotaLeases::DecideWithoutToken(Account& aAccount, TimePoint aNow)
+{
+  if (IsWithinShare(aAccount, aNow) && TakeFromReserve(aAccount, aNow)) {
+    return {};
+  }
+  return Refuse(aAccount, aNow);
+}
+
+bool
+QuotaLeases::TakeFromReserve(const Account& aAccount, TimePoint aNow)
+{
+  std::optional<Duration> wait =
+    m_reserve.UntilAvailable(aAccount.m_name, aNow);
+  if (!wait || *wait > Duration{}) {
+    return false;
+  }
+  m_reserve.Take(aAccount.m_name, 1, aNow);
+  ++m_counters.m_fromReserve;
+  return true;
+}
+
+bool
+QuotaLeases::IsWithinShare(const Account& aAccount, TimePoint aNow) const
+{
+  return ExpectedArrivals(aAccount, Seconds(1), aNow) <=
+         aAccount.m_limit.m_rate;
+}
+
 QuotaDecision
 QuotaLeases::Refuse(Account& aAccount, TimePoint aNow)
 {
@@ -442,9 +469,7 @@
   aAccount.m_tokenAt = aNow + availableIn;
   // Requests that this instance can expect to serve are worth asking again for
   // as soon as a token comes; those of a workspace beyond its limit are not.
-  bool isWithinShare =
-    round.m_anyAnswered &&
-    ExpectedArrivals(aAccount, Seconds(1), aNow) <= aAccount.m_limit.m_rate;
+  bool isWithinShare = round.m_anyAnswered && IsWithinShare(aAccount, aNow);
   if (isWithinShare) {
     pause = std::min(pause, availableIn);
   }
@@ -458,7 +483,7 @@
     m_waitingIn.erase(waiter.m_id);
     m_decisions.emplace_back(waiter.m_id,
                              round.m_anyAnswered
-                               ? Refuse(aAccount, aNow)
+                               ? DecideWithoutToken(aAccount, aNow)
                                : DecideWithoutGranter(aAccount, aNow));
   }
 }
--- a/packages/core/quota/quota_leases.h
+++ b/packages/core/quota/quota_leases.h
@@ -195,6 +195,17 @@
   // Takes a token of the reserve, or refuses.
   [[nodiscard]] QuotaDecision DecideWithoutGranter(Account& aAccount,
                                                    TimePoint aNow);
+  // Called when the granters have no token. The reserve serves a workspace that
+  // is within its limit here: its tokens are held by other instances, or its
+  // burst came to this data centre alone.
+  [[nodiscard]] QuotaDecision DecideWithoutToken(Account& aAccount,
+                                                 TimePoint aNow);
+  // Returns whether the reserve had a token.
+  [[nodiscard]] bool TakeFromReserve(const Account& aAccount, TimePoint aNow);
+  // Returns whether this instance alone gets no more requests of a workspace
+  // than its data centre's part of the rate.
+  [[nodiscard]] bool IsWithinShare(const Account& aAccount,
+                                   TimePoint aNow) const;
   [[nodiscard]] QuotaDecision Refuse(Account& aAccount, TimePoint aNow);
   void StartRound(WorkspaceHash aHash, Account& aAccount);
   // Notes that messages of the group may be due.
--- a/packages/core/quota/quota_policy.h
+++ b/packages/core/quota/quota_policy.h
@@ -8,7 +8,8 @@
 // a
 //   window and spent in it are covered by the overage. The rest of the overage
 //   covers clocks that differ by up to 1%.
-// - The least capacity of buckets uses a quarter of the slack.
+// - Buckets hold a quarter of the slack beside the burst, since the burst is
+//   divided among data centres while callers gather in one.
 // - Reserves use half of the slack if each data centre is cut into two sides,
 //   each of which has a reserve. Another quarter is left for more sides.
 #pragma once
@@ -49,9 +50,9 @@
   [[nodiscard]] TokenLimit DataCentreLimit(double aRate, double aBurst) const
   {
     constexpr double kSlackForCapacity = 0.25;
-    double least = std::min(1.0, m_slack * kSlackForCapacity / m_dataCentres);
     return { .m_rate = aRate / m_dataCentres,
-             .m_capacity = std::max(aBurst / m_dataCentres, least) };
+             .m_capacity =
+               (aBurst + m_slack * kSlackForCapacity) / m_dataCentres };
   }
 
   // The reserve of one data centre. What is held and what is refilled in a
