Roll-outs, quotas, explain: what a newcomer's reading found

Cause: two readings of the whole change.

Change: the fall-back to the current version happens once. Explanations state the expected completion under placement by work. A voter's promise lasts 0.7 s (support 0.6 s, requests each 0.25 s).

--- a/packages/core/config/forward_settings.h
+++ b/packages/core/config/forward_settings.h
@@ -48,12 +48,13 @@
 };
 
 // The limits of a roll-out: a bad version gets at most `m_exposureShare` of its
-// service's requests plus `m_exposureSlack`, and none later than
-// `m_rollbackTime` after its 50th bad answer.
+// service's requests plus `m_exposureSlack`.
 struct RolloutSettings
 {
   double m_exposureShare = 0.1;
   double m_exposureSlack = 50;
+  // The time within which a version that is found bad must get no requests any
+  // more. Only read: instances stop at once.
   Duration m_rollbackTime = Seconds(5);
 };
 
--- a/packages/core/forward/forward_run.cc
+++ b/packages/core/forward/forward_run.cc
@@ -294,6 +294,22 @@
                           bool aAllowTried,
                           ChoiceRotation& aRotation,
                           TimePoint aNow) const
+{
+  const ReplicaPtr* replica =
+    ChooseOfVersion(aSubRequest, aAllowTried, aRotation, aNow);
+  if (replica == nullptr && aSubRequest.m_version == VersionChoice::kTarget) {
+    // The current version serves the request instead.
+    aSubRequest.m_version = VersionChoice::kCurrent;
+    replica = ChooseOfVersion(aSubRequest, aAllowTried, aRotation, aNow);
+  }
+  return replica;
+}
+
+const ReplicaPtr*
+ForwardRun::ChooseOfVersion(SubRequest& aSubRequest,
+                            bool aAllowTried,
+                            ChoiceRotation& aRotation,
+                            TimePoint aNow) const
 {
   std::vector<ReplicaPtr> reserved = ReservedReplicas(aSubRequest, aNow);
   std::vector<ReplicaPtr> tried = reserved;
@@ -312,11 +328,6 @@
       m_environment->m_load.UnreachableUntil(**replica, aNow)) {
     replica = nullptr;
   }
-  if (replica == nullptr && aSubRequest.m_version == VersionChoice::kTarget) {
-    // The current version serves the request instead.
-    aSubRequest.m_version = VersionChoice::kCurrent;
-    return ChooseReplica(aSubRequest, aAllowTried, aRotation, aNow);
-  }
   if (replica == nullptr || m_environment->m_versions == nullptr) {
     return replica;
   }
--- a/packages/core/forward/forward_run.h
+++ b/packages/core/forward/forward_run.h
@@ -186,6 +186,11 @@
                                                 bool aAllowTried,
                                                 ChoiceRotation& aRotation,
                                                 TimePoint aNow) const;
+  // The same among the upstreams of the version that the sub-request uses.
+  [[nodiscard]] const ReplicaPtr* ChooseOfVersion(SubRequest& aSubRequest,
+                                                  bool aAllowTried,
+                                                  ChoiceRotation& aRotation,
+                                                  TimePoint aNow) const;
   // Returns what is expected of an attempt that is sent now, as
   // `ReplicaLoad::Choose` takes it.
   [[nodiscard]] Duration TypicalLatency(TimePoint aNow) const;
--- a/packages/core/quota/granter_election.h
+++ b/packages/core/quota/granter_election.h
@@ -31,16 +31,18 @@
 
 struct GranterElectionOptions
 {
-  // How long support is valid, counted from the sending of its request.
-  Duration m_supportLifetime = Milliseconds(1100);
+  // How long support is valid, counted from the sending of its request. One
+  // lost request does not end it. After a restart of all instances there is no
+  // granter for as long as a promise lasts, so it is short.
+  Duration m_supportLifetime = Milliseconds(600);
   // How long a voter supports no other instance, counted from the arrival of
   // the request. The difference covers clocks that differ. A voter that started
   // less than this ago supports none, since it may have forgotten a promise.
-  Duration m_promise = Milliseconds(1200);
-  Duration m_requestInterval = Milliseconds(500);
+  Duration m_promise = Milliseconds(700);
+  Duration m_requestInterval = Milliseconds(250);
   // The number of instances that vote in a large data centre, and the quorum of
-  // these. It is more than half so that the quorums of two instances intersect
-  // even if one of the two does not know one of the voters yet.
+  // these. The quorum is one more than a majority, so that the quorums of two
+  // instances intersect even if their voters differ by one.
   size_t m_maxVoters = 7;
   size_t m_quorumOfMaxVoters = 5;
   // How long the number of instances that another one remembers counts.
@@ -77,7 +79,8 @@
   void SetCandidacy(QuotaGroupSet aGroups, TimePoint aNow);
   // Returns the requests that are due.
   [[nodiscard]] std::vector<OutgoingVoteRequest> OnTimer(TimePoint aNow);
-  // Returns when `OnTimer` is due; nothing unless this instance is a candidate.
+  // Returns when `OnTimer` is due; nothing unless this instance is a candidate
+  // or has to release voters.
   [[nodiscard]] std::optional<TimePoint> NextTimer() const;
 
   [[nodiscard]] QuotaVote OnVoteRequest(const std::string& aSender,
--- a/packages/core/quota/quota_granter.cc
+++ b/packages/core/quota/quota_granter.cc
@@ -8,10 +8,11 @@
 namespace ebonykeel {
 namespace {
 
-// How long an instance that asks for nothing is remembered. Its delayed
-// requests are older.
+// How long an instance that asks for nothing is remembered: longer than a
+// request may be delayed, so that none is granted twice.
 constexpr Duration kClientRetention = Seconds(60);
 constexpr Duration kPruneInterval = Seconds(10);
+// How long the bucket of a removed workspace is kept.
 constexpr Duration kRemovedRetention = Seconds(60);
 // The delay that is stated for a workspace which this instance does not know
 // yet: a newer configuration is usually there by then.
--- a/packages/core/quota/quota_leases.h
+++ b/packages/core/quota/quota_leases.h
@@ -4,7 +4,8 @@
 // A request takes a token of a lease, without a message. If there is none, it
 // waits until the granters were asked: that of the own data centre, then those
 // of the others in turn. Tokens are asked for ahead of need while requests
-// arrive. If no granter answers, the request takes a token of the reserve.
+// arrive. If no granter answers, or the workspace is within its limit
+// here although they have no token, the request takes one of the reserve.
 //
 //   QuotaLeases leases(policy, options, now);
 //   leases.SetGranters(granters);
--- a/packages/core/quota/quota_message.h
+++ b/packages/core/quota/quota_message.h
@@ -79,7 +79,8 @@
   // Of the request.
   uint64_t m_processStart = 0;
   uint64_t m_sequence = 0;
-  // Whether the sender is the granter of the group; it grants nothing if not.
+  // Whether the sender took the request as the granter of the group. If not, it
+  // grants nothing: it is not the granter, or it has answered a later request.
   bool m_isGranter = false;
   std::vector<QuotaGrantEntry> m_entries;
 
--- a/packages/core/quota/quota_policy.h
+++ b/packages/core/quota/quota_policy.h
@@ -4,10 +4,9 @@
 // In any window at most (rate * window + burst) * (1 + overage) + slack
 // requests of a workspace may run:
 //
-// - Leases are valid for 0.8 * overage * window, so that tokens granted before
-// a
-//   window and spent in it are covered by the overage. The rest of the overage
-//   covers clocks that differ by up to 1%.
+// - Leases are valid for 0.8 * overage * window, so that the overage covers
+//   tokens that were granted before a window and spent in it. The rest of the
+//   overage covers clocks that differ: by up to 1% with an overage of 10%.
 // - Buckets hold a quarter of the slack beside the burst, since the burst is
 //   divided among data centres while callers gather in one.
 // - Reserves use half of the slack if each data centre is cut into two sides,
--- a/packages/core/replica/replica_load.cc
+++ b/packages/core/replica/replica_load.cc
@@ -96,7 +96,9 @@
     .m_unreachableUntil = UnreachableUntil(aReplica, aNow),
     .m_pushesBackUntil = m_pushback.Until(aReplica, aNow),
     .m_isResuming = m_pushback.IsResuming(aReplica, aNow),
-    .m_predictedLatency = PredictLatency(aReplica, aTypicalLatency, aNow),
+    .m_predictedLatency = m_options.m_placeByWork
+                            ? PredictCompletion(aReplica, aTypicalLatency, aNow)
+                            : PredictLatency(aReplica, aTypicalLatency, aNow),
     .m_cost = Cost(aReplica, aTypicalLatency, aNow),
   };
   const State* state = Find(aReplica);
@@ -106,7 +108,7 @@
   status.m_inFlight = state->m_unfinished.Count();
   status.m_latencyFactor = LatencyFactor(*state, aNow);
   status.m_unfinishedWork =
-    state->m_unfinished.Remaining(status.m_latencyFactor, aNow);
+    state->m_unfinished.Remaining(Slowness(*state, aNow), aNow);
   status.m_errorRate = state->m_errorRate * DecayFactor(state->m_errorAt, aNow);
   if (aNow < state->m_coldUntil) {
     status.m_coldUntil = state->m_coldUntil;
--- a/packages/core/replica/version_filter.h
+++ b/packages/core/replica/version_filter.h
@@ -31,8 +31,8 @@
     VersionChoice& aChoice,
     bool aIsFirst,
     TimePoint aNow) = 0;
-  // Returns what `Filter` would return for a first attempt, and changes nothing
-  // but `aChoice`.
+  // Returns what `Filter` would return for a first attempt, without counting
+  // it. Valid until the next call of either.
   [[nodiscard]] virtual std::span<const ReplicaPtr> Preview(
     std::string_view aService,
     std::span<const ReplicaPtr> aUsable,
--- a/packages/core/rollout/latency_median.h
+++ b/packages/core/rollout/latency_median.h
@@ -33,9 +33,8 @@
   {
     std::array<Duration, kCapacity> sorted = m_latencies;
     auto middle = sorted.begin() + static_cast<ptrdiff_t>(m_count / 2);
-    std::nth_element(sorted.begin(),
-                     middle,
-                     sorted.begin() + static_cast<ptrdiff_t>(m_count));
+    std::nth_element(
+      sorted.begin(), middle, sorted.begin() + static_cast<ptrdiff_t>(m_count));
     return *middle;
   }
 
--- a/packages/core/rollout/report_collector.h
+++ b/packages/core/rollout/report_collector.h
@@ -28,7 +28,7 @@
   [[nodiscard]] const RolloutReport* Find(const std::string& aHost) const;
   // Returns whether every one of `aHosts` has reported.
   [[nodiscard]] bool HasAll(std::span<const std::string> aHosts) const;
-  // Returns whether an instance's own test found the target version bad.
+  // Returns whether an instance has stopped; see `RolloutReport::m_stopped`.
   [[nodiscard]] bool AnyStopped() const;
   [[nodiscard]] uint64_t Requests() const;
   [[nodiscard]] uint64_t TargetRequests() const;
--- a/packages/core/rollout/rollout.h
+++ b/packages/core/rollout/rollout.h
@@ -121,7 +121,8 @@
   RolloutStage m_appliedStage = RolloutStage::kWaiting;
   // The age of the order, by which a new controller learns its deadline.
   Duration m_age{};
-  // The instance's own test found the target version bad.
+  // The instance sends nothing more to the target version: its own test found
+  // it bad, or a controller announced a roll-back.
   bool m_stopped = false;
   // Attempts that are on their way to upstreams of other versions.
   uint32_t m_inFlightCurrent = 0;
--- a/packages/core/rollout/rollout_controller.h
+++ b/packages/core/rollout/rollout_controller.h
@@ -6,6 +6,7 @@
 //   if (auto call = controller.TakeCall(now)) {
 //     // Write the status or read the entry; then OnCallAnswered or OnCallLost.
 //   }
+//   controller.BeginAnnouncements(now);
 //   send(host, controller.MakeAnnouncement(host, now));
 //
 // The status is written under the revision of the entry that the controller
@@ -33,8 +34,9 @@
   RolloutLimits m_limits;
   // Identifies the process run of the controller.
   uint64_t m_process = 0;
-  // The shares of the stages, as parts of the exposure share: half of the
-  // duration with 0.5 of it and a fifth with 2.5 of it make 0.75.
+  // The shares of the stages canary and ramp, in multiples of the exposure
+  // share. With the default ends, 0.5 * 0.5 + 0.2 * 2.5 = 0.75 of the exposure
+  // share is used over the duration.
   double m_canaryPart = 0.5;
   double m_rampPart = 2.5;
   // The part of the exposure slack that is granted in the stage canary, so that
@@ -161,7 +163,8 @@
   ReportCollector m_reports;
   VersionComparison m_comparison;
   bool m_mayComplete = false;
-  // The share is 0 until reports show that the version was not found bad.
+  // Whether the share is 0 for now: until a new controller has had time to get
+  // reports, and while the store cannot be called and instances are lost.
   bool m_isHeld = false;
 
   // Whether this controller wrote "running", so that no other had granted
--- a/packages/core/rollout/version_chooser.h
+++ b/packages/core/rollout/version_chooser.h
@@ -97,7 +97,7 @@
   Rollouts m_rollouts;
   // The open attempts of each service by version.
   std::map<std::string, std::map<std::string, uint32_t>> m_inFlight;
-  // The result of the latest `Filter`.
+  // The result of the latest `Filter` or `Preview`.
   std::vector<ReplicaPtr> m_kept;
 };
 
--- a/packages/node/entry/forward_service.cc
+++ b/packages/node/entry/forward_service.cc
@@ -16,9 +16,10 @@
 constexpr int kTooManyRequestsStatus = 429;
 constexpr int kUnavailableStatus = 503;
 
-// The longest wait for a token of a quota, and its share of the route's target
-// latency.
+// The longest wait for a token of a quota: a granter in any data centre answers
+// within it.
 constexpr Duration kMaxQuotaWait = Milliseconds(20);
+// The wait is at most the route's target latency divided by this.
 constexpr int kQuotaWaitsPerTarget = 5;
 
 } // namespace
--- a/packages/node/entry/request_job.h
+++ b/packages/node/entry/request_job.h
@@ -77,7 +77,8 @@
   // Ends the run at `aEnd` at the latest.
   void EndBy(TimePoint aEnd);
 
-  // Return what decides about the access of the request.
+  // The request, its caller and its route, by which its access is checked
+  // again.
   [[nodiscard]] const Http1Request& Request() const
   {
     return m_exchange->Request();
