Messages of roll-outs: no names of the platform

Cause: the schema of the messages between instances had a member with the name that the platform's store gives it, and a test of explain-route one of its headers; such names belong in platform/ only.

Change: the member is `target`; the generated files and the codec follow. The test asks with parameters of other names.

--- a/packages/node/entry/route_endpoint_test.cc
+++ b/packages/node/entry/route_endpoint_test.cc
@@ -88,10 +88,10 @@
 // Guards against a key in an error or a log: it could be given by mistake.
 DOCTEST_TEST_CASE("problems do not repeat what the caller sent")
 {
-  for (const char* query : { "host=h&path=/&key=zq7x",
+  for (const char* query : { "host=h&path=/&token=zq7x",
                              "zq7x=1",
                              "zq7x",
-                             "host=h&path=/&Credential=zq7x",
+                             "host=h&path=/&key=zq7x",
                              "host=zq7x%&path=/" }) {
     DOCTEST_CAPTURE(query);
     std::string problem = ProblemOf(query);
--- a/packages/runtime/fleet/rollout.capnp
+++ b/packages/runtime/fleet/rollout.capnp
@@ -20,7 +20,7 @@
 
 struct RolloutReport {
   service @0 :Text;
-  targetVersion @1 :Text;
+  target @1 :Text;
   revision @2 :UInt64;
   processStart @3 :UInt64;
   sequence @4 :UInt64;
@@ -38,7 +38,7 @@
 
 struct RolloutAnnouncement {
   service @0 :Text;
-  targetVersion @1 :Text;
+  target @1 :Text;
   revision @2 :UInt64;
   controllerProcess @3 :UInt64;
   sequence @4 :UInt64;
--- a/packages/runtime/fleet/rollout.capnp.h
+++ b/packages/runtime/fleet/rollout.capnp.h
@@ -318,8 +318,8 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasTargetVersion() const;
-  inline  ::capnp::Text::Reader getTargetVersion() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
   inline  ::uint64_t getRevision() const;
 
@@ -383,12 +383,12 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasTargetVersion();
-  inline  ::capnp::Text::Builder getTargetVersion();
-  inline void setTargetVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTargetVersion(unsigned int size);
-  inline void adoptTargetVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTargetVersion();
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
@@ -479,8 +479,8 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasTargetVersion() const;
-  inline  ::capnp::Text::Reader getTargetVersion() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
   inline  ::uint64_t getRevision() const;
 
@@ -533,12 +533,12 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasTargetVersion();
-  inline  ::capnp::Text::Builder getTargetVersion();
-  inline void setTargetVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTargetVersion(unsigned int size);
-  inline void adoptTargetVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTargetVersion();
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
@@ -877,36 +877,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RolloutReport::Reader::hasTargetVersion() const {
+inline bool RolloutReport::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RolloutReport::Builder::hasTargetVersion() {
+inline bool RolloutReport::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RolloutReport::Reader::getTargetVersion() const {
+inline  ::capnp::Text::Reader RolloutReport::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RolloutReport::Builder::getTargetVersion() {
+inline  ::capnp::Text::Builder RolloutReport::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RolloutReport::Builder::setTargetVersion( ::capnp::Text::Reader value) {
+inline void RolloutReport::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RolloutReport::Builder::initTargetVersion(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutReport::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RolloutReport::Builder::adoptTargetVersion(
+inline void RolloutReport::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownTargetVersion() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutReport::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -1147,36 +1147,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RolloutAnnouncement::Reader::hasTargetVersion() const {
+inline bool RolloutAnnouncement::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RolloutAnnouncement::Builder::hasTargetVersion() {
+inline bool RolloutAnnouncement::Builder::hasTarget() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RolloutAnnouncement::Reader::getTargetVersion() const {
+inline  ::capnp::Text::Reader RolloutAnnouncement::Reader::getTarget() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RolloutAnnouncement::Builder::getTargetVersion() {
+inline  ::capnp::Text::Builder RolloutAnnouncement::Builder::getTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RolloutAnnouncement::Builder::setTargetVersion( ::capnp::Text::Reader value) {
+inline void RolloutAnnouncement::Builder::setTarget( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RolloutAnnouncement::Builder::initTargetVersion(unsigned int size) {
+inline  ::capnp::Text::Builder RolloutAnnouncement::Builder::initTarget(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RolloutAnnouncement::Builder::adoptTargetVersion(
+inline void RolloutAnnouncement::Builder::adoptTarget(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RolloutAnnouncement::Builder::disownTargetVersion() {
+inline ::capnp::Orphan< ::capnp::Text> RolloutAnnouncement::Builder::disownTarget() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
--- a/packages/runtime/fleet/rollout_codec.cc
+++ b/packages/runtime/fleet/rollout_codec.cc
@@ -44,7 +44,7 @@
   capnp::MallocMessageBuilder builder;
   auto report = builder.initRoot<wire::RolloutMessage>().initReport();
   report.setService(aReport.m_service);
-  report.setTargetVersion(aReport.m_targetVersion);
+  report.setTarget(aReport.m_targetVersion);
   report.setRevision(aReport.m_revision);
   report.setProcessStart(aReport.m_processStart);
   report.setSequence(aReport.m_sequence);
@@ -112,7 +112,7 @@
     return std::nullopt;
   }
   RolloutReport report{ .m_service = aReader.getService(),
-                        .m_targetVersion = aReader.getTargetVersion(),
+                        .m_targetVersion = aReader.getTarget(),
                         .m_revision = aReader.getRevision(),
                         .m_processStart = aReader.getProcessStart(),
                         .m_sequence = aReader.getSequence(),
@@ -147,7 +147,7 @@
     return std::nullopt;
   }
   return RolloutAnnouncement{ .m_service = aReader.getService(),
-                              .m_targetVersion = aReader.getTargetVersion(),
+                              .m_targetVersion = aReader.getTarget(),
                               .m_revision = aReader.getRevision(),
                               .m_controllerProcess =
                                 aReader.getControllerProcess(),
@@ -176,7 +176,7 @@
   auto announcement =
     builder.initRoot<wire::RolloutMessage>().initAnnouncement();
   announcement.setService(aAnnouncement.m_service);
-  announcement.setTargetVersion(aAnnouncement.m_targetVersion);
+  announcement.setTarget(aAnnouncement.m_targetVersion);
   announcement.setRevision(aAnnouncement.m_revision);
   announcement.setControllerProcess(aAnnouncement.m_controllerProcess);
   announcement.setSequence(aAnnouncement.m_sequence);
