Feeds: positions with an era, and what stays in force over a restore

Cause: a feed's position was a revision, which goes back when the store returns from a copy: what the store stated then was older than the feed and ignored. Change: StorePosition (era, revision) in the core; ObjectFeed enters a new era with the first complete list of it; RetainedObjects keeps known states that the copy lacks or precedes.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -1,6 +1,7 @@
 #include "core/feed/object_feed.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ebonykeel {
@@ -18,22 +19,28 @@
 
 } // namespace
 
+ObjectFeed::ObjectFeed(RetentionOptions aRetention)
+  : m_retained(aRetention)
+{
+}
+
 bool
-ObjectFeed::Apply(FeedObject aObject, uint64_t aAsOf)
+ObjectFeed::Apply(FeedObject aObject, const StorePosition& aAsOf)
 {
-  uint64_t statedAt = aObject.m_deleted ? aAsOf : aObject.m_revision;
-  const FeedObject* known = Find(aObject.m_name);
-  bool isOlder = known != nullptr && statedAt < known->m_revision;
-  bool isKnown = known != nullptr && statedAt == known->m_revision &&
+  StorePosition statedAt = aObject.m_deleted ? aAsOf : aObject.m_position;
+  auto found = m_objects.find(aObject.m_name);
+  const FeedObject* known = found == m_objects.end() ? nullptr : &found->second;
+  bool isOlder = known != nullptr && statedAt < known->m_position;
+  bool isKnown = known != nullptr && statedAt == known->m_position &&
                  HasSameContent(*known, aObject);
   if (aAsOf < m_completeTo || isOlder || isKnown) {
     return false;
   }
-  // Other instances count as complete up to this feed's revision and fetch only
-  // later changes. A change that was missed until now gets a later revision.
+  // Other instances count as complete up to this feed's position and fetch only
+  // later changes. A change that was missed until now gets a later position.
   bool wasMissed = statedAt <= m_completeTo;
-  aObject.m_revision = wasMissed ? aAsOf : statedAt;
-  if (aObject.m_revision == m_completeTo) {
+  aObject.m_position = wasMissed ? aAsOf : statedAt;
+  if (aObject.m_position == m_completeTo) {
     m_missedChanges.insert(aObject.m_name);
   }
   return Store(std::move(aObject));
@@ -47,13 +54,23 @@
   if (isNew) {
     known.m_deleted = true;
     ++m_tombstoneCount;
-  } else if (known.m_revision > aObject.m_revision) {
+  } else if (known.m_position > aObject.m_position) {
     return false;
   }
-  // The revision is kept even if the content is the same: other instances may
+  const FeedObject* retained = m_retained.Find(aObject.m_name);
+  const FeedObject& inForce = retained != nullptr ? *retained : known;
+  if (aObject.m_deleted && aObject.m_order == EntryOrder()) {
+    aObject.m_order = inForce.m_order;
+  }
+  // The position is kept even if the content is the same: other instances may
   // have seen the object in between. So is the removal of an unknown object.
-  bool changed = !HasSameContent(known, aObject);
-  m_contentRevision = std::max(m_contentRevision, aObject.m_revision);
+  bool changed = !HasSameContent(inForce, aObject);
+  if (!isNew && Retain(inForce, aObject)) {
+    changed = false;
+  } else {
+    m_retained.Drop(aObject.m_name);
+  }
+  m_contentPosition = std::max(m_contentPosition, aObject.m_position);
   m_tombstoneCount -= known.m_deleted ? 1 : 0;
   m_tombstoneCount += aObject.m_deleted ? 1 : 0;
   known = std::move(aObject);
@@ -61,71 +78,125 @@
   return changed;
 }
 
+bool
+ObjectFeed::Retain(const FeedObject& aInForce, const FeedObject& aObject)
+{
+  const StorePosition& position = aObject.m_position;
+  bool outranks = aInForce.m_position.m_era < position.m_era &&
+                  MayBeFromCopy(position) &&
+                  RetainedObjects::Outranks(aInForce, aObject);
+  // The hold of an object that is retained already goes on, unless the store
+  // has been restored once more.
+  bool isRestored = position.m_era > m_completeTo.m_era;
+  if (outranks && (isRestored || m_retained.Find(aObject.m_name) == nullptr)) {
+    m_retained.Keep(aInForce, aObject);
+  }
+  return outranks;
+}
+
+bool
+ObjectFeed::MayBeFromCopy(const StorePosition& aPosition) const
+{
+  return aPosition.m_era > m_completeTo.m_era || aPosition <= m_enteredAt;
+}
+
 std::vector<std::string>
 ObjectFeed::RemoveAllExcept(const std::vector<std::string>& aNames,
-                            uint64_t aRevision)
+                            const StorePosition& aPosition)
 {
   std::set<std::string_view> kept(aNames.begin(), aNames.end());
-  std::vector<std::string> removed;
+  std::vector<std::string> missing;
   for (const auto& [name, object] : m_objects) {
     if (!object.m_deleted && !kept.contains(name)) {
-      removed.push_back(name);
+      missing.push_back(name);
     }
   }
-  for (const std::string& name : removed) {
-    Store({ .m_name = name, .m_revision = aRevision, .m_deleted = true });
-  }
-  return removed;
+  std::erase_if(missing, [&](const std::string& aName) {
+    return !Store(
+      { .m_name = aName, .m_position = aPosition, .m_deleted = true });
+  });
+  return missing;
 }
 
 void
-ObjectFeed::ForgetRemovalsUpTo(uint64_t aRevision)
+ObjectFeed::ForgetRemovalsUpTo(const StorePosition& aPosition)
 {
-  m_removalsKnownAfter = std::max(m_removalsKnownAfter, aRevision);
+  m_removalsKnownAfter = std::max(m_removalsKnownAfter, aPosition);
 }
 
 void
-ObjectFeed::MarkCompleteTo(uint64_t aRevision, TimePoint aNow)
+ObjectFeed::MarkCompleteTo(const StorePosition& aPosition, TimePoint aNow)
 {
-  // On first completion the content revision advances even if the feed is
-  // empty, so that other instances can tell that it is complete.
-  m_contentRevision =
-    std::max(m_contentRevision, m_completeTo == 0 ? aRevision : 0);
-  if (aRevision < m_completeTo) {
+  Complete(aPosition, aNow, aNow);
+}
+
+void
+ObjectFeed::Complete(const StorePosition& aPosition,
+                     TimePoint aCompleteAsOf,
+                     TimePoint aNow)
+{
+  // On first completion the content position advances even if the feed is
+  // empty, so that other instances can tell that it is complete. The same holds
+  // for a new era.
+  bool isFirst = !WasComplete();
+  bool isNewEra = aPosition.m_era > m_completeTo.m_era;
+  if (isFirst || isNewEra) {
+    m_contentPosition = std::max(m_contentPosition, aPosition);
+  }
+  if (aPosition < m_completeTo) {
     return;
   }
-  if (aRevision > m_completeTo) {
-    RestampMissedChanges(aRevision);
+  if (aPosition > m_completeTo) {
+    RestampMissedChanges(aPosition);
   }
-  m_completeTo = aRevision;
-  m_completeAsOf = std::max(m_completeAsOf.value_or(aNow), aNow);
+  if (isNewEra && !isFirst) {
+    m_enteredAt = aPosition;
+  }
+  m_retained.StartHolds(aNow);
+  m_completeTo = aPosition;
+  m_completeAsOf =
+    std::max(m_completeAsOf.value_or(aCompleteAsOf), aCompleteAsOf);
+}
+
+std::vector<std::string>
+ObjectFeed::ReleaseRetained(TimePoint aNow)
+{
+  std::vector<std::string> changed;
+  for (const FeedObject& object : m_retained.TakeExpired(aNow)) {
+    const FeedObject* stated = Find(object.m_name);
+    if (stated != nullptr && !HasSameContent(*stated, object)) {
+      changed.push_back(object.m_name);
+    }
+  }
+  return changed;
 }
 
 void
-ObjectFeed::RestampMissedChanges(uint64_t aRevision)
+ObjectFeed::RestampMissedChanges(const StorePosition& aPosition)
 {
   for (const std::string& name : std::exchange(m_missedChanges, {})) {
     auto found = m_objects.find(name);
     if (found != m_objects.end()) {
-      found->second.m_revision = std::max(found->second.m_revision, aRevision);
-      m_contentRevision = std::max(m_contentRevision, aRevision);
+      found->second.m_position = std::max(found->second.m_position, aPosition);
+      m_contentPosition = std::max(m_contentPosition, aPosition);
     }
   }
 }
 
 FeedDelta
-ObjectFeed::ChangesSince(uint64_t aRevision, TimePoint aNow) const
+ObjectFeed::ChangesSince(const StorePosition& aPosition, TimePoint aNow) const
 {
-  FeedDelta delta{ .m_isSnapshot =
-                     aRevision < m_removalsKnownAfter || aRevision == 0,
+  FeedDelta delta{ .m_isSnapshot = aPosition < m_removalsKnownAfter ||
+                                   aPosition == StorePosition(),
                    .m_completeTo = m_completeTo,
-                   .m_age = Age(aNow).value_or(Seconds(3600)) };
+                   .m_age = Age(aNow).value_or(Seconds(3600)),
+                   .m_retained = m_retained.All(aNow) };
   for (const auto& [name, object] : m_objects) {
-    bool changed = object.m_revision > aRevision;
+    bool changed = object.m_position > aPosition;
     if (delta.m_isSnapshot ? changed && !object.m_deleted : changed) {
       delta.m_objects.push_back(object);
     } else if (delta.m_isSnapshot && !object.m_deleted) {
-      // The receiver has it, as it is complete to `aRevision`.
+      // The receiver has it, as it is complete to `aPosition`.
       delta.m_objects.push_back({ .m_name = name });
     }
   }
@@ -139,35 +210,64 @@
 {
   // A feed that was never complete has nothing to merge, and an older one has
   // nothing new.
-  if (aDelta.m_completeTo == 0 || aDelta.m_completeTo < m_completeTo) {
+  if (aDelta.m_completeTo == StorePosition() ||
+      aDelta.m_completeTo < m_completeTo) {
     return;
   }
   for (const FeedObject& object : aDelta.m_objects) {
-    const FeedObject* known = Find(object.m_name);
-    bool newer = known == nullptr || known->m_revision < object.m_revision;
+    auto known = m_objects.find(object.m_name);
+    bool newer =
+      known == m_objects.end() || known->second.m_position < object.m_position;
     bool isNameOnly = !object.m_deleted && object.m_payload.empty();
     if (newer && !isNameOnly && Store(object)) {
-      aChanged(object);
+      aChanged(*Find(object.m_name));
     }
   }
   if (aDelta.m_isSnapshot && aDelta.m_completeTo > m_completeTo) {
     ForgetRemovalsUpTo(aDelta.m_completeTo);
     std::vector<std::string> names;
-    for (const FeedObject& object : aDelta.m_objects) {
-      names.push_back(object.m_name);
-    }
+    std::ranges::transform(
+      aDelta.m_objects, std::back_inserter(names), &FeedObject::m_name);
     for (const std::string& name :
          RemoveAllExcept(names, aDelta.m_completeTo)) {
       aChanged(*Find(name));
     }
   }
-  MarkCompleteTo(aDelta.m_completeTo, aNow - aDelta.m_age);
+  for (const RetainedObject& retained : aDelta.m_retained) {
+    if (AdoptRetained(retained, aNow)) {
+      aChanged(retained.m_object);
+    }
+  }
+  Complete(aDelta.m_completeTo, aNow - aDelta.m_age, aNow);
+}
+
+bool
+ObjectFeed::AdoptRetained(const RetainedObject& aRetained, TimePoint aNow)
+{
+  const FeedObject& object = aRetained.m_object;
+  if (m_retained.Find(object.m_name) != nullptr) {
+    return false;
+  }
+  auto [entry, isNew] =
+    m_objects.try_emplace(object.m_name,
+                          FeedObject{ .m_name = object.m_name,
+                                      .m_position = aRetained.m_against,
+                                      .m_deleted = true,
+                                      .m_order = object.m_order });
+  m_tombstoneCount += isNew ? 1 : 0;
+  const FeedObject& stated = entry->second;
+  if (stated.m_position != aRetained.m_against ||
+      !RetainedObjects::Outranks(object, stated)) {
+    return false;
+  }
+  m_retained.Adopt(aRetained, aNow);
+  return !HasSameContent(object, stated);
 }
 
 void
 ObjectFeed::ConfirmFreshness(const FeedWatermark& aWatermark, TimePoint aNow)
 {
-  if (m_completeAsOf && aWatermark.m_contentRevision <= m_completeTo) {
+  if (m_completeAsOf && aWatermark.m_content <= m_completeTo) {
     m_completeAsOf = std::max(*m_completeAsOf, aNow - aWatermark.m_age);
   }
 }
@@ -183,6 +283,9 @@
 const FeedObject*
 ObjectFeed::Find(std::string_view aName) const
 {
+  if (const FeedObject* retained = m_retained.Find(aName)) {
+    return retained;
+  }
   auto found = m_objects.find(aName);
   return found == m_objects.end() ? nullptr : &found->second;
 }
@@ -190,7 +293,7 @@
 FeedWatermark
 ObjectFeed::Watermark(TimePoint aNow) const
 {
-  return { m_contentRevision, Age(aNow).value_or(Seconds(3600)) };
+  return { m_contentPosition, Age(aNow).value_or(Seconds(3600)) };
 }
 
 std::optional<Duration>
@@ -208,18 +311,18 @@
   if (m_tombstoneCount <= kMaxTombstones) {
     return;
   }
-  std::vector<uint64_t> revisions;
+  std::vector<StorePosition> positions;
   for (const auto& [name, object] : m_objects) {
     if (object.m_deleted) {
-      revisions.push_back(object.m_revision);
+      positions.push_back(object.m_position);
     }
   }
-  auto middle = revisions.begin() + revisions.size() / 2;
-  std::ranges::nth_element(revisions, middle);
+  auto middle = positions.begin() + positions.size() / 2;
+  std::ranges::nth_element(positions, middle);
   m_removalsKnownAfter = std::max(m_removalsKnownAfter, *middle);
   m_tombstoneCount -= std::erase_if(m_objects, [&](const auto& aEntry) {
     return aEntry.second.m_deleted &&
-           aEntry.second.m_revision <= m_removalsKnownAfter;
+           aEntry.second.m_position <= m_removalsKnownAfter;
   });
 }
 
--- a/packages/core/fleet/fleet_message.h
+++ b/packages/core/fleet/fleet_message.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/base/ids.h"
+#include "core/base/store_position.h"
 #include "core/base/time.h"
 
 namespace ebonykeel {
@@ -44,12 +45,12 @@
   friend bool operator==(const FleetRecord&, const FleetRecord&) = default;
 };
 
-// The newest revision and the age of an instance's feed of one kind of the
+// The newest change and the age of an instance's feed of one kind of the
 // store's objects.
 struct FeedWatermark
 {
-  // The revision of the newest change of content.
-  uint64_t m_contentRevision = 0;
+  // The position of the newest change of content.
+  StorePosition m_content;
   // The time since the feed was known to be complete.
   Duration m_age = Seconds(3600);
 };
