Feed tests: positions of era 1 in place of revisions

Cause: ObjectFeed orders its statements by StorePosition, so the tests of the old interface, with a revision as uint64_t, did not build.

All checks stay. A feed that is complete to revision 0 counted as never complete in the property test; with a position it is complete, watches and is checked as well.

--- a/packages/core/feed/object_feed_property_test.cc
+++ b/packages/core/feed/object_feed_property_test.cc
@@ -38,7 +38,7 @@
   {
     Contents next = m_history.back();
     next[aName] = { .m_name = aName,
-                    .m_revision = m_history.size(),
+                    .m_position = { 1, m_history.size() },
                     .m_payload = std::move(aPayload) };
     m_history.push_back(std::move(next));
   }
@@ -48,10 +48,13 @@
     next.erase(aName);
     m_history.push_back(std::move(next));
   }
-  [[nodiscard]] uint64_t Revision() const { return m_history.size() - 1; }
-  [[nodiscard]] const Contents& At(uint64_t aRevision) const
+  [[nodiscard]] StorePosition Now() const
   {
-    return m_history[aRevision];
+    return { .m_era = 1, .m_revision = m_history.size() - 1 };
+  }
+  [[nodiscard]] const Contents& At(const StorePosition& aPosition) const
+  {
+    return m_history[aPosition.m_revision];
   }
 
 private:
@@ -63,14 +66,14 @@
 struct StoreAnswer
 {
   bool m_isList = false;
-  uint64_t m_asOf = 0;
+  StorePosition m_asOf;
   std::vector<FeedObject> m_objects;
 };
 
 StoreAnswer
 AnswerList(const StoreModel& aStore)
 {
-  StoreAnswer answer{ .m_isList = true, .m_asOf = aStore.Revision() };
+  StoreAnswer answer{ .m_isList = true, .m_asOf = aStore.Now() };
   for (const auto& [name, object] : aStore.At(answer.m_asOf)) {
     answer.m_objects.push_back(object);
   }
@@ -78,24 +81,24 @@
 }
 
 StoreAnswer
-AnswerWatch(const StoreModel& aStore, uint64_t aSince)
+AnswerWatch(const StoreModel& aStore, const StorePosition& aSince)
 {
-  StoreAnswer answer{ .m_asOf = aStore.Revision() };
+  StoreAnswer answer{ .m_asOf = aStore.Now() };
   const Contents& now = aStore.At(answer.m_asOf);
   std::map<std::string, FeedObject> changed;
-  for (uint64_t revision = aSince; revision <= answer.m_asOf; ++revision) {
-    for (const auto& [name, object] : aStore.At(revision)) {
+  for (StorePosition past = aSince; past <= answer.m_asOf; ++past.m_revision) {
+    for (const auto& [name, object] : aStore.At(past)) {
       bool gone = !now.contains(name);
       if (gone) {
         // The store states the last change before the removal.
         changed[name] = { .m_name = name,
-                          .m_revision = object.m_revision,
+                          .m_position = object.m_position,
                           .m_deleted = true };
       }
     }
   }
   for (const auto& [name, object] : now) {
-    if (object.m_revision > aSince) {
+    if (object.m_position > aSince) {
       changed[name] = object;
     }
   }
@@ -142,7 +145,7 @@
         break;
       case 7:
         if (Below(4) == 0) {
-          m_feeds[feed] = {};
+          m_feeds[feed] = ObjectFeed();
           ++m_incarnations[feed];
         }
         break;
@@ -155,14 +158,14 @@
   [[nodiscard]] std::optional<std::string> FindWrongObject() const
   {
     for (const ObjectFeed& feed : m_feeds) {
-      uint64_t complete = feed.CompleteRevision();
-      if (complete == 0) {
+      const StorePosition& complete = feed.CompleteTo();
+      if (!feed.WasComplete()) {
         continue;
       }
       const Contents& truth = m_store.At(complete);
       for (const std::string& name : kNames) {
         const FeedObject* known = feed.Find(name);
-        bool isLater = known != nullptr && known->m_revision > complete;
+        bool isLater = known != nullptr && known->m_position > complete;
         bool exists = truth.contains(name);
         bool held = known != nullptr && !known->m_deleted;
         bool same = exists == held &&
@@ -184,7 +187,7 @@
   void ChangeStore()
   {
     const std::string& name = kNames[Below(kNames.size())];
-    const Contents& now = m_store.At(m_store.Revision());
+    const Contents& now = m_store.At(m_store.Now());
     if (now.contains(name) && Below(2) == 0) {
       m_store.Remove(name);
     } else {
@@ -199,8 +202,8 @@
 
   void Watch(size_t aFeed)
   {
-    uint64_t since = m_feeds[aFeed].CompleteRevision();
-    if (since > 0) {
+    const StorePosition& since = m_feeds[aFeed].CompleteTo();
+    if (m_feeds[aFeed].WasComplete()) {
       Send(aFeed, AnswerWatch(m_store, since));
     }
   }
@@ -208,9 +211,7 @@
   void Fetch(size_t aTo, size_t aFrom)
   {
     if (aTo != aFrom) {
-      Send(
-        aTo,
-        m_feeds[aFrom].ChangesSince(m_feeds[aTo].CompleteRevision(), kStart));
+      Send(aTo, m_feeds[aFrom].ChangesSince(m_feeds[aTo].CompleteTo(), kStart));
     }
   }
 
