Feeds: the hold of a missing object begins again with each drill

Cause: an object that stays in force against "missing" is a tombstone in the feed, so a list of the next era does not state it again and its hold goes on from the first drill. With drills at 0 s and 2 s it was released at 2.3 s, before its writer's two seconds after the second drill.

Change: on entering an era, Complete states these tombstones anew at the entry position, as the list does with all other missing objects.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -150,6 +150,7 @@
     RestampMissedChanges(aPosition);
   }
   if (isNewEra && !isFirst) {
+    RestateMissing(aPosition, aNow);
     m_enteredAt = aPosition;
   }
   m_retained.StartHolds(aNow);
@@ -158,6 +159,20 @@
     std::max(m_completeAsOf.value_or(aCompleteAsOf), aCompleteAsOf);
 }
 
+void
+ObjectFeed::RestateMissing(const StorePosition& aPosition, TimePoint aNow)
+{
+  for (const auto& retained : m_retained.All(aNow)) {
+    auto stated = m_objects.find(retained.m_object.m_name);
+    bool isMissing = stated != m_objects.end() && stated->second.m_deleted;
+    if (isMissing && retained.m_against.m_era < aPosition.m_era) {
+      (void)Store({ .m_name = retained.m_object.m_name,
+                    .m_position = aPosition,
+                    .m_deleted = true });
+    }
+  }
+}
+
 std::vector<std::string>
 ObjectFeed::ReleaseRetained(TimePoint aNow)
 {
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -134,6 +134,9 @@
   void Complete(const StorePosition& aPosition,
                 TimePoint aCompleteAsOf,
                 TimePoint aNow);
+  // States retained objects that were missing before the new era as missing at
+  // its entry position, which begins their holds again: lists don't name them.
+  void RestateMissing(const StorePosition& aPosition, TimePoint aNow);
   // Gives the missed changes the position `aPosition`, to which the feed is now
   // complete, so that other instances fetch them.
   void RestampMissedChanges(const StorePosition& aPosition);
