Feeds: a known removal outranks what a peer retains

An instance whose hold had ended could adopt it again too.

Change: a tombstone that the feed holds already is outranked only by a retained state of a later order.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -271,7 +271,11 @@
                                       .m_order = object.m_order });
   m_tombstoneCount += isNew ? 1 : 0;
   const FeedObject& stated = entry->second;
-  if (stated.m_position != aRetained.m_against ||
+  // This feed knows that the object was removed in the retained state or later,
+  // or its own hold has ended.
+  bool isRemovalKnown =
+    !isNew && stated.m_deleted && object.m_order <= stated.m_order;
+  if (isRemovalKnown || stated.m_position != aRetained.m_against ||
       !RetainedObjects::Outranks(object, stated)) {
     return false;
   }
--- a/packages/core/feed/store_restore_test.cc
+++ b/packages/core/feed/store_restore_test.cc
@@ -367,6 +367,25 @@
   DOCTEST_CHECK(feed.RetainedCount() == 0);
 }
 
+// Guards against an upstream that is gone and that a peer which lagged puts
+// back into the feeds of those that know it.
+DOCTEST_TEST_CASE("what a peer retains does not replace a known removal")
+{
+  FeedObject up = Object("up", { 1, 3 }, "ready", { 9, 1 });
+  ObjectFeed feed(kOfUpstreams);
+  List(feed, { 1, 3 }, { up });
+  Watch(feed, { .m_name = "up", .m_deleted = true }, { 1, 16 });
+  up.m_position = { 2, 3 };
+  List(feed, { 2, 17 }, { up });
+  ObjectFeed peer(kOfUpstreams);
+  up.m_position = { 1, 3 };
+  List(peer, { 1, 10 }, { up });
+  List(peer, { 3, 19 }, {});
+  DOCTEST_CHECK(InForce(peer, "up") == "ready");
+  DOCTEST_CHECK(MergeFrom(feed, peer).empty());
+  DOCTEST_CHECK(InForce(feed, "up") == "gone");
+}
+
 // Guards against what a first drill left in force being lost in a second one
 // before the writers have written again; they count their time from the last.
 DOCTEST_TEST_CASE("retained states survive a second drill")
