--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -150,6 +150,7 @@
     RestampMissedChanges(aPosition);
   }
   if (isNewEra && !isFirst) {
+    RestateMissing(aPosition, aNow);
     m_enteredAt = aPosition;
   }
   m_retained.StartHolds(aNow);
@@ -158,6 +159,20 @@
     std::max(m_completeAsOf.value_or(aCompleteAsOf), aCompleteAsOf);
 }
 
+void
+ObjectFeed::RestateMissing(const StorePosition& aPosition, TimePoint aNow)
+{
+  for (const auto& retained : m_retained.All(aNow)) {
+    auto stated = m_objects.find(retained.m_object.m_name);
+    bool isMissing = stated != m_objects.end() && stated->second.m_deleted;
+    if (isMissing && retained.m_against.m_era < aPosition.m_era) {
+      (void)Store({ .m_name = retained.m_object.m_name,
+                    .m_position = aPosition,
+                    .m_deleted = true });
+    }
+  }
+}
+
 std::vector<std::string>
 ObjectFeed::ReleaseRetained(TimePoint aNow)
 {
@@ -256,7 +271,11 @@
                                       .m_order = object.m_order });
   m_tombstoneCount += isNew ? 1 : 0;
   const FeedObject& stated = entry->second;
-  if (stated.m_position != aRetained.m_against ||
+  // This feed knows that the object was removed in the retained state or later,
+  // or its own hold has ended.
+  bool isRemovalKnown =
+    !isNew && stated.m_deleted && object.m_order <= stated.m_order;
+  if (isRemovalKnown || stated.m_position != aRetained.m_against ||
       !RetainedObjects::Outranks(object, stated)) {
     return false;
   }
