Fleet messages: the era beside each revision, and retained objects

Cause: watermarks and deltas carried revisions, which name no place once the store has come back from a copy. Change: fleet.capnp gains the era of marks, objects and deltas, the order that an entry states, and the retained objects of a delta.

--- a/packages/runtime/fleet/fleet.capnp
+++ b/packages/runtime/fleet/fleet.capnp
@@ -3,7 +3,8 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("ebonykeel::wire");
 
-# The gossip datagrams and the feeds that instances exchange over HTTP.
+# The gossip datagrams and the feeds that instances exchange over HTTP. The
+# earlier release sends no eras: they are read as 0.
 
 struct FleetRecord {
   host @0 :Text;
@@ -18,6 +19,7 @@
 struct FeedMark {
   content @0 :UInt64;
   ageMs @1 :UInt32;
+  era @2 :UInt64;
 }
 
 struct FleetDatagram {
@@ -37,6 +39,18 @@
   revision @1 :UInt64;
   deleted @2 :Bool;
   payload @3 :Data;
+  era @4 :UInt64;
+  orderStart @5 :UInt64;
+  orderSequence @6 :UInt64;
+}
+
+struct RetainedObject {
+  object @0 :FeedObject;
+  againstEra @1 :UInt64;
+  againstRevision @2 :UInt64;
+  # Without a limit, the remaining time is not used.
+  hasLimit @3 :Bool;
+  remainingMs @4 :UInt32;
 }
 
 struct FeedDelta {
@@ -44,6 +58,8 @@
   completeTo @1 :UInt64;
   ageMs @2 :UInt32;
   objects @3 :List(FeedObject);
+  completeToEra @4 :UInt64;
+  retained @5 :List(RetainedObject);
 }
 
 struct FeedAnswer {
--- a/packages/runtime/fleet/fleet.capnp.h
+++ b/packages/runtime/fleet/fleet.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(899194d76eb023ed);
 CAPNP_DECLARE_SCHEMA(cd10be4d8422600f);
 CAPNP_DECLARE_SCHEMA(b3504401b1765055);
+CAPNP_DECLARE_SCHEMA(a102bb7f31293e29);
 CAPNP_DECLARE_SCHEMA(fd2db30642a71d37);
 CAPNP_DECLARE_SCHEMA(9a26a79f5829588e);
 
@@ -52,7 +53,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(899194d76eb023ed, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(899194d76eb023ed, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -82,7 +83,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3504401b1765055, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b3504401b1765055, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RetainedObject {
+  RetainedObject() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a102bb7f31293e29, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -97,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd2db30642a71d37, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fd2db30642a71d37, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -258,6 +274,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -292,6 +310,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -487,6 +508,12 @@
   inline bool hasPayload() const;
   inline  ::capnp::Data::Reader getPayload() const;
 
+  inline  ::uint64_t getEra() const;
+
+  inline  ::uint64_t getOrderStart() const;
+
+  inline  ::uint64_t getOrderSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -535,6 +562,15 @@
   inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
+  inline  ::uint64_t getOrderStart();
+  inline void setOrderStart( ::uint64_t value);
+
+  inline  ::uint64_t getOrderSequence();
+  inline void setOrderSequence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -561,6 +597,108 @@
 };
 #endif  // !CAPNP_LITE
 
+class RetainedObject::Reader {
+public:
+  typedef RetainedObject Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasObject() const;
+  inline  ::ebonykeel::wire::FeedObject::Reader getObject() const;
+
+  inline  ::uint64_t getAgainstEra() const;
+
+  inline  ::uint64_t getAgainstRevision() const;
+
+  inline bool getHasLimit() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RetainedObject::Builder {
+public:
+  typedef RetainedObject Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasObject();
+  inline  ::ebonykeel::wire::FeedObject::Builder getObject();
+  inline void setObject( ::ebonykeel::wire::FeedObject::Reader value);
+  inline  ::ebonykeel::wire::FeedObject::Builder initObject();
+  inline void adoptObject(::capnp::Orphan< ::ebonykeel::wire::FeedObject>&& value);
+  inline ::capnp::Orphan< ::ebonykeel::wire::FeedObject> disownObject();
+
+  inline  ::uint64_t getAgainstEra();
+  inline void setAgainstEra( ::uint64_t value);
+
+  inline  ::uint64_t getAgainstRevision();
+  inline void setAgainstRevision( ::uint64_t value);
+
+  inline bool getHasLimit();
+  inline void setHasLimit(bool value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RetainedObject::Pipeline {
+public:
+  typedef RetainedObject Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::ebonykeel::wire::FeedObject::Pipeline getObject();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FeedDelta::Reader {
 public:
   typedef FeedDelta Reads;
@@ -587,6 +725,11 @@
   inline bool hasObjects() const;
   inline  ::capnp::List< ::ebonykeel::wire::FeedObject,  ::capnp::Kind::STRUCT>::Reader getObjects() const;
 
+  inline  ::uint64_t getCompleteToEra() const;
+
+  inline bool hasRetained() const;
+  inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Reader getRetained() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -631,6 +774,16 @@
   inline void adoptObjects(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::FeedObject,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::FeedObject,  ::capnp::Kind::STRUCT>> disownObjects();
 
+  inline  ::uint64_t getCompleteToEra();
+  inline void setCompleteToEra( ::uint64_t value);
+
+  inline bool hasRetained();
+  inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Builder getRetained();
+  inline void setRetained( ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Builder initRetained(unsigned int size);
+  inline void adoptRetained(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>> disownRetained();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -906,6 +1059,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FeedMark::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedMark::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedMark::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t FleetDatagram::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1233,6 +1400,143 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FeedObject::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedObject::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedObject::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FeedObject::Reader::getOrderStart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedObject::Builder::getOrderStart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FeedObject::Builder::setOrderStart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FeedObject::Reader::getOrderSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedObject::Builder::getOrderSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FeedObject::Builder::setOrderSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RetainedObject::Reader::hasObject() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RetainedObject::Builder::hasObject() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::ebonykeel::wire::FeedObject::Reader RetainedObject::Reader::getObject() const {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::FeedObject>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::ebonykeel::wire::FeedObject::Builder RetainedObject::Builder::getObject() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::FeedObject>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::ebonykeel::wire::FeedObject::Pipeline RetainedObject::Pipeline::getObject() {
+  return  ::ebonykeel::wire::FeedObject::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RetainedObject::Builder::setObject( ::ebonykeel::wire::FeedObject::Reader value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::FeedObject>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::ebonykeel::wire::FeedObject::Builder RetainedObject::Builder::initObject() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::FeedObject>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RetainedObject::Builder::adoptObject(
+    ::capnp::Orphan< ::ebonykeel::wire::FeedObject>&& value) {
+  ::capnp::_::PointerHelpers< ::ebonykeel::wire::FeedObject>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::ebonykeel::wire::FeedObject> RetainedObject::Builder::disownObject() {
+  return ::capnp::_::PointerHelpers< ::ebonykeel::wire::FeedObject>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t RetainedObject::Reader::getAgainstEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RetainedObject::Builder::getAgainstEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RetainedObject::Builder::setAgainstEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RetainedObject::Reader::getAgainstRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RetainedObject::Builder::getAgainstRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RetainedObject::Builder::setAgainstRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RetainedObject::Reader::getHasLimit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool RetainedObject::Builder::getHasLimit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void RetainedObject::Builder::setHasLimit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RetainedObject::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RetainedObject::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RetainedObject::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedDelta::Reader::getWhole() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1309,6 +1613,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FeedDelta::Reader::getCompleteToEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeedDelta::Builder::getCompleteToEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeedDelta::Builder::setCompleteToEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FeedDelta::Reader::hasRetained() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FeedDelta::Builder::hasRetained() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Reader FeedDelta::Reader::getRetained() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Builder FeedDelta::Builder::getRetained() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FeedDelta::Builder::setRetained( ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Builder FeedDelta::Builder::initRetained(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FeedDelta::Builder::adoptRetained(
+    ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>> FeedDelta::Builder::disownRetained() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool FeedAnswer::Reader::hasDeltas() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -8,7 +8,8 @@
 namespace ebonykeel {
 namespace {
 
-// Greater ages are sent as this one: a feed of that age is of no use.
+// Greater ages are sent as this one: a feed of that age is of no use. So are
+// greater remaining times: holds last seconds.
 constexpr Duration kMaxAge = Seconds(3600);
 constexpr uint64_t kMaxMessageWords = uint64_t{ 8 } << 20;
 
@@ -66,25 +67,74 @@
   }
   for (wire::FeedMark::Reader mark : aReader.getMarks()) {
     message.m_feedWatermarks.push_back(
-      { mark.getContent(), Milliseconds(mark.getAgeMs()) });
+      { { mark.getEra(), mark.getContent() }, Milliseconds(mark.getAgeMs()) });
   }
   return message;
 }
 
+FeedObject
+ReadObject(wire::FeedObject::Reader aReader)
+{
+  auto payload = aReader.getPayload();
+  return { .m_name = aReader.getName(),
+           .m_position = { aReader.getEra(), aReader.getRevision() },
+           .m_deleted = aReader.getDeleted(),
+           .m_payload = { reinterpret_cast<const char*>(payload.begin()),
+                          payload.size() },
+           .m_order = { aReader.getOrderStart(), aReader.getOrderSequence() } };
+}
+
+void
+WriteObject(const FeedObject& aObject, wire::FeedObject::Builder aBuilder)
+{
+  aBuilder.setName(aObject.m_name);
+  aBuilder.setEra(aObject.m_position.m_era);
+  aBuilder.setRevision(aObject.m_position.m_revision);
+  aBuilder.setDeleted(aObject.m_deleted);
+  aBuilder.setPayload(
+    kj::arrayPtr(reinterpret_cast<const kj::byte*>(aObject.m_payload.data()),
+                 aObject.m_payload.size()));
+  aBuilder.setOrderStart(aObject.m_order.m_start);
+  aBuilder.setOrderSequence(aObject.m_order.m_sequence);
+}
+
+RetainedObject
+ReadRetained(wire::RetainedObject::Reader aReader)
+{
+  RetainedObject retained{
+    .m_object = ReadObject(aReader.getObject()),
+    .m_against = { aReader.getAgainstEra(), aReader.getAgainstRevision() },
+  };
+  if (aReader.getHasLimit()) {
+    retained.m_remaining = Milliseconds(aReader.getRemainingMs());
+  }
+  return retained;
+}
+
+void
+WriteRetained(const RetainedObject& aRetained,
+              wire::RetainedObject::Builder aBuilder)
+{
+  WriteObject(aRetained.m_object, aBuilder.initObject());
+  aBuilder.setAgainstEra(aRetained.m_against.m_era);
+  aBuilder.setAgainstRevision(aRetained.m_against.m_revision);
+  aBuilder.setHasLimit(aRetained.m_remaining.has_value());
+  aBuilder.setRemainingMs(
+    EncodeAge(aRetained.m_remaining.value_or(Duration{})));
+}
+
 FeedDelta
 ReadDelta(wire::FeedDelta::Reader aReader)
 {
   FeedDelta delta{ .m_isSnapshot = aReader.getWhole(),
-                   .m_completeTo = aReader.getCompleteTo(),
+                   .m_completeTo = { aReader.getCompleteToEra(),
+                                     aReader.getCompleteTo() },
                    .m_age = Milliseconds(aReader.getAgeMs()) };
   for (wire::FeedObject::Reader object : aReader.getObjects()) {
-    auto payload = object.getPayload();
-    delta.m_objects.push_back(
-      { .m_name = object.getName(),
-        .m_revision = object.getRevision(),
-        .m_deleted = object.getDeleted(),
-        .m_payload = { reinterpret_cast<const char*>(payload.begin()),
-                       payload.size() } });
+    delta.m_objects.push_back(ReadObject(object));
+  }
+  for (wire::RetainedObject::Reader retained : aReader.getRetained()) {
+    delta.m_retained.push_back(ReadRetained(retained));
   }
   return delta;
 }
@@ -93,17 +143,16 @@
 WriteDelta(const FeedDelta& aDelta, wire::FeedDelta::Builder aBuilder)
 {
   aBuilder.setWhole(aDelta.m_isSnapshot);
-  aBuilder.setCompleteTo(aDelta.m_completeTo);
+  aBuilder.setCompleteToEra(aDelta.m_completeTo.m_era);
+  aBuilder.setCompleteTo(aDelta.m_completeTo.m_revision);
   aBuilder.setAgeMs(EncodeAge(aDelta.m_age));
   auto objects = aBuilder.initObjects(aDelta.m_objects.size());
   for (size_t i = 0; i < aDelta.m_objects.size(); ++i) {
-    const FeedObject& object = aDelta.m_objects[i];
-    objects[i].setName(object.m_name);
-    objects[i].setRevision(object.m_revision);
-    objects[i].setDeleted(object.m_deleted);
-    objects[i].setPayload(
-      kj::arrayPtr(reinterpret_cast<const kj::byte*>(object.m_payload.data()),
-                   object.m_payload.size()));
+    WriteObject(aDelta.m_objects[i], objects[i]);
+  }
+  auto retained = aBuilder.initRetained(aDelta.m_retained.size());
+  for (size_t i = 0; i < aDelta.m_retained.size(); ++i) {
+    WriteRetained(aDelta.m_retained[i], retained[i]);
   }
 }
 
@@ -125,8 +174,10 @@
   }
   auto marks = datagram.initMarks(aMessage.m_feedWatermarks.size());
   for (size_t i = 0; i < aMessage.m_feedWatermarks.size(); ++i) {
-    marks[i].setContent(aMessage.m_feedWatermarks[i].m_contentRevision);
-    marks[i].setAgeMs(EncodeAge(aMessage.m_feedWatermarks[i].m_age));
+    const FeedWatermark& watermark = aMessage.m_feedWatermarks[i];
+    marks[i].setEra(watermark.m_content.m_era);
+    marks[i].setContent(watermark.m_content.m_revision);
+    marks[i].setAgeMs(EncodeAge(watermark.m_age));
   }
   if (aMessage.m_kind == FleetMessageKind::kPayload) {
     datagram.setTopic(static_cast<uint8_t>(aMessage.m_topic));
--- a/packages/runtime/fleet/quota_codec_test.cc
+++ b/packages/runtime/fleet/quota_codec_test.cc
@@ -69,7 +69,8 @@
                     .m_incarnation = kLargest,
                     .m_dataCentre =
                       DataCentre("a-long-name-of-a-data-centre") },
-      .m_feedWatermarks = std::vector<FeedWatermark>(4, { kLargest }),
+      .m_feedWatermarks =
+        std::vector<FeedWatermark>(4, { .m_content = { kLargest, kLargest } }),
       .m_topic = PeerTopic::kQuota,
       .m_payload = EncodeQuotaMessage(message),
     };
