Exchange of feeds: positions in place of revisions

Cause: an instance compared its peers' watermarks, and asked for changes, by revision: after a restore of the store the old era's feed looked newer. The event feed_merged states the position in its field "revision". Measured: fleet_service.cc compiles; it is not run, as node_entry does not build before the reader of the store has positions.

--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
+#include "core/base/store_position.h"
 #include "core/fleet/store_readers.h"
 #include "runtime/fleet/fleet_codec.h"
 
@@ -17,18 +17,19 @@
 constexpr int kOkStatus = 200;
 constexpr int kNotFoundStatus = 404;
 
-// Parses the revisions to which the feeds of a peer are complete, such as
-// "since=1,2,3".
-std::array<uint64_t, kFeedKinds>
+// Parses the positions to which the feeds of a peer are complete, such as
+// "since=3.105,3.105,3.98". The start, which requests a snapshot, stands for
+// one that is missing or cannot be parsed, such as a number without an era of
+// the earlier release.
+std::array<StorePosition, kFeedKinds>
 ParseSince(std::string_view aQuery)
 {
-  std::array<uint64_t, kFeedKinds> since{};
+  std::array<StorePosition, kFeedKinds> since{};
   std::string text(
     aQuery.substr(std::min(aQuery.size(), aQuery.find('=') + 1)));
   std::vector<std::string> parts = absl::StrSplit(text, ',');
   for (size_t i = 0; i < std::min(parts.size(), since.size()); ++i) {
-    // A revision that is not a number stays 0, which requests a snapshot.
-    (void)absl::SimpleAtoi(parts[i], &since[i]);
+    since[i] = ParsePosition(parts[i]).value_or(StorePosition());
   }
   return since;
 }
@@ -145,8 +146,7 @@
   bool newer = false;
   for (size_t i = 0; i < std::min(aWatermarks.size(), m_feeds.size()); ++i) {
     m_feeds[i].ConfirmFreshness(aWatermarks[i], now);
-    newer =
-      newer || aWatermarks[i].m_contentRevision > m_feeds[i].CompleteRevision();
+    newer = newer || aWatermarks[i].m_content > m_feeds[i].CompleteTo();
   }
   if (newer && MayFetchFrom(aSender, now)) {
     FetchFeeds(aSender.m_host);
@@ -186,7 +186,7 @@
     aExchange->Answer({ .m_status = kNotFoundStatus });
     return;
   }
-  std::array<uint64_t, kFeedKinds> since = ParseSince(QueryOf(target));
+  std::array<StorePosition, kFeedKinds> since = ParseSince(QueryOf(target));
   std::vector<FeedDelta> deltas;
   for (size_t i = 0; i < m_feeds.size(); ++i) {
     deltas.push_back(m_feeds[i].ChangesSince(since[i], m_loop.Now()));
@@ -215,7 +215,7 @@
   m_fetchInFlight = true;
   std::vector<std::string> since;
   for (const ObjectFeed& feed : m_feeds) {
-    since.push_back(absl::StrCat(feed.CompleteRevision()));
+    since.push_back(FormatPosition(feed.CompleteTo()));
   }
   Http1Request request{ .m_target = absl::StrCat(std::string(kFeedPath),
                                                  "?since=",
@@ -265,7 +265,7 @@
         { { "peer", aHost },
           { "kind", std::string(FeedKindName(static_cast<FeedKind>(i))) },
           { "objects", absl::StrCat(count) },
-          { "revision", absl::StrCat((*deltas)[i].m_completeTo) },
+          { "revision", FormatPosition((*deltas)[i].m_completeTo) },
           { "age_ms", absl::StrCat(ToMilliseconds((*deltas)[i].m_age)) } });
     }
   }
