--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -204,8 +204,10 @@
   FeedDelta delta{ .m_isSnapshot = aPosition < m_removalsKnownAfter ||
                                    aPosition == StorePosition(),
                    .m_completeTo = m_completeTo,
-                   .m_age = Age(aNow).value_or(Seconds(3600)),
-                   .m_retained = m_retained.All(aNow) };
+                   .m_age = Age(aNow).value_or(Seconds(3600)) };
+  if (delta.m_isSnapshot) {
+    delta.m_retained = m_retained.All(aNow);
+  }
   for (const auto& [name, object] : m_objects) {
     bool changed = object.m_position > aPosition;
     if (delta.m_isSnapshot ? changed && !object.m_deleted : changed) {
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -50,7 +50,8 @@
   // The time since the sender's feed was known to be complete.
   Duration m_age{};
   std::vector<FeedObject> m_objects;
-  // What stays in force at the sender although the store states otherwise.
+  // What stays in force at the sender although the store states otherwise. Only
+  // in snapshots: other receivers were in this era before.
   std::vector<RetainedObject> m_retained;
 };
 
