Store reader: the first era counts once two answers state it

Cause: one false number in the first answer that a starting instance reads would have put its feed, and by gossip the fleet's, beyond every true era. Change: the first list is read once more if it states an era. Measured: store_reader_test follows with the build of the whole.

--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -314,10 +314,17 @@
     return false;
   }
   std::optional<uint64_t> known = KnownEra();
-  if (known && aEra > *known && aEra != m_announcedEra) {
+  bool isConfirmed = aEra == m_announcedEra || (known && aEra <= *known);
+  if (!isConfirmed && known) {
     AnnounceEra(aEra);
     return false;
   }
+  if (!isConfirmed) {
+    // The first answer of the store: a second one must state the same.
+    m_announcedEra = aEra;
+    RestartList(aKind);
+    return false;
+  }
   bool isMixed =
     !aKind.m_pages.empty() && aKind.m_pages.front().m_asOf.m_era != aEra;
   if (isMixed) {
