Feeds: a tombstone keeps the greatest known order

Cause: a tombstone in a delta carries the order that its sender knew. A feed that knew a later state took the lower order over, and after a restore the copy's "ready" outranked the removal.

Change: Store gives a tombstone the greater of the stated and the known order.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -59,8 +59,9 @@
   }
   const FeedObject* retained = m_retained.Find(aObject.m_name);
   const FeedObject& inForce = retained != nullptr ? *retained : known;
-  if (aObject.m_deleted && aObject.m_order == EntryOrder()) {
-    aObject.m_order = inForce.m_order;
+  if (aObject.m_deleted) {
+    // Whoever states the removal may not have seen the last state before it.
+    aObject.m_order = std::max(aObject.m_order, inForce.m_order);
   }
   // The position is kept even if the content is the same: other instances may
   // have seen the object in between. So is the removal of an unknown object.
--- a/packages/core/feed/store_restore_test.cc
+++ b/packages/core/feed/store_restore_test.cc
@@ -386,6 +386,20 @@
   DOCTEST_CHECK(InForce(feed, "up") == "gone");
 }
 
+// Guards against a removal that a peer which lagged tells, with an older last
+// state than the one that this feed knows, and that the copy then outranks.
+DOCTEST_TEST_CASE("a removal that a peer tells keeps the known order")
+{
+  ObjectFeed feed(kOfUpstreams);
+  List(feed, { 1, 21 }, { Object("up", { 1, 21 }, "draining", { 9, 5 }) });
+  ObjectFeed peer(kOfUpstreams);
+  List(peer, { 1, 12 }, { Object("up", { 1, 12 }, "ready", { 9, 2 }) });
+  Watch(peer, { .m_name = "up", .m_deleted = true }, { 1, 25 });
+  DOCTEST_CHECK(MergeFrom(feed, peer) == Names{ "up-" });
+  List(feed, { 2, 21 }, { Object("up", { 2, 17 }, "ready", { 9, 4 }) });
+  DOCTEST_CHECK(InForce(feed, "up") == "gone");
+}
+
 // Guards against what a first drill left in force being lost in a second one
 // before the writers have written again; they count their time from the last.
 DOCTEST_TEST_CASE("retained states survive a second drill")
