Roll-outs: positions of entries, and states that a restored store lacks

Cause: after a restore of the store an order's entry looked older than the known one and was ignored, a condition on a revision that was given out again could hold by accident, and a status that the copy lacked was lost: an earlier state counted as a new order, so that a version that was rolled back got requests again and one that was completed began anew. Change: RolloutEntry, reports and announcements carry a StorePosition (rollout.capnp gains the eras; the earlier release's messages have era 0), and all comparisons use it. Nothing is written on an entry of an older era than the newest known one (of the feeds, entries and messages of other instances): the entry is read first. It is read rather than waited for, because a feed reports no change when the restored store states the same content. An answer of an era that is not known counts as lost: the feeds enter an era only after several answers that state it. An earlier state of the same order in a later era comes from the copy: the known state stays in force and the controller writes it again. A store without the entry no longer ends the order, which the feed may retain: the feed's removal does, unless the entry is known at a later position. The events of roll-outs state positions in their field "revision".

--- a/packages/core/rollout/local_rollout.cc
+++ b/packages/core/rollout/local_rollout.cc
@@ -30,7 +30,7 @@
                            LocalRolloutOptions aOptions,
                            TimePoint aNow)
   : m_entry(std::move(aEntry))
-  , m_firstRevision(m_entry.m_revision)
+  , m_firstPosition(m_entry.m_position)
   , m_options(aOptions)
   , m_seenAt(aNow)
   , m_rounding(RoundingOf(m_entry.m_order, aOptions.m_seed))
@@ -42,8 +42,8 @@
 void
 LocalRollout::SetEntry(const RolloutEntry& aEntry)
 {
-  if (aEntry.m_revision >= m_entry.m_revision) {
-    m_entry = aEntry;
+  if (aEntry.m_position >= m_entry.m_position) {
+    m_entry.Adopt(aEntry);
   }
 }
 
@@ -54,7 +54,7 @@
 {
   bool isForOrder =
     aAnnouncement.m_targetVersion == m_entry.m_order.m_targetVersion &&
-    aAnnouncement.m_revision >= m_firstRevision;
+    aAnnouncement.m_position >= m_firstPosition;
   if (!isForOrder) {
     return;
   }
@@ -205,12 +205,15 @@
 RolloutReport
 LocalRollout::MakeReport(TimePoint aNow) const
 {
+  // A new controller may know only the store's copy without the roll-back.
+  bool isRolledBack =
+    m_rolledBack || m_entry.m_state == RolloutState::kRolledBack;
   RolloutReport report{ .m_service = m_entry.m_order.m_service,
                         .m_targetVersion = m_entry.m_order.m_targetVersion,
-                        .m_revision = m_firstRevision,
+                        .m_position = m_firstPosition,
                         .m_processStart = m_options.m_processStart,
                         .m_age = aNow - m_seenAt,
-                        .m_stopped = m_stopped || m_rolledBack,
+                        .m_stopped = m_stopped || isRolledBack,
                         .m_grant = m_grant,
                         .m_requests = m_requests,
                         .m_targetRequests = m_targetRequests };
--- a/packages/core/rollout/local_rollout.h
+++ b/packages/core/rollout/local_rollout.h
@@ -117,7 +117,7 @@
   [[nodiscard]] bool IsWithinLimit() const;
 
   RolloutEntry m_entry;
-  uint64_t m_firstRevision;
+  StorePosition m_firstPosition;
   LocalRolloutOptions m_options;
   TimePoint m_seenAt;
   // A fixed number in [0, 1) that rounds fractions of a request differently on
--- a/packages/core/rollout/local_rollout_test.cc
+++ b/packages/core/rollout/local_rollout_test.cc
@@ -16,7 +16,7 @@
                         .m_targetVersion = "v2",
                         .m_duration = Seconds(40) },
            .m_state = aState,
-           .m_revision = 10 };
+           .m_position = { 1, 10 } };
 }
 
 RolloutAnnouncement
@@ -24,7 +24,7 @@
 {
   return { .m_service = "s",
            .m_targetVersion = "v2",
-           .m_revision = 11,
+           .m_position = { 1, 11 },
            .m_controllerProcess = 1,
            .m_sequence = aSequence,
            .m_stage = aStage,
@@ -195,5 +195,19 @@
   DOCTEST_CHECK(fixture.m_rollout.Use(fixture.m_now) == TargetUse::kNone);
 }
 
+// Guards against a controller that has just started, knows only the restored
+// store's copy and gives a bad version requests again.
+DOCTEST_TEST_CASE("a roll-back that the store lost holds and is reported")
+{
+  Fixture fixture;
+  fixture.m_rollout.SetEntry(Entry(RolloutState::kRolledBack));
+  RolloutEntry copy = Entry(RolloutState::kRunning);
+  copy.m_position = { 2, 5 };
+  fixture.m_rollout.SetEntry(copy);
+  fixture.Announce(1, 1, RolloutStage::kFull);
+  DOCTEST_CHECK(fixture.m_rollout.Use(fixture.m_now) == TargetUse::kNone);
+  DOCTEST_CHECK(fixture.m_rollout.MakeReport(fixture.m_now).m_stopped);
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/core/rollout/rollout.h
+++ b/packages/core/rollout/rollout.h
@@ -1,11 +1,13 @@
 // The orders of roll-outs, and what instances tell each other about them.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/base/store_position.h"
 #include "core/base/time.h"
 
 namespace ebonykeel {
@@ -40,16 +42,33 @@
 struct RolloutEntry
 {
   RolloutOrder m_order;
+  // The latest state that the store has stated.
   RolloutState m_state = RolloutState::kOrdered;
-  uint64_t m_revision = 0;
+  // The position of the store's latest statement.
+  StorePosition m_position;
+  // The store came back from a copy that precedes `m_state`: it has to be
+  // written again.
+  bool m_isStateLost = false;
 
   // Returns whether `aNext`, a later entry of the same service, still describes
   // this order. States only advance; an earlier one shows that the entry was
-  // removed and ordered again.
+  // removed and ordered again, unless it comes from the copy with which the
+  // store returned.
   [[nodiscard]] bool IsSameOrder(const RolloutEntry& aNext) const
   {
-    return m_order == aNext.m_order && m_state <= aNext.m_state &&
-           (!IsFinal(m_state) || m_state == aNext.m_state);
+    bool advances = m_state <= aNext.m_state &&
+                    (!IsFinal(m_state) || m_state == aNext.m_state);
+    bool mayBeFromCopy =
+      m_isStateLost || m_position.m_era < aNext.m_position.m_era;
+    return m_order == aNext.m_order &&
+           (advances || (mayBeFromCopy && !IsFinal(aNext.m_state)));
+  }
+  // Adopts a later entry of the same order.
+  void Adopt(const RolloutEntry& aNext)
+  {
+    m_isStateLost = aNext.m_state < m_state;
+    m_state = std::max(m_state, aNext.m_state);
+    m_position = aNext.m_position;
   }
 };
 
@@ -108,8 +127,8 @@
 {
   std::string m_service;
   std::string m_targetVersion;
-  // The revision at which the instance first saw the order.
-  uint64_t m_revision = 0;
+  // The position at which the instance first saw the order.
+  StorePosition m_position;
   // Identifies the process run of the instance.
   uint64_t m_processStart = 0;
   // Increases with each report of a process.
@@ -143,8 +162,8 @@
 {
   std::string m_service;
   std::string m_targetVersion;
-  // The newest revision of the entry that the controller knows.
-  uint64_t m_revision = 0;
+  // The newest position of the entry that the controller knows.
+  StorePosition m_position;
   // Identifies the process run of the controller.
   uint64_t m_controllerProcess = 0;
   // Increases with each announcement of a controller.
--- a/packages/core/rollout/rollout_controller.cc
+++ b/packages/core/rollout/rollout_controller.cc
@@ -30,14 +30,14 @@
 void
 RolloutController::SetEntry(const RolloutEntry& aEntry)
 {
-  if (aEntry.m_revision < m_entry.m_revision) {
+  if (aEntry.m_position < m_entry.m_position) {
     return;
   }
   // Another controller took the order up.
   m_takenOver = m_takenOver || (!m_callOpen && !m_isFirst &&
                                 m_entry.m_state == RolloutState::kOrdered &&
                                 aEntry.m_state == RolloutState::kRunning);
-  m_entry = aEntry;
+  m_entry.Adopt(aEntry);
 }
 
 void
@@ -46,7 +46,7 @@
                             TimePoint aNow)
 {
   // The instance has seen a later entry than this one: a write would fail.
-  m_mustRead = m_mustRead || aReport.m_revision > m_entry.m_revision;
+  m_mustRead = m_mustRead || aReport.m_position > m_entry.m_position;
   m_seenAt = std::min(m_seenAt, aNow - aReport.m_age);
   ReportGain gain = m_reports.Add(aHost, aReport);
   bool isHistory = gain.m_isNew && m_takenOver;
@@ -246,13 +246,15 @@
   if (m_entry.m_state == RolloutState::kOrdered) {
     return RolloutState::kRunning;
   }
+  auto lost =
+    m_entry.m_isStateLost ? std::optional(m_entry.m_state) : std::nullopt;
   if (IsFinal(m_entry.m_state)) {
-    return std::nullopt;
+    return lost;
   }
   if (m_stage == RolloutStage::kRolledBack) {
     return RolloutState::kRolledBack;
   }
-  return m_mayComplete ? std::optional(RolloutState::kCompleted) : std::nullopt;
+  return m_mayComplete ? std::optional(RolloutState::kCompleted) : lost;
 }
 
 std::optional<RolloutCall>
@@ -266,13 +268,15 @@
     return std::nullopt;
   }
   m_callOpen = true;
-  if (m_mustRead) {
+  m_isTakingUp = false;
+  if (m_mustRead || m_entry.m_position.m_era < m_surroundings.m_storeEra) {
     return RolloutCall{};
   }
+  m_isTakingUp = m_entry.m_state == RolloutState::kOrdered;
   if (wanted == RolloutState::kCompleted) {
     m_completionUnknownSince = aNow;
   }
-  return RolloutCall{ .m_write = wanted, .m_revision = m_entry.m_revision };
+  return RolloutCall{ .m_write = wanted, .m_position = m_entry.m_position };
 }
 
 void
@@ -283,7 +287,7 @@
   m_callLost = false;
   m_completionUnknownSince.reset();
   if (aEntry.m_state == RolloutState::kRunning) {
-    m_isFirst = m_isFirst || aIsWritten;
+    m_isFirst = m_isFirst || (aIsWritten && m_isTakingUp);
     // Without having written it, another controller was faster.
     m_takenOver = m_takenOver || !m_isFirst;
   }
@@ -291,6 +295,16 @@
   m_changed = true;
 }
 
+void
+RolloutController::OnEntryMissing(TimePoint aNow)
+{
+  m_callOpen = false;
+  m_mustRead = true;
+  m_callLost = false;
+  m_completionUnknownSince.reset();
+  m_nextCall = aNow + m_options.m_callRetryDelay;
+}
+
 void
 RolloutController::OnCallLost(TimePoint aNow)
 {
@@ -349,7 +363,7 @@
   RolloutAnnouncement announcement{
     .m_service = m_entry.m_order.m_service,
     .m_targetVersion = m_entry.m_order.m_targetVersion,
-    .m_revision = m_entry.m_revision,
+    .m_position = m_entry.m_position,
     .m_controllerProcess = m_options.m_process,
     .m_sequence = m_sequence,
     // An instance that is told to wait must not report the stage full.
--- a/packages/core/rollout/rollout_controller.h
+++ b/packages/core/rollout/rollout_controller.h
@@ -11,7 +11,10 @@
 //
 // The status is written under the revision of the entry that the controller
 // knows, and the entry is read again whenever the result of a write is unknown.
-// So at most one final state is written, whoever else controls the order.
+// So at most one final state is written, whoever else controls the order. A
+// store that comes back from a copy gives revisions out again, so that a
+// condition on one of an earlier era may hold by accident: then the entry is
+// read first, too. A state that the copy lacks is written again.
 #pragma once
 
 #include <cstdint>
@@ -80,6 +83,8 @@
   bool m_storeReachable = true;
   // The target version has a usable upstream.
   bool m_hasTarget = true;
+  // The newest era of the store that is known.
+  uint64_t m_storeEra = 0;
 };
 
 // A call to the store that the controller wants.
@@ -87,7 +92,8 @@
 {
   // Reads the entry if there is none to write.
   std::optional<RolloutState> m_write;
-  uint64_t m_revision = 0;
+  // That of the entry to write.
+  StorePosition m_position;
 };
 
 class RolloutController
@@ -114,6 +120,10 @@
   [[nodiscard]] std::optional<RolloutCall> TakeCall(TimePoint aNow);
   // The store answered with the entry; `aIsWritten` if it was written.
   void OnCallAnswered(const RolloutEntry& aEntry, bool aIsWritten);
+  // The store answered that it has no entry. Whether the order is over is not
+  // the controller's decision: the entry may be missing in the copy with which
+  // the store returned.
+  void OnEntryMissing(TimePoint aNow);
   // The result of the call is unknown.
   void OnCallLost(TimePoint aNow);
 
@@ -180,6 +190,8 @@
   uint32_t m_endedGrants = 0;
 
   bool m_callOpen = false;
+  // Whether the latest call was to write "running" for the first time.
+  bool m_isTakingUp = false;
   bool m_mustRead = false;
   bool m_callLost = false;
   TimePoint m_nextCall;
--- a/packages/core/rollout/rollout_controller_test.cc
+++ b/packages/core/rollout/rollout_controller_test.cc
@@ -18,7 +18,7 @@
                         .m_targetVersion = "v2",
                         .m_duration = kDuration },
            .m_state = aState,
-           .m_revision = aRevision };
+           .m_position = { 1, aRevision } };
 }
 
 struct Fixture
@@ -59,7 +59,7 @@
       aHost,
       { .m_service = "s",
         .m_targetVersion = "v2",
-        .m_revision = 10,
+        .m_position = { 1, 10 },
         .m_processStart = 1,
         .m_sequence = ++m_sequence,
         .m_appliedProcess = applied.m_controllerProcess,
@@ -160,7 +160,7 @@
   std::optional<RolloutCall> call =
     fixture.m_controller.TakeCall(fixture.m_now);
   DOCTEST_REQUIRE(call.has_value());
-  DOCTEST_CHECK(call->m_revision == 15);
+  DOCTEST_CHECK(call->m_position == StorePosition{ 1, 15 });
 }
 
 DOCTEST_TEST_CASE("bad answers end the share at once and are written")
@@ -184,7 +184,7 @@
   fixture.m_controller.OnReport(kOther,
                                 { .m_service = "s",
                                   .m_targetVersion = "v2",
-                                  .m_revision = 10,
+                                  .m_position = { 1, 10 },
                                   .m_processStart = 1,
                                   .m_sequence = 1,
                                   .m_stopped = true },
@@ -284,7 +284,7 @@
   fixture.m_controller.OnReport(kOther,
                                 { .m_service = "s",
                                   .m_targetVersion = "v2",
-                                  .m_revision = 10,
+                                  .m_position = { 1, 10 },
                                   .m_processStart = 1,
                                   .m_sequence = 1,
                                   .m_age = Seconds(30) },
--- a/packages/core/rollout/rollout_coordinator.cc
+++ b/packages/core/rollout/rollout_coordinator.cc
@@ -1,5 +1,6 @@
 #include "core/rollout/rollout_coordinator.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ebonykeel {
@@ -16,13 +17,14 @@
 void
 RolloutCoordinator::SetEntry(const RolloutEntry& aEntry, TimePoint aNow)
 {
+  m_storeEra = std::max(m_storeEra, aEntry.m_position.m_era);
   const std::string& service = aEntry.m_order.m_service;
   if (const LocalRollout* known = m_chooser.Find(service)) {
-    if (aEntry.m_revision < known->Entry().m_revision) {
+    if (aEntry.m_position < known->Entry().m_position) {
       return;
     }
     if (!known->Entry().IsSameOrder(aEntry)) {
-      RemoveEntry(service);
+      EndOrder(service);
     }
   }
   m_chooser.SetEntry(aEntry, aNow);
@@ -32,11 +34,23 @@
   }
 }
 
+bool
+RolloutCoordinator::RemoveEntry(const std::string& aService,
+                                const StorePosition& aPosition)
+{
+  const LocalRollout* known = m_chooser.Find(aService);
+  if (known != nullptr && known->Entry().m_position > aPosition) {
+    return false;
+  }
+  EndOrder(aService);
+  return true;
+}
+
 void
-RolloutCoordinator::RemoveEntry(const std::string& aService)
+RolloutCoordinator::EndOrder(const std::string& aService)
 {
   if (const LocalRollout* known = m_chooser.Find(aService)) {
-    m_endedRevisions[aService] = known->Entry().m_revision;
+    m_endedPositions[aService] = known->Entry().m_position;
   }
   m_chooser.RemoveEntry(aService);
   m_orders.erase(aService);
@@ -47,14 +61,15 @@
                              const RolloutReport& aReport,
                              TimePoint aNow)
 {
+  m_storeEra = std::max(m_storeEra, aReport.m_position.m_era);
   auto found = m_orders.find(aReport.m_service);
   if (found == m_orders.end() || !found->second.m_controller) {
     return;
   }
   RolloutController& controller = *found->second.m_controller;
-  auto ended = m_endedRevisions.find(aReport.m_service);
+  auto ended = m_endedPositions.find(aReport.m_service);
   bool isEarlier =
-    ended != m_endedRevisions.end() && aReport.m_revision <= ended->second;
+    ended != m_endedPositions.end() && aReport.m_position <= ended->second;
   bool isSameTarget =
     aReport.m_targetVersion == controller.Entry().m_order.m_targetVersion;
   if (isSameTarget && !isEarlier) {
@@ -67,6 +82,7 @@
                                    const RolloutAnnouncement& aAnnouncement,
                                    TimePoint aNow)
 {
+  m_storeEra = std::max(m_storeEra, aAnnouncement.m_position.m_era);
   m_chooser.OnAnnouncement(aHost, aAnnouncement, aNow);
 }
 
@@ -84,11 +100,15 @@
 void
 RolloutCoordinator::OnTimer(const RolloutFleet& aFleet, TimePoint aNow)
 {
+  m_storeEra = std::max(m_storeEra, aFleet.m_storeEra);
   m_chooser.OnTimer(aNow);
   for (auto& [service, order] : m_orders) {
     const LocalRollout& local = *m_chooser.Find(service);
-    bool isFinal = IsFinal(local.Entry().m_state);
-    if (isFinal && !order.m_finalSince) {
+    bool isFinal =
+      IsFinal(local.Entry().m_state) && !local.Entry().m_isStateLost;
+    if (!isFinal) {
+      order.m_finalSince.reset();
+    } else if (!order.m_finalSince) {
       order.m_finalSince = aNow;
     }
     bool isOver = order.m_finalSince &&
@@ -119,7 +139,8 @@
     { .m_liveHosts = aFleet.m_liveHosts,
       .m_lostInstances = aFleet.m_lostInstances,
       .m_storeReachable = aFleet.m_storeReachable,
-      .m_hasTarget = m_port.HasTarget(controller.Entry().m_order) },
+      .m_hasTarget = m_port.HasTarget(controller.Entry().m_order),
+      .m_storeEra = m_storeEra },
     aNow);
   if (controller.Stage() != before) {
     m_port.OnStageChanged(controller, before, aNow);
@@ -186,15 +207,21 @@
                                    bool aIsWritten,
                                    TimePoint aNow)
 {
-  if (!aEntry) {
-    RemoveEntry(aService);
-    return;
-  }
   auto found = m_orders.find(aService);
   if (found == m_orders.end()) {
     return;
   }
   std::optional<RolloutController>& controller = found->second.m_controller;
+  if (!aEntry) {
+    if (controller) {
+      controller->OnEntryMissing(aNow);
+    }
+    return;
+  }
+  if (aEntry->m_position.m_era > m_storeEra) {
+    OnCallLost(aService, aNow);
+    return;
+  }
   if (controller && controller->Entry().IsSameOrder(*aEntry)) {
     controller->OnCallAnswered(*aEntry, aIsWritten);
   }
--- a/packages/core/rollout/rollout_coordinator.h
+++ b/packages/core/rollout/rollout_coordinator.h
@@ -61,6 +61,8 @@
   std::vector<std::string> m_liveHosts;
   size_t m_lostInstances = 0;
   bool m_storeReachable = true;
+  // The newest era of the store that the instance's feeds have entered.
+  uint64_t m_storeEra = 0;
 };
 
 class RolloutCoordinator
@@ -72,7 +74,9 @@
                      RolloutPort& aPort);
 
   void SetEntry(const RolloutEntry& aEntry, TimePoint aNow);
-  void RemoveEntry(const std::string& aService);
+  // Ends the order of a service whose entry was removed at `aPosition`. Returns
+  // false if the entry is known at a later position: then nothing changes.
+  bool RemoveEntry(const std::string& aService, const StorePosition& aPosition);
   void OnReport(const std::string& aHost,
                 const RolloutReport& aReport,
                 TimePoint aNow);
@@ -83,7 +87,9 @@
   void OnSuspended(TimePoint aNow);
   // Called every 100 ms or less.
   void OnTimer(const RolloutFleet& aFleet, TimePoint aNow);
-  // The store answered a call; `aEntry` is nothing if the entry is gone.
+  // The store answered a call; `aEntry` is nothing if it has no entry. An entry
+  // of an era that neither the feeds nor other instances know does not count:
+  // the feeds enter an era only after several answers that state it.
   void OnCallAnswered(const std::string& aService,
                       const std::optional<RolloutEntry>& aEntry,
                       bool aIsWritten,
@@ -108,6 +114,7 @@
     TimePoint m_reportedAt;
   };
 
+  void EndOrder(const std::string& aService);
   void Control(Order& aOrder, const RolloutFleet& aFleet, TimePoint aNow);
   void Announce(Order& aOrder, const RolloutFleet& aFleet, TimePoint aNow);
   void Report(const std::string& aService,
@@ -119,9 +126,12 @@
   RolloutCoordinatorOptions m_options;
   RolloutPort& m_port;
   std::map<std::string, Order> m_orders;
-  // The last revision of earlier orders: reports up to it are not of the
+  // The last position of earlier orders: reports up to it are not of the
   // present order.
-  std::map<std::string, uint64_t> m_endedRevisions;
+  std::map<std::string, StorePosition> m_endedPositions;
+  // The newest era of the store that the feeds, entries and other instances
+  // have stated.
+  uint64_t m_storeEra = 0;
   uint64_t m_reportSequence = 0;
 };
 
--- a/packages/core/rollout/testing/simulated_rollout.cc
+++ b/packages/core/rollout/testing/simulated_rollout.cc
@@ -250,7 +250,7 @@
   , m_entry{ .m_order = { .m_service = "s",
                           .m_targetVersion = "v2",
                           .m_duration = m_scenario.m_duration },
-             .m_revision = 10 }
+             .m_position = { 1, 10 } }
 {
   if (m_scenario.m_hasTarget) {
     m_upstreams.push_back(MakeUpstream("u3", "v2", 3));
@@ -421,8 +421,8 @@
   if (ReachesStore(aInstance) && Draw() >= m_scenario.m_loss) {
     At(m_now + DrawDelay(),
        [this, aInstance, aCall, answered, instance, isPresent]() {
-         bool isWritten =
-           aCall.m_write && aCall.m_revision == m_entry.m_revision;
+         bool isWritten = aCall.m_write && aCall.m_position.m_revision ==
+                                             m_entry.m_position.m_revision;
          if (isWritten) {
            Write(aCall);
          }
@@ -456,7 +456,7 @@
 SimulatedRollout::Write(const RolloutCall& aCall)
 {
   m_entry.m_state = *aCall.m_write;
-  ++m_entry.m_revision;
+  ++m_entry.m_position.m_revision;
   if (IsFinal(m_entry.m_state)) {
     ++m_outcome.m_finalWrites;
     m_outcome.m_finalAt = m_now - m_start;
--- a/packages/core/rollout/version_chooser.cc
+++ b/packages/core/rollout/version_chooser.cc
@@ -50,7 +50,7 @@
   const std::string& service = aEntry.m_order.m_service;
   auto found = m_rollouts.find(service);
   if (found != m_rollouts.end()) {
-    if (aEntry.m_revision < found->second.Entry().m_revision) {
+    if (aEntry.m_position < found->second.Entry().m_position) {
       return;
     }
     if (found->second.Entry().IsSameOrder(aEntry)) {
--- a/packages/core/rollout/version_chooser_test.cc
+++ b/packages/core/rollout/version_chooser_test.cc
@@ -31,7 +31,7 @@
                         .m_targetVersion = aTarget,
                         .m_duration = Seconds(40) },
            .m_state = aState,
-           .m_revision = aRevision };
+           .m_position = { 1, aRevision } };
 }
 
 struct Fixture
@@ -43,7 +43,7 @@
     m_chooser.OnAnnouncement("10.0.0.1",
                              { .m_service = aService,
                                .m_targetVersion = "v2",
-                               .m_revision = 10,
+                               .m_position = { 1, 10 },
                                .m_controllerProcess = 1,
                                .m_sequence = ++m_sequence,
                                .m_stage = aStage,
--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -1,6 +1,7 @@
 #include "node/entry/fleet_service.h"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -82,6 +83,13 @@
   return m_view.InContact(m_loop.Now());
 }
 
+uint64_t
+FleetService::StoreEra() const
+{
+  auto era = [](const ObjectFeed& aFeed) { return aFeed.CompleteTo().m_era; };
+  return std::ranges::max(m_feeds | std::views::transform(era));
+}
+
 void
 FleetService::AddSeeds(std::span<const std::string> aHosts)
 {
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -65,6 +65,8 @@
 
   [[nodiscard]] const FleetView& View() const { return m_view; }
   [[nodiscard]] bool InContact() const;
+  // Returns the newest era of the store that a feed has entered.
+  [[nodiscard]] uint64_t StoreEra() const;
   void AddSeeds(std::span<const std::string> aHosts);
   void SetSelf(FleetState aState, bool aReady, bool aStoreReachable);
   void SetCapacity(uint32_t aCapacity);
--- a/packages/node/entry/rollout_service.cc
+++ b/packages/node/entry/rollout_service.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "core/base/stable_hash.h"
+#include "core/base/store_position.h"
 #include "core/fleet/store_readers.h"
 #include "runtime/fleet/rollout_codec.h"
 
@@ -104,11 +105,13 @@
                  : m_protocol.ReadRollout(aObject);
   if (!entry.ok()) {
     // The object is named after the service.
-    m_coordinator.RemoveEntry(aObject.m_name);
+    if (!m_coordinator.RemoveEntry(aObject.m_name, aObject.m_position)) {
+      return;
+    }
     m_stopped.erase(aObject.m_name);
     m_log.Write(Event::kRolloutEnded,
                 { { "service", aObject.m_name },
-                  { "revision", absl::StrCat(aObject.m_revision) } });
+                  { "revision", FormatPosition(aObject.m_position) } });
     return;
   }
   m_log.Write(Event::kRolloutSeen,
@@ -117,7 +120,7 @@
                 { "state", std::string(StateName(entry->m_state)) },
                 { "duration_ms",
                   absl::StrCat(ToMilliseconds(entry->m_order.m_duration)) },
-                { "revision", absl::StrCat(entry->m_revision) } });
+                { "revision", FormatPosition(entry->m_position) } });
   m_coordinator.SetEntry(*entry, m_loop.Now());
 }
 
@@ -159,7 +162,8 @@
 {
   const FleetView& view = m_fleet.View();
   std::vector<FleetRecord> live = view.LiveMembers();
-  RolloutFleet fleet{ .m_storeReachable = aStoreReachable };
+  RolloutFleet fleet{ .m_storeReachable = aStoreReachable,
+                      .m_storeEra = m_fleet.StoreEra() };
   std::vector<std::string> readers = ChooseReaders(live, 1);
   if (!readers.empty()) {
     fleet.m_controller = readers.front();
@@ -214,7 +218,7 @@
 RolloutService::CallStore(const std::string& aService, const RolloutCall& aCall)
 {
   RolloutEntry entry = m_chooser.Find(aService)->Entry();
-  entry.m_revision = aCall.m_revision;
+  entry.m_position = aCall.m_position;
   Http1Request request =
     aCall.m_write ? m_protocol.MakeRolloutStatusRequest(entry, *aCall.m_write)
                   : m_protocol.MakeReadRequest(FeedKind::kRollouts, aService);
@@ -246,7 +250,7 @@
                     isOk         ? "ok"
                     : isConflict ? "conflict"
                                  : "lost" },
-                  { "revision", absl::StrCat(aBefore.m_revision) } });
+                  { "revision", FormatPosition(aBefore.m_position) } });
   }
   if (status == kNotFoundStatus) {
     ApplyAnswer(service, nullptr, false);
--- a/packages/runtime/fleet/rollout.capnp
+++ b/packages/runtime/fleet/rollout.capnp
@@ -5,6 +5,7 @@
 
 # The payloads of the topic "roll-out": reports of instances to the controller
 # and its announcements to them. One datagram holds one of them.
+# The earlier release sends no eras: they are read as 0.
 
 struct AnswerCounts {
   answers @0 :UInt64;
@@ -34,6 +35,7 @@
   requests @12 :UInt64;
   targetRequests @13 :UInt64;
   routes @14 :List(RouteCounts);
+  era @15 :UInt64;
 }
 
 struct RolloutAnnouncement {
@@ -47,6 +49,7 @@
   ageMs @7 :UInt32;
   grant @8 :UInt32;
   grantProcess @9 :UInt64;
+  era @10 :UInt64;
 }
 
 struct RolloutMessage {
--- a/packages/runtime/fleet/rollout.capnp.h
+++ b/packages/runtime/fleet/rollout.capnp.h
@@ -66,7 +66,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3a3c07859a0ccca, 9, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d3a3c07859a0ccca, 10, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -81,7 +81,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a6d55238628d108a, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a6d55238628d108a, 8, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -348,6 +348,8 @@
   inline bool hasRoutes() const;
   inline  ::capnp::List< ::ebonykeel::wire::RouteCounts,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -433,6 +435,9 @@
   inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RouteCounts,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RouteCounts,  ::capnp::Kind::STRUCT>> disownRoutes();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -498,6 +503,8 @@
 
   inline  ::uint64_t getGrantProcess() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -564,6 +571,9 @@
   inline  ::uint64_t getGrantProcess();
   inline void setGrantProcess( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1113,6 +1123,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RolloutReport::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RolloutReport::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void RolloutReport::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RolloutAnnouncement::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1293,6 +1317,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RolloutAnnouncement::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RolloutAnnouncement::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void RolloutAnnouncement::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::ebonykeel::wire::RolloutMessage::Which RolloutMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/packages/runtime/fleet/rollout_codec.cc
+++ b/packages/runtime/fleet/rollout_codec.cc
@@ -45,7 +45,8 @@
   auto report = builder.initRoot<wire::RolloutMessage>().initReport();
   report.setService(aReport.m_service);
   report.setTarget(aReport.m_targetVersion);
-  report.setRevision(aReport.m_revision);
+  report.setEra(aReport.m_position.m_era);
+  report.setRevision(aReport.m_position.m_revision);
   report.setProcessStart(aReport.m_processStart);
   report.setSequence(aReport.m_sequence);
   report.setAppliedProcess(aReport.m_appliedProcess);
@@ -113,7 +114,8 @@
   }
   RolloutReport report{ .m_service = aReader.getService(),
                         .m_targetVersion = aReader.getTarget(),
-                        .m_revision = aReader.getRevision(),
+                        .m_position = { aReader.getEra(),
+                                        aReader.getRevision() },
                         .m_processStart = aReader.getProcessStart(),
                         .m_sequence = aReader.getSequence(),
                         .m_appliedProcess = aReader.getAppliedProcess(),
@@ -146,17 +148,18 @@
   if (!stage || !isShare) {
     return std::nullopt;
   }
-  return RolloutAnnouncement{ .m_service = aReader.getService(),
-                              .m_targetVersion = aReader.getTarget(),
-                              .m_revision = aReader.getRevision(),
-                              .m_controllerProcess =
-                                aReader.getControllerProcess(),
-                              .m_sequence = aReader.getSequence(),
-                              .m_stage = *stage,
-                              .m_share = share,
-                              .m_age = DecodeAge(aReader.getAgeMs()),
-                              .m_grant = aReader.getGrant(),
-                              .m_grantProcess = aReader.getGrantProcess() };
+  return RolloutAnnouncement{
+    .m_service = aReader.getService(),
+    .m_targetVersion = aReader.getTarget(),
+    .m_position = { aReader.getEra(), aReader.getRevision() },
+    .m_controllerProcess = aReader.getControllerProcess(),
+    .m_sequence = aReader.getSequence(),
+    .m_stage = *stage,
+    .m_share = share,
+    .m_age = DecodeAge(aReader.getAgeMs()),
+    .m_grant = aReader.getGrant(),
+    .m_grantProcess = aReader.getGrantProcess()
+  };
 }
 
 } // namespace
@@ -177,7 +180,8 @@
     builder.initRoot<wire::RolloutMessage>().initAnnouncement();
   announcement.setService(aAnnouncement.m_service);
   announcement.setTarget(aAnnouncement.m_targetVersion);
-  announcement.setRevision(aAnnouncement.m_revision);
+  announcement.setEra(aAnnouncement.m_position.m_era);
+  announcement.setRevision(aAnnouncement.m_position.m_revision);
   announcement.setControllerProcess(aAnnouncement.m_controllerProcess);
   announcement.setSequence(aAnnouncement.m_sequence);
   announcement.setStage(static_cast<uint8_t>(aAnnouncement.m_stage));
--- a/packages/runtime/fleet/rollout_codec_test.cc
+++ b/packages/runtime/fleet/rollout_codec_test.cc
@@ -13,7 +13,7 @@
 {
   RolloutReport report{ .m_service = "seat-search",
                         .m_targetVersion = "v2",
-                        .m_revision = 17,
+                        .m_position = { 3, 17 },
                         .m_processStart = 1700000000000,
                         .m_sequence = 4,
                         .m_appliedProcess = 5,
@@ -36,7 +36,7 @@
 
 const RolloutAnnouncement kAnnouncement{ .m_service = "seat-search",
                                          .m_targetVersion = "v2",
-                                         .m_revision = 18,
+                                         .m_position = { 3, 18 },
                                          .m_controllerProcess = 7,
                                          .m_sequence = 9,
                                          .m_stage = RolloutStage::kCanary,
@@ -56,6 +56,31 @@
     std::optional<RolloutMessage>(kAnnouncement));
 }
 
+// Guards against a field that was renumbered. The bytes were written by the
+// codec of the release that had revisions without an era.
+DOCTEST_TEST_CASE("messages of the earlier release are read with era 0")
+{
+  constexpr std::string_view kReport(
+    "\x10\x11\x50\x01\x01\x00\x00\x50\x09\x03\x01\x11\x00\x07\x11\x09\x12\x11"
+    "\x09\x1a\x00\x00\x01\x61\x03\x76\x32",
+    27);
+  DOCTEST_CHECK(
+    DecodeRolloutMessage(kReport) ==
+    std::optional<RolloutMessage>(RolloutReport{
+      .m_service = "a", .m_targetVersion = "v2", .m_position = { 0, 17 } }));
+  constexpr std::string_view kOldAnnouncement(
+    "\x10\x0e\x50\x01\x01\x01\x01\x50\x07\x02\x01\x12\x00\x02\xff\x9a\x99\x99"
+    "\x99\x99\x99\xa9\x3f\x00\x00\x01\x11\x05\x12\x11\x05\x1a\x01\x61\x03\x76"
+    "\x32",
+    37);
+  DOCTEST_CHECK(
+    DecodeRolloutMessage(kOldAnnouncement) ==
+    std::optional<RolloutMessage>(RolloutAnnouncement{ .m_service = "a",
+                                                       .m_targetVersion = "v2",
+                                                       .m_position = { 0, 18 },
+                                                       .m_share = 0.05 }));
+}
+
 // Guards against datagrams that the network drops because of their length.
 DOCTEST_TEST_CASE("a report of many routes is divided among messages")
 {
