Log lines carry the time of their event

Cause: LineLog took its time from SetTime, which was called once a tick, each 100 ms. Change: LineLog reads a clock that its constructor is given, at each line. Stamps count from the making of the log, which directly precedes that of the instance. Measured: runtime_log_test (with a new case, two lines between two calls of Flush have their own stamps), node_entry_test, store_reader_test, faulty_answers_test and store_entries_test pass.

--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -323,7 +323,6 @@
 void
 ForwardInstance::OnTick()
 {
-  m_log.SetTime(m_loop.Now() - m_startedAt);
   CheckSuspension();
   UpdateReaderRole();
   MaintainInstanceList();
--- a/packages/node/entry/forward_main.cc
+++ b/packages/node/entry/forward_main.cc
@@ -85,7 +85,7 @@
   // process.
   std::signal(SIGPIPE, SIG_IGN);
   UvLoop loop;
-  LineLog log({});
+  LineLog log([&loop]() { return loop.Now(); }, {});
   ForwardInstance instance(loop, std::move(aSettings), aTraffic, aStore, log);
   std::string problem = instance.Start();
   if (!problem.empty()) {
--- a/packages/node/entry/quota_service_test.cc
+++ b/packages/node/entry/quota_service_test.cc
@@ -116,7 +116,8 @@
   std::vector<std::string> m_hosts = { "10.0.0.1", "10.0.0.2" };
   UvLoop m_loop;
   std::FILE* m_logFile = std::tmpfile();
-  LineLog m_log{ { .m_descriptor = fileno(m_logFile) } };
+  LineLog m_log{ [this]() { return m_loop.Now(); },
+                 { .m_descriptor = fileno(m_logFile) } };
   std::array<Peers, 2> m_peers;
   bool m_connected = true;
   std::vector<std::tuple<size_t, size_t, std::string>> m_inFlight;
--- a/packages/runtime/log/line_log.cc
+++ b/packages/runtime/log/line_log.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 
 namespace ebonykeel {
@@ -21,8 +23,10 @@
 
 } // namespace
 
-LineLog::LineLog(LineLogOptions aOptions)
-  : m_options(aOptions)
+LineLog::LineLog(std::function<TimePoint()> aNow, LineLogOptions aOptions)
+  : m_now(std::move(aNow))
+  , m_startedAt(m_now())
+  , m_options(aOptions)
 {
   int flags = fcntl(m_options.m_descriptor, F_GETFL);
   if (flags >= 0) {
@@ -42,7 +46,7 @@
   ++count;
   absl::StrAppend(&m_pending,
                   "ms=",
-                  ToMilliseconds(m_sinceStart),
+                  ToMilliseconds(m_now() - m_startedAt),
                   " ",
                   FormatEvent(aEvent, { aFields.begin(), aFields.size() }),
                   "\n");
--- a/packages/runtime/log/line_log.h
+++ b/packages/runtime/log/line_log.h
@@ -5,12 +5,17 @@
 // full, and, for events of severity info, beyond a limit for each event between
 // two calls of `Flush`.
 //
-//   LineLog log(options);
+// Each line is stamped with the time of its `Write`, in milliseconds since the
+// log was made. A stamp that is shared by all lines of a tick hides how often
+// and how fast a call is repeated.
+//
+//   LineLog log([&loop]() { return loop.Now(); }, options);
 //   log.Write(Event::kStoreRecovered, {});
 //   log.Flush();  // from a timer
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <unordered_map>
@@ -33,24 +38,24 @@
 class LineLog
 {
 public:
-  explicit LineLog(LineLogOptions aOptions);
+  // `aNow` returns the current time and must be callable for as long as the log
+  // is written.
+  LineLog(std::function<TimePoint()> aNow, LineLogOptions aOptions);
 
   void Write(Event aEvent, std::initializer_list<EventField> aFields);
   // Writes as much as the descriptor accepts, and resets the counts of the
   // limits for each event.
   void Flush();
-  // Sets the time since the start that later lines are stamped with, in
-  // milliseconds.
-  void SetTime(Duration aSinceStart) { m_sinceStart = aSinceStart; }
 
   [[nodiscard]] uint64_t Dropped() const { return m_dropped; }
   [[nodiscard]] const std::string& Pending() const { return m_pending; }
 
 private:
+  std::function<TimePoint()> m_now;
+  TimePoint m_startedAt;
   LineLogOptions m_options;
   std::string m_pending;
   std::unordered_map<int, uint32_t> m_linesSinceFlush;
-  Duration m_sinceStart{};
   uint64_t m_dropped = 0;
   uint64_t m_reportedDropped = 0;
 };
--- a/packages/runtime/log/line_log_test.cc
+++ b/packages/runtime/log/line_log_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <functional>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -30,21 +31,52 @@
   std::array<int, 2> m_descriptors{};
 };
 
+// A clock that the test advances.
+struct ManualClock
+{
+  [[nodiscard]] std::function<TimePoint()> Reader() const
+  {
+    return [this]() { return m_now; };
+  }
+  TimePoint m_now{ Seconds(70) };
+};
+
 DOCTEST_TEST_CASE("lines are written only by Flush")
 {
   Pipe pipe;
-  LineLog log({ .m_descriptor = pipe.m_descriptors[1] });
-  log.SetTime(Milliseconds(1500));
+  ManualClock clock;
+  LineLog log(clock.Reader(), { .m_descriptor = pipe.m_descriptors[1] });
+  clock.m_now += Milliseconds(1500);
   log.Write(Event::kStoreFailed, { { "call", "x y" } });
   DOCTEST_CHECK(pipe.Read().empty());
   log.Flush();
   DOCTEST_CHECK(pipe.Read() == "ms=1500 EK1401 store_failed call=\"x y\"\n");
 }
 
+// Guards against lines that share the stamp of a tick: the record of an
+// incident showed five lines at one time and not what lay between them.
+DOCTEST_TEST_CASE("lines between two calls of Flush have their own stamps")
+{
+  Pipe pipe;
+  ManualClock clock;
+  LineLog log(clock.Reader(), { .m_descriptor = pipe.m_descriptors[1] });
+  log.Flush();
+  clock.m_now += Milliseconds(4);
+  log.Write(Event::kStoreFailed, {});
+  clock.m_now += Milliseconds(3);
+  log.Write(Event::kStoreRecovered, {});
+  clock.m_now += Milliseconds(93);
+  log.Flush();
+  DOCTEST_CHECK(pipe.Read() ==
+                "ms=4 EK1401 store_failed\nms=7 EK1402 store_recovered\n");
+}
+
 DOCTEST_TEST_CASE("lines beyond an event's limit are dropped and counted")
 {
   Pipe pipe;
+  ManualClock clock;
   LineLog log(
+    clock.Reader(),
     { .m_descriptor = pipe.m_descriptors[1], .m_maxLinesPerEvent = 2 });
   for (int i = 0; i < 5; ++i) {
     log.Write(Event::kStoreRecovered, {});
@@ -62,7 +94,9 @@
 DOCTEST_TEST_CASE("a full pipe does not block, and the buffer is bounded")
 {
   Pipe pipe;
-  LineLog log({ .m_descriptor = pipe.m_descriptors[1],
+  ManualClock clock;
+  LineLog log(clock.Reader(),
+              { .m_descriptor = pipe.m_descriptors[1],
                 .m_maxPendingBytes = 4096,
                 .m_maxLinesPerEvent = 1000000 });
   for (int i = 0; i < 10000; ++i) {
