Logs and metrics of the revisions that the store states

Change: history_lost (EK1404) states the revision at which the watch began. The new EK1409 revision_behind states an older revision than the feed is complete to, once for each kind until one is taken again. Metrics by kind: the feed's revision, lists and watches begun, histories lost, statements ignored. Nothing is decided differently.

--- a/packages/node/entry/forward_instance_metrics.cc
+++ b/packages/node/entry/forward_instance_metrics.cc
@@ -10,6 +10,7 @@
 ForwardInstance::RenderMetrics() const
 {
   std::string text = m_forward.Stats().Render();
+  text += m_reader.Stats().Render();
   if (m_quota) {
     text += m_quota->RenderMetrics();
   }
@@ -30,6 +31,15 @@
   gauge("ebonykeel_store_calls", m_reader.CallCount());
   gauge("ebonykeel_store_on_duty", m_reader.IsActive() ? 1 : 0);
   gauge("ebonykeel_store_unreadable_objects", m_reader.UnreadableCount());
+  text += "# TYPE ebonykeel_feed_revision gauge\n";
+  for (size_t i = 0; i < kFeedKinds; ++i) {
+    absl::StrAppend(&text,
+                    "ebonykeel_feed_revision{kind=\"",
+                    std::string(FeedKindName(static_cast<FeedKind>(i))),
+                    "\"} ",
+                    m_feeds[i].CompleteRevision(),
+                    "\n");
+  }
   gauge("ebonykeel_replicas", m_routing.Catalogue().Count());
   gauge("ebonykeel_replicas_leaving", m_routing.Catalogue().LeavingCount());
   gauge("ebonykeel_replicas_pushing_back",
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -67,6 +67,7 @@
   , m_protocol(aProtocol)
   , m_feeds(aFeeds)
   , m_log(aLog)
+  , m_stats(aLog)
   , m_options(std::move(aOptions))
   , m_observer(aObserver)
   , m_unseenChangeTimer(aLoop, [this]() { OnUnseenChangeTimer(); })
@@ -164,6 +165,9 @@
 void
 StoreReader::StartList(KindState& aKind)
 {
+  if (aKind.m_listAfter.empty()) {
+    m_stats.OnListBegun(aKind.m_kind);
+  }
   aKind.m_httpCall = Call(
     m_protocol.MakeListRequest(aKind.m_kind, aKind.m_listAfter),
     m_options.m_callTimeout,
@@ -176,6 +180,7 @@
   Duration wait = aKind.m_kind == FeedKind::kReplicas
                     ? m_options.m_replicaWatchDuration
                     : m_options.m_watchDuration;
+  m_stats.OnWatchBegun(aKind.m_kind);
   aKind.m_watchSinceRevision = Feed(aKind).CompleteRevision();
   aKind.m_httpCall = Call(
     m_protocol.MakeWatchRequest(aKind.m_kind, aKind.m_watchSinceRevision, wait),
@@ -271,8 +276,7 @@
   }
   auto events = m_protocol.ReadEvents(aKind.m_kind, aResult.m_response);
   if (absl::IsOutOfRange(events.status())) {
-    m_log.Write(Event::kHistoryLost,
-                { { "kind", std::string(FeedKindName(aKind.m_kind)) } });
+    m_stats.OnHistoryLost(aKind.m_kind, aKind.m_watchSinceRevision);
     // Watches of the other kinds may miss changes too.
     Relist(FeedKind::kReplicas);
     RelistOtherKinds();
@@ -425,6 +429,8 @@
     m_log.Write(Event::kStoreRecovered, {});
     m_observer.OnStoreReachabilityChanged(true);
   }
+  m_stats.OnRevisionStated(
+    aKind.m_kind, aAsOfRevision, Feed(aKind).CompleteRevision());
   bool changed = ReleaseHeldRemovals(aKind, aAsOfRevision) || aChanged;
   Feed(aKind).MarkCompleteTo(aAsOfRevision, m_loop.Now());
   m_observer.OnFeedRead(aKind.m_kind, changed);
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -20,6 +20,7 @@
 #include "core/feed/object_feed.h"
 #include "core/feed/unreadable_objects.h"
 #include "node/entry/protocol.h"
+#include "node/entry/store_reader_stats.h"
 #include "runtime/http1/client.h"
 #include "runtime/log/line_log.h"
 #include "runtime/uv/uv_loop.h"
@@ -86,6 +87,7 @@
   // Returns how many objects of the store cannot be read; 0 while this instance
   // is not a reader.
   [[nodiscard]] size_t UnreadableCount() const;
+  [[nodiscard]] const StoreReaderStats& Stats() const { return m_stats; }
 
   // Reads the list of instances; calls `aCallback` with their hosts, or with
   // none if the list cannot be read.
@@ -163,6 +165,7 @@
   const StoreProtocol& m_protocol;
   std::array<ObjectFeed, kFeedKinds>& m_feeds;
   LineLog& m_log;
+  StoreReaderStats m_stats;
   StoreReaderOptions m_options;
   StoreReaderObserver& m_observer;
   std::array<KindState, kFeedKinds> m_kindStates;
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -170,9 +170,9 @@
     Event::kHistoryLost,
     Severity::kInfo,
     "history_lost",
-    "The store no longer has the requested changes; its objects are listed "
-    "again.",
-    "kind" },
+    "The store no longer has the changes after the revision at which a watch "
+    "began (since); its objects are listed again.",
+    "kind since" },
   EventInfo{ Event::kRemovalsReleased,
              Severity::kInfo,
              "removals_released",
@@ -196,6 +196,13 @@
              "An object in the store cannot be read; it counts as removed, the "
              "others hold. Logged once by each reader until it is readable.",
              "kind object revision" },
+  EventInfo{ Event::kRevisionBehind,
+             Severity::kWarning,
+             "revision_behind",
+             "A list or a watch's answer stated an older revision of the store "
+             "than the feed is complete to (known); it is ignored. Logged once "
+             "for each kind until one is taken again, the rest is counted.",
+             "kind stated known" },
   EventInfo{ Event::kRolloutSeen,
              Severity::kInfo,
              "rollout_seen",
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -49,6 +49,7 @@
   kFeedMerged = 1406,
   kChangesUnseen = 1407,
   kObjectUnreadable = 1408,
+  kRevisionBehind = 1409,
   kRolloutSeen = 1411,
   kRolloutStage = 1412,
   kRolloutStatusWritten = 1413,
