--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -326,7 +326,6 @@
 void
 ForwardInstance::OnTick()
 {
-  m_log.SetTime(m_loop.Now() - m_startedAt);
   CheckSuspension();
   ReleaseRetained();
   UpdateReaderRole();
--- a/packages/node/entry/forward_instance_metrics.cc
+++ b/packages/node/entry/forward_instance_metrics.cc
@@ -10,6 +10,7 @@
 ForwardInstance::RenderMetrics() const
 {
   std::string text = m_forward.Stats().Render();
+  text += m_reader.Stats().Render();
   if (m_quota) {
     text += m_quota->RenderMetrics();
   }
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -67,6 +67,7 @@
   , m_protocol(aProtocol)
   , m_feeds(aFeeds)
   , m_log(aLog)
+  , m_stats(aLog)
   , m_options(std::move(aOptions))
   , m_observer(aObserver)
   , m_unseenChangeTimer(aLoop, [this]() { OnUnseenChangeTimer(); })
@@ -164,6 +165,9 @@
 void
 StoreReader::StartList(KindState& aKind)
 {
+  if (aKind.m_pages.empty()) {
+    m_stats.OnListBegun(aKind.m_kind);
+  }
   std::string after =
     aKind.m_pages.empty() ? "" : aKind.m_pages.back().m_nextAfter;
   aKind.m_httpCall = Call(
@@ -185,6 +189,7 @@
   Duration wait = aKind.m_kind == FeedKind::kReplicas
                     ? m_options.m_replicaWatchDuration
                     : m_options.m_watchDuration;
+  m_stats.OnWatchBegun(aKind.m_kind);
   aKind.m_watchSince = Feed(aKind).CompleteTo();
   aKind.m_httpCall =
     Call(m_protocol.MakeWatchRequest(aKind.m_kind, aKind.m_watchSince, wait),
@@ -388,9 +393,7 @@
   }
   auto events = m_protocol.ReadEvents(aKind.m_kind, aResult.m_response);
   if (absl::IsOutOfRange(events.status())) {
-    m_log.Write(Event::kHistoryLost,
-                { { "kind", std::string(FeedKindName(aKind.m_kind)) },
-                  { "since", FormatPosition(aKind.m_watchSince) } });
+    m_stats.OnHistoryLost(aKind.m_kind, aKind.m_watchSince);
     aKind.m_lostSince = aKind.m_watchSince;
     // Watches of the other kinds may miss changes too.
     Relist(FeedKind::kReplicas);
@@ -550,10 +553,11 @@
     m_log.Write(Event::kStoreRecovered, {});
     m_observer.OnStoreReachabilityChanged(true);
   }
+  StorePosition known = Feed(aKind).CompleteTo();
+  m_stats.OnPositionStated(aKind.m_kind, aAsOf, known);
   bool changed = ReleaseHeldRemovals(aKind, aAsOf) || aChanged;
-  bool isNewEra = aAsOf.m_era > Feed(aKind).CompleteTo().m_era;
   Feed(aKind).MarkCompleteTo(aAsOf, m_loop.Now());
-  m_observer.OnFeedRead(aKind.m_kind, changed || isNewEra);
+  m_observer.OnFeedRead(aKind.m_kind, changed || aAsOf.m_era > known.m_era);
   if (m_active) {
     ContinueReading(aKind);
   }
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -170,8 +170,8 @@
     Event::kHistoryLost,
     Severity::kInfo,
     "history_lost",
-    "The store no longer has the requested changes; its objects are listed "
-    "again.",
+    "The store no longer has the changes after the revision at which a watch "
+    "began (since); its objects are listed again.",
     "kind since" },
   EventInfo{ Event::kRemovalsReleased,
              Severity::kInfo,
@@ -196,6 +196,14 @@
              "An object in the store cannot be read; it counts as removed, the "
              "others hold. Logged once by each reader until it is readable.",
              "kind object revision" },
+  EventInfo{
+    Event::kRevisionBehind,
+    Severity::kWarning,
+    "revision_behind",
+    "A list or a watch's answer stated an earlier position of the "
+    "store than the feed is complete to (known); it is ignored. Logged "
+    "once for each kind until one is taken again, the rest is counted.",
+    "kind stated known" },
   EventInfo{
     Event::kStoreEraChanged,
     Severity::kWarning,
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -49,6 +49,7 @@
   kFeedMerged = 1406,
   kChangesUnseen = 1407,
   kObjectUnreadable = 1408,
+  kRevisionBehind = 1409,
   kStoreEraChanged = 1410,
   kRolloutSeen = 1411,
   kRolloutStage = 1412,
