Feeds: tombstones are pruned after their removal is reported

Cause: Store pruned the tombstones itself. Once a list lacked more than 2000 objects, all of one position, the tombstone just stored went too: callers that look up a reported removal read through null, and after a restore 2001 of 2500 missing upstreams were not reported as released, so that they stayed in force.

Change: Complete prunes, and leaves the tombstones of retained objects. The test of the ten-second hold states the copy at another position, as the same statement again was ignored before it reached the hold.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -75,7 +75,6 @@
   m_tombstoneCount -= known.m_deleted ? 1 : 0;
   m_tombstoneCount += aObject.m_deleted ? 1 : 0;
   known = std::move(aObject);
-  Prune();
   return changed;
 }
 
@@ -158,6 +157,7 @@
   m_completeTo = aPosition;
   m_completeAsOf =
     std::max(m_completeAsOf.value_or(aCompleteAsOf), aCompleteAsOf);
+  Prune();
 }
 
 void
@@ -333,17 +333,24 @@
   if (m_tombstoneCount <= kMaxTombstones) {
     return;
   }
+  // The end of a retention is a change, whose object must be known.
+  auto isPrunable = [&](const auto& aEntry) {
+    return aEntry.second.m_deleted && m_retained.Find(aEntry.first) == nullptr;
+  };
   std::vector<StorePosition> positions;
-  for (const auto& [name, object] : m_objects) {
-    if (object.m_deleted) {
-      positions.push_back(object.m_position);
+  for (const auto& entry : m_objects) {
+    if (isPrunable(entry)) {
+      positions.push_back(entry.second.m_position);
     }
   }
+  if (positions.empty()) {
+    return;
+  }
   auto middle = positions.begin() + positions.size() / 2;
   std::ranges::nth_element(positions, middle);
   m_removalsKnownAfter = std::max(m_removalsKnownAfter, *middle);
   m_tombstoneCount -= std::erase_if(m_objects, [&](const auto& aEntry) {
-    return aEntry.second.m_deleted &&
+    return isPrunable(aEntry) &&
            aEntry.second.m_position <= m_removalsKnownAfter;
   });
 }
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -141,6 +141,8 @@
   // Gives the missed changes the position `aPosition`, to which the feed is now
   // complete, so that other instances fetch them.
   void RestampMissedChanges(const StorePosition& aPosition);
+  // Drops the older half of the tombstones if there are too many. Callers look
+  // up the objects whose removal is reported, so that this comes last.
   void Prune();
 
   // What the store states.
--- a/packages/core/feed/object_feed_test.cc
+++ b/packages/core/feed/object_feed_test.cc
@@ -1,5 +1,9 @@
 #include "core/feed/object_feed.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 namespace ebonykeel {
@@ -294,5 +298,24 @@
                 std::vector<std::string>{ "b+", "a-" });
 }
 
+// Guards against a read through null: the tombstone of a removal was pruned
+// before the caller had read it if a list lacked more than 2000 objects.
+DOCTEST_TEST_CASE("an object is known when its removal is reported")
+{
+  ObjectFeed feed;
+  for (int i = 0; i < 2500; ++i) {
+    (void)feed.Apply(Object(std::to_string(i).c_str(), 3), At(3));
+  }
+  feed.MarkCompleteTo(At(3), kStart);
+  std::vector<std::string> removed = feed.RemoveAllExcept({}, At(7));
+  DOCTEST_CHECK(removed.size() == 2500);
+  DOCTEST_CHECK(std::ranges::all_of(removed, [&](const std::string& aName) {
+    return feed.Find(aName) != nullptr;
+  }));
+  feed.MarkCompleteTo(At(7), kStart);
+  DOCTEST_CHECK(feed.Find("0") == nullptr);
+  DOCTEST_CHECK(feed.ChangesSince(At(6), kStart).m_isSnapshot);
+}
+
 } // namespace
 } // namespace ebonykeel
--- a/packages/core/feed/store_restore_test.cc
+++ b/packages/core/feed/store_restore_test.cc
@@ -217,8 +217,9 @@
   FeedObject copy = Object("up", { 2, 60 }, "ready", { 9, 3 });
   List(feed, { 2, 100 }, { copy });
   DOCTEST_CHECK(InForce(feed, "up") == known);
-  // A later list of the same era does not prolong the time.
-  List(feed, { 2, 101 }, { copy }, kStart + Seconds(5));
+  // A later statement that may be the copy's does not prolong the time.
+  copy.m_position = { 2, 99 };
+  List(feed, { 2, 100 }, { copy }, kStart + Seconds(5));
   DOCTEST_CHECK(feed.ReleaseRetained(kStart + Milliseconds(9999)).empty());
   DOCTEST_CHECK(InForce(feed, "up") == known);
   DOCTEST_CHECK(feed.ReleaseRetained(kStart + Seconds(10)) == Names{ "up" });
@@ -281,6 +282,24 @@
   }
 }
 
+// Guards against upstreams that stay in force for good: their tombstones were
+// pruned if the copy lacked more than 2000, and no change was reported.
+DOCTEST_TEST_CASE("the end of a hold is reported for very many upstreams")
+{
+  ObjectFeed feed(kOfUpstreams);
+  std::vector<FeedObject> objects;
+  for (int i = 0; i < 2500; ++i) {
+    objects.push_back(Object(std::to_string(i).c_str(), { 1, 3 }, "ready"));
+  }
+  List(feed, { 1, 3 }, objects);
+  List(feed, { 2, 3 }, {});
+  Names released = feed.ReleaseRetained(kStart + Milliseconds(2300));
+  DOCTEST_CHECK(released.size() == 2500);
+  DOCTEST_CHECK(std::ranges::all_of(released, [&](const std::string& aName) {
+    return feed.Find(aName) != nullptr && feed.Find(aName)->m_deleted;
+  }));
+}
+
 // Guards against an evacuated data centre that gets requests again while its
 // operator writes the evacuation a second time.
 DOCTEST_TEST_CASE("an evacuation that the copy lacks stays for five seconds")
