Feeds: a later state that a peer retains replaces an earlier one

Cause: a feed did not adopt what a peer retains for an object that it retains itself. An instance that lagged when the store was restored kept its older state: requests to an upstream that drains, or an older configuration until the next write.

Change: the peer's state is adopted if its order is later. A tombstone takes the order of what is adopted against it, so that a later copy does not outrank the removal.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -263,7 +263,8 @@
 ObjectFeed::AdoptRetained(const RetainedObject& aRetained, TimePoint aNow)
 {
   const FeedObject& object = aRetained.m_object;
-  if (m_retained.Find(object.m_name) != nullptr) {
+  const FeedObject* own = m_retained.Find(object.m_name);
+  if (own != nullptr && object.m_order <= own->m_order) {
     return false;
   }
   auto [entry, isNew] =
@@ -282,8 +283,13 @@
       !RetainedObjects::Outranks(object, stated)) {
     return false;
   }
+  if (stated.m_deleted) {
+    // The removal is later than any state that was in force before it.
+    entry->second.m_order = object.m_order;
+  }
+  bool changed = !HasSameContent(object, own != nullptr ? *own : stated);
   m_retained.Adopt(aRetained, aNow);
-  return !HasSameContent(object, stated);
+  return changed;
 }
 
 void
--- a/packages/core/feed/store_restore_test.cc
+++ b/packages/core/feed/store_restore_test.cc
@@ -386,6 +386,40 @@
   DOCTEST_CHECK(feed.RetainedCount() == 0);
 }
 
+// Guards against a configuration of an older version, or requests to an
+// upstream that drains, at an instance that lagged when the store was restored.
+DOCTEST_TEST_CASE("a later state that a peer retains replaces a retained one")
+{
+  ObjectFeed peer(kOfUpstreams);
+  List(peer, { 1, 500 }, { Object("up", { 1, 500 }, "draining", { 9, 7 }) });
+  ObjectFeed feed(kOfUpstreams);
+  List(feed, { 1, 400 }, { Object("up", { 1, 400 }, "ready", { 9, 5 }) });
+  FeedObject copy = Object("up", { 2, 60 }, "ready", { 9, 4 });
+  DOCTEST_SUBCASE("the peer knows the later state")
+  {
+    List(peer, { 2, 100 }, { copy });
+    DOCTEST_CHECK(MergeFrom(feed, peer) == Names{ "up+" });
+    DOCTEST_CHECK(InForce(feed, "up") == "draining");
+  }
+  DOCTEST_SUBCASE("the peer knows the later state, and the copy lacks both")
+  {
+    List(peer, { 2, 100 }, {});
+    DOCTEST_CHECK(MergeFrom(feed, peer) == Names{ "up+" });
+    DOCTEST_CHECK(InForce(feed, "up") == "draining");
+    DOCTEST_CHECK(feed.ReleaseRetained(kStart + Milliseconds(2300)) ==
+                  Names{ "up" });
+    copy = Object("up", { 3, 60 }, "ready", { 9, 6 });
+    List(feed, { 3, 90 }, { copy });
+    DOCTEST_CHECK(InForce(feed, "up") == "gone");
+  }
+  DOCTEST_SUBCASE("the peer knows an earlier state")
+  {
+    List(feed, { 2, 100 }, { copy });
+    DOCTEST_CHECK(MergeFrom(peer, feed).empty());
+    DOCTEST_CHECK(InForce(peer, "up") == "draining");
+  }
+}
+
 // Guards against an upstream that is gone and that a peer which lagged puts
 // back into the feeds of those that know it.
 DOCTEST_TEST_CASE("what a peer retains does not replace a known removal")
