Simulated roll-outs: a store that comes back from a copy

Cause: the bounds of roll-outs were not run over restores of the store. Change: the disturbance kRestore brings the entry back as of an earlier time in a new era; feeds with unchanged content pass on the era only. Writing the same final state again does not count as a second final state.

--- a/packages/core/rollout/testing/simulated_rollout.cc
+++ b/packages/core/rollout/testing/simulated_rollout.cc
@@ -105,8 +105,12 @@
     }
   }
 
-  void Tick(const RolloutFleet& aFleet)
+  // The feeds of the instance enter an era of the store.
+  void EnterEra(uint64_t aEra) { m_storeEra = std::max(m_storeEra, aEra); }
+
+  void Tick(RolloutFleet aFleet)
   {
+    aFleet.m_storeEra = m_storeEra;
     TimePoint now = m_world.m_now;
     if (now - m_lastTick > Milliseconds(500)) {
       m_coordinator.OnSuspended(now);
@@ -237,6 +241,7 @@
   VersionChooser m_chooser;
   RolloutCoordinator m_coordinator;
   TimePoint m_lastTick = m_world.m_now;
+  uint64_t m_storeEra = 0;
   int m_currentInFlight = 0;
   bool m_ended = false;
 };
@@ -264,6 +269,10 @@
     if (disturbance.m_kind == Kind::kRestart) {
       At(m_start + disturbance.m_to,
          [this, i = disturbance.m_instance]() { Start(i); });
+    } else if (disturbance.m_kind == Kind::kRestore) {
+      auto copy = std::make_shared<RolloutEntry>();
+      At(m_start + disturbance.m_from, [this, copy]() { *copy = m_entry; });
+      At(m_start + disturbance.m_to, [this, copy]() { Restore(*copy); });
     }
   }
   Publish();
@@ -458,7 +467,9 @@
   m_entry.m_state = *aCall.m_write;
   ++m_entry.m_position.m_revision;
   if (IsFinal(m_entry.m_state)) {
-    ++m_outcome.m_finalWrites;
+    bool isRepeated = m_finalState == m_entry.m_state;
+    m_outcome.m_finalWrites += isRepeated ? 0 : 1;
+    m_finalState = m_entry.m_state;
     m_outcome.m_finalAt = m_now - m_start;
   }
   if (m_entry.m_state == RolloutState::kCompleted) {
@@ -470,6 +481,16 @@
   Publish();
 }
 
+void
+SimulatedRollout::Restore(const RolloutEntry& aCopy)
+{
+  RolloutEntry before = std::exchange(m_entry, aCopy);
+  m_entry.m_position.m_era = before.m_position.m_era + 1;
+  for (size_t i = 0; i < m_instances.size(); ++i) {
+    PublishTo(i, m_entry, m_entry.m_state != before.m_state);
+  }
+}
+
 void
 SimulatedRollout::Publish()
 {
@@ -479,16 +500,21 @@
 }
 
 void
-SimulatedRollout::PublishTo(size_t aInstance, const RolloutEntry& aEntry)
+SimulatedRollout::PublishTo(size_t aInstance,
+                            const RolloutEntry& aEntry,
+                            bool aIsChanged)
 {
   constexpr Duration kSpread = Milliseconds(800);
-  At(m_now + Scaled(kSpread, Draw()), [this, aInstance, aEntry]() {
+  At(m_now + Scaled(kSpread, Draw()), [this, aInstance, aEntry, aIsChanged]() {
     bool hears = ReachesStore(aInstance) ||
                  (ReachesOthers(aInstance) && !IsActive(Kind::kStoreAway, 0));
-    if (hears) {
+    if (!hears) {
+      PublishTo(aInstance, aEntry, aIsChanged);
+      return;
+    }
+    m_instances[aInstance]->EnterEra(aEntry.m_position.m_era);
+    if (aIsChanged) {
       m_instances[aInstance]->Coordinator().SetEntry(aEntry, m_now);
-    } else {
-      PublishTo(aInstance, aEntry);
     }
   });
 }
--- a/packages/core/rollout/testing/simulated_rollout.h
+++ b/packages/core/rollout/testing/simulated_rollout.h
@@ -54,6 +54,8 @@
     kFaultOfBoth,
     // Instance `m_instance` ends and starts again.
     kRestart,
+    // The store comes back at `m_to` from a copy of `m_from`, in a new era.
+    kRestore,
   };
   Kind m_kind = Kind::kKill;
   size_t m_instance = 0;
@@ -86,6 +88,7 @@
   std::string m_reason;
   // When the final state was written, after the order.
   std::optional<Duration> m_finalAt;
+  // Without those that repeat the state before: a restore may have lost it.
   int m_finalWrites = 0;
   // Between the order and its deadline.
   uint64_t m_requests = 0;
@@ -131,9 +134,15 @@
   void Tick(size_t aInstance);
   void CallStore(size_t aInstance, const RolloutCall& aCall);
   void Write(const RolloutCall& aCall);
+  // Brings the store back with the entry of a copy.
+  void Restore(const RolloutEntry& aCopy);
   // Propagates the entry to every instance.
   void Publish();
-  void PublishTo(size_t aInstance, const RolloutEntry& aEntry);
+  // Propagates an entry, or only its era if the instance's feed would find its
+  // content unchanged.
+  void PublishTo(size_t aInstance,
+                 const RolloutEntry& aEntry,
+                 bool aIsChanged = true);
   void OnBadAnswer();
 
   RolloutScenario m_scenario;
@@ -146,6 +155,7 @@
   std::vector<std::unique_ptr<Instance>> m_ended;
   std::vector<ReplicaPtr> m_upstreams;
   RolloutEntry m_entry;
+  std::optional<RolloutState> m_finalState;
   int m_targetInFlight = 0;
   std::optional<TimePoint> m_rollbackDue;
   RolloutOutcome m_outcome;
