--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -1,7 +1,6 @@
 #include "node/entry/fleet_service.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -87,7 +86,7 @@
 FleetService::StoreEra() const
 {
   auto era = [](const ObjectFeed& aFeed) { return aFeed.CompleteTo().m_era; };
-  return std::ranges::max(m_feeds | std::views::transform(era));
+  return era(*std::ranges::max_element(m_feeds, {}, era));
 }
 
 void
