Explain: a restore of the store shortly before a request is named

Cause: after a restore of the store a request may meet a version or an upstream that only the copy has or lacks. The story of the request did not show that. Change: one line names the latest era that the instance noticed in the 15 s before the end of the request (store_era_changed or feed_era_entered of the same log), and how long before its first line came.

--- a/packages/cli/explain.cc
+++ b/packages/cli/explain.cc
@@ -1,6 +1,7 @@
 #include "cli/explain.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,9 @@
 
 // Log lines within this time of the end of the request are related to it.
 constexpr int64_t kRelatedWindowMs = 1000;
+// A restore of the store within this time before the end of a request is named:
+// what instances know and the copy lacks stays in force for up to 10 s.
+constexpr int64_t kRestoreWindowMs = 15000;
 // At most this many related lines about the upstreams of a request are shown.
 constexpr size_t kMaxRelatedLines = 20;
 // The fields of an attempt: sub-request, replica, reason, outcome, start and
@@ -207,6 +211,7 @@
         absl::StrAppend(&m_text, "  ", name, " ", value, "\n");
       }
     }
+    AppendRestore(aLine);
     LoggedAttempts attempts = ReadAttempts(aLine);
     AppendAttempts(attempts);
     AppendUpstreamEvents(aLine, attempts);
@@ -215,6 +220,37 @@
     }
   }
 
+  // Appends the latest era of the store that the instance noticed shortly
+  // before the end of a request.
+  void AppendRestore(const LogLine& aEnd)
+  {
+    uint64_t latestEra = 0;
+    std::optional<int64_t> noticedAtMs;
+    for (const LogLine& line : m_lines) {
+      int64_t beforeMs = aEnd.m_uptimeMs - line.m_uptimeMs;
+      bool isRestore = line.m_event == "store_era_changed" ||
+                       line.m_event == "feed_era_entered";
+      bool isRelated = isRestore && line.m_source == aEnd.m_source &&
+                       beforeMs >= 0 && beforeMs <= kRestoreWindowMs;
+      uint64_t era = 0;
+      // The first line of an era counts: the kinds enter it one by one.
+      if (isRelated && absl::SimpleAtoi(Field(line, "era"), &era) &&
+          (!noticedAtMs || era > latestEra)) {
+        latestEra = era;
+        noticedAtMs = line.m_uptimeMs;
+      }
+    }
+    if (noticedAtMs) {
+      absl::StrAppend(&m_text,
+                      "  ",
+                      aEnd.m_uptimeMs - *noticedAtMs,
+                      " ms before, this instance noticed that the store came "
+                      "back from a copy (era ",
+                      latestEra,
+                      ")\n");
+    }
+  }
+
   // Appends the upstreams that the instance sent no requests at the end of a
   // request, since they were leaving or had asked for none.
   void AppendSuspendedUpstreams(const LogLine& aEnd)
--- a/packages/cli/explain.h
+++ b/packages/cli/explain.h
@@ -50,8 +50,8 @@
 };
 
 // Describes how the request `aId` ended, which attempts failed or were late,
-// and what the logs contain about the upstreams of these attempts around that
-// time.
+// what the logs contain about the upstreams of these attempts around that time,
+// and whether the store came back from a copy shortly before.
 [[nodiscard]] Explanation
 ExplainRequest(std::string_view aId, std::span<const LogText> aLogs);
 
--- a/packages/cli/explain_test.cc
+++ b/packages/cli/explain_test.cc
@@ -138,5 +138,60 @@
                          "i-3 (s1, retry-after)"));
 }
 
+// Guards against a story without its cause: after a restore of the store a
+// request may meet an upstream or a version that the copy has or lacks.
+DOCTEST_TEST_CASE("a restore of the store shortly before is named")
+{
+  std::string restore =
+    "ms=1000 EK1410 store_era_changed era=4\n"
+    "ms=1100 EK1416 feed_era_entered kind=replicas era=4 revision=9 "
+    "retained=1\n"
+    "ms=2000 EK1416 feed_era_entered kind=replicas era=5 revision=7 "
+    "retained=0\n"
+    "ms=2100 EK1416 feed_era_entered kind=exclusions era=5 revision=7 "
+    "retained=0\n";
+  std::string source = "front-1";
+  std::string end = "2500";
+  std::string story;
+  DOCTEST_SUBCASE("the latest era and its first line count")
+  {
+    story = "  500 ms before, this instance noticed that the store came back "
+            "from a copy (era 5)\n";
+  }
+  DOCTEST_SUBCASE("a line of one event is enough")
+  {
+    end = "1050";
+    story = "  50 ms before, this instance noticed that the store came back "
+            "from a copy (era 4)\n";
+  }
+  DOCTEST_SUBCASE("at the end of the window")
+  {
+    end = "17000";
+    story = "  15000 ms before, ";
+  }
+  DOCTEST_SUBCASE("after the window")
+  {
+    end = "17101";
+  }
+  DOCTEST_SUBCASE("before the restore")
+  {
+    end = "999";
+  }
+  DOCTEST_SUBCASE("on another instance")
+  {
+    source = "front-2";
+  }
+  std::vector<LogText> logs{
+    { "front-1", restore },
+    { source,
+      "ms=" + end +
+        " EK1901 forward_ended request=q6 status=whole missing=0 sends=\n" }
+  };
+  std::string text = ExplainRequest("q6", logs).m_text;
+  DOCTEST_CHECK(Contains(text, "request q6 at"));
+  DOCTEST_CHECK(Contains(text, "came back from a copy") != story.empty());
+  DOCTEST_CHECK(Contains(text, story));
+}
+
 } // namespace
 } // namespace ebonykeel::cli
