Fault matrix: tests of the forward mode can be named

Cause: the tool looked for test files in packages/ only, and of two files of one name it kept the one that it found last. Tests below platform/ could not be named. Change: it looks in platform/ too and reads all test files of a name; a case counts as declared if one of them declares it.

--- a/packages/testing/fault_matrix_main.cc
+++ b/packages/testing/fault_matrix_main.cc
@@ -36,21 +36,39 @@
   return std::string{ std::istreambuf_iterator<char>(file), {} };
 }
 
-// Returns the paths of the test files by the name of their binary.
-std::map<std::string, std::filesystem::path>
+// Returns the paths of the test files by their names without the extension.
+std::multimap<std::string, std::filesystem::path>
 FindTests(const std::filesystem::path& aRoot)
 {
-  std::map<std::string, std::filesystem::path> tests;
-  for (const auto& entry :
-       std::filesystem::recursive_directory_iterator(aRoot / "packages")) {
-    std::string name = entry.path().filename().string();
-    if (name.ends_with("_test.cc")) {
-      tests[entry.path().stem().string()] = entry.path();
+  std::multimap<std::string, std::filesystem::path> tests;
+  for (const char* folder : { "packages", "platform" }) {
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(aRoot / folder)) {
+      std::string name = entry.path().filename().string();
+      if (name.ends_with("_test.cc")) {
+        tests.emplace(entry.path().stem().string(), entry.path());
+      }
     }
   }
   return tests;
 }
 
+// Returns the sources of all test files of one name; nullopt if there is none.
+std::optional<std::string>
+ReadTests(const std::multimap<std::string, std::filesystem::path>& aTests,
+          const std::string& aName)
+{
+  auto [begin, end] = aTests.equal_range(aName);
+  if (begin == end) {
+    return std::nullopt;
+  }
+  std::string source;
+  for (auto test = begin; test != end; ++test) {
+    source += ReadFile(test->second).value_or("");
+  }
+  return source;
+}
+
 int
 Run(const std::filesystem::path& aRoot, bool aCheck)
 {
@@ -61,13 +79,10 @@
     std::cerr << FormatFindings(result.m_findings);
     return 1;
   }
-  std::map<std::string, std::filesystem::path> tests = FindTests(aRoot);
+  auto tests = FindTests(aRoot);
   Findings findings = CheckTests(
     *result.m_matrix,
-    [&tests](const std::string& aBinary) -> std::optional<std::string> {
-      auto found = tests.find(aBinary);
-      return found == tests.end() ? std::nullopt : ReadFile(found->second);
-    },
+    [&tests](const std::string& aName) { return ReadTests(tests, aName); },
     ReadFile(aRoot / "KNOWN-RED.txt").value_or(""));
   std::string page = RenderFaultMatrix(*result.m_matrix);
   std::filesystem::path target = aRoot / "docs/FAULTS.md";
