--- a/packages/core/base/store_position.h
+++ b/packages/core/base/store_position.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace ebonykeel {
 
@@ -28,7 +29,13 @@
   // 0 before the first change.
   uint64_t m_revision = 0;
 
-  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+  friend bool operator==(const StorePosition&, const StorePosition&) = default;
+  friend std::strong_ordering operator<=>(const StorePosition& aLeft,
+                                          const StorePosition& aRight)
+  {
+    return std::tie(aLeft.m_era, aLeft.m_revision) <=>
+           std::tie(aRight.m_era, aRight.m_revision);
+  }
 };
 
 // Returns a text such as "3.105".
--- a/packages/node/entry/fleet_service_test.cc
+++ b/packages/node/entry/fleet_service_test.cc
@@ -127,7 +127,8 @@
 
   UvLoop m_loop;
   std::FILE* m_logFile = std::tmpfile();
-  LineLog m_log{ { .m_descriptor = fileno(m_logFile) } };
+  LineLog m_log{ [this]() { return m_loop.Now(); },
+                 { .m_descriptor = fileno(m_logFile) } };
   Http1Client m_client{ m_loop, {} };
   std::vector<std::unique_ptr<Instance>> m_instances;
 };
