Feeds: clang-tidy's findings

Cause: clang-tidy reports a defaulted operator<=> whose result is compared (modernize-use-nullptr), and a vector that grows in a loop.

Change: EntryOrder compares as InstanceRef does; the test reserves.

--- a/packages/core/feed/feed_object.h
+++ b/packages/core/feed/feed_object.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "core/base/store_position.h"
 
@@ -19,7 +20,13 @@
   // Counts the writes since that start.
   uint64_t m_sequence = 0;
 
-  friend auto operator<=>(const EntryOrder&, const EntryOrder&) = default;
+  friend std::strong_ordering operator<=>(const EntryOrder& aLeft,
+                                          const EntryOrder& aRight)
+  {
+    return std::tie(aLeft.m_start, aLeft.m_sequence) <=>
+           std::tie(aRight.m_start, aRight.m_sequence);
+  }
+  friend bool operator==(const EntryOrder&, const EntryOrder&) = default;
 };
 
 // One object, or the tombstone of a removed one.
--- a/packages/core/feed/store_restore_test.cc
+++ b/packages/core/feed/store_restore_test.cc
@@ -288,6 +288,7 @@
 {
   ObjectFeed feed(kOfUpstreams);
   std::vector<FeedObject> objects;
+  objects.reserve(2500);
   for (int i = 0; i < 2500; ++i) {
     objects.push_back(Object(std::to_string(i).c_str(), { 1, 3 }, "ready"));
   }
