--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -82,13 +82,15 @@
 ObjectFeed::Retain(const FeedObject& aInForce, const FeedObject& aObject)
 {
   const StorePosition& position = aObject.m_position;
+  bool neverGoesBack = m_retained.NeverGoesBack() && !aObject.m_deleted;
   bool outranks = aInForce.m_position.m_era < position.m_era &&
-                  MayBeFromCopy(position) &&
+                  (neverGoesBack || MayBeFromCopy(position)) &&
                   RetainedObjects::Outranks(aInForce, aObject);
   // The hold of an object that is retained already goes on, unless the store
   // has been restored once more.
-  bool isRestored = position.m_era > m_completeTo.m_era;
-  if (outranks && (isRestored || m_retained.Find(aObject.m_name) == nullptr)) {
+  bool isNewHold = neverGoesBack || position.m_era > m_completeTo.m_era ||
+                   m_retained.Find(aObject.m_name) == nullptr;
+  if (outranks && isNewHold) {
     m_retained.Keep(aInForce, aObject);
   }
   return outranks;
@@ -127,12 +129,13 @@
 void
 ObjectFeed::MarkCompleteTo(const StorePosition& aPosition, TimePoint aNow)
 {
-  Complete(aPosition, aNow, aNow);
+  Complete(aPosition, aNow, aNow, aNow);
 }
 
 void
 ObjectFeed::Complete(const StorePosition& aPosition,
                      TimePoint aCompleteAsOf,
+                     TimePoint aEraSince,
                      TimePoint aNow)
 {
   // On first completion the content position advances even if the feed is
@@ -153,7 +156,9 @@
     RestateMissing(aPosition, aNow);
     m_enteredAt = aPosition;
   }
-  m_retained.StartHolds(aNow);
+  m_eraSince =
+    isNewEra ? aEraSince : std::min(m_eraSince.value_or(aEraSince), aEraSince);
+  m_retained.StartHolds(*m_eraSince);
   m_completeTo = aPosition;
   m_completeAsOf =
     std::max(m_completeAsOf.value_or(aCompleteAsOf), aCompleteAsOf);
@@ -205,7 +210,8 @@
   FeedDelta delta{ .m_isSnapshot = aPosition < m_removalsKnownAfter ||
                                    aPosition == StorePosition(),
                    .m_completeTo = m_completeTo,
-                   .m_age = Age(aNow).value_or(Seconds(3600)) };
+                   .m_age = Age(aNow).value_or(Seconds(3600)),
+                   .m_eraAge = aNow - m_eraSince.value_or(aNow) };
   if (delta.m_isSnapshot) {
     delta.m_retained = m_retained.All(aNow);
   }
@@ -256,7 +262,8 @@
       aChanged(retained.m_object);
     }
   }
-  Complete(aDelta.m_completeTo, aNow - aDelta.m_age, aNow);
+  Complete(
+    aDelta.m_completeTo, aNow - aDelta.m_age, aNow - aDelta.m_eraAge, aNow);
 }
 
 bool
@@ -295,7 +302,9 @@
 void
 ObjectFeed::ConfirmFreshness(const FeedWatermark& aWatermark, TimePoint aNow)
 {
-  if (m_completeAsOf && aWatermark.m_content <= m_completeTo) {
+  // In an earlier era the other instance learns nothing of this one.
+  bool isSameEra = aWatermark.m_content.m_era == m_completeTo.m_era;
+  if (m_completeAsOf && isSameEra && aWatermark.m_content <= m_completeTo) {
     m_completeAsOf = std::max(*m_completeAsOf, aNow - aWatermark.m_age);
   }
 }
--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -49,6 +49,9 @@
   StorePosition m_completeTo;
   // The time since the sender's feed was known to be complete.
   Duration m_age{};
+  // How long ago the first instance known to the sender entered the era: what
+  // stays in force over the restore has been held for that long.
+  Duration m_eraAge{};
   std::vector<FeedObject> m_objects;
   // What stays in force at the sender although the store states otherwise. Only
   // in snapshots: other receivers were in this era before.
@@ -89,8 +92,8 @@
   void Merge(const FeedDelta& aDelta,
              TimePoint aNow,
              const std::function<void(const FeedObject&)>& aChanged);
-  // Adopts the age of another instance's feed if that is lower and this feed
-  // holds every change that the other one holds.
+  // Adopts the age of another instance's feed of the same era if that is lower
+  // and this feed holds every change that the other one holds.
   void ConfirmFreshness(const FeedWatermark& aWatermark, TimePoint aNow);
 
   // Adds a time that the steady clock did not count, such as a suspension, to
@@ -132,8 +135,10 @@
   // Takes over what another instance retains against the same statement;
   // returns whether the object in force changed.
   bool AdoptRetained(const RetainedObject& aRetained, TimePoint aNow);
+  // `aEraSince` is when another instance, or this one, entered the era.
   void Complete(const StorePosition& aPosition,
                 TimePoint aCompleteAsOf,
+                TimePoint aEraSince,
                 TimePoint aNow);
   // States retained objects that were missing before the new era as missing at
   // its entry position, which begins their holds again: lists don't name them.
@@ -153,6 +158,8 @@
   // The first position of the current era to which the feed was complete. The
   // start if the feed began in this era.
   StorePosition m_enteredAt;
+  // The earliest known time at which an instance entered the current era.
+  std::optional<TimePoint> m_eraSince;
   StorePosition m_contentPosition;
   // All removals after this position are known. Up to it, tombstones may be
   // missing: they were pruned, or the feed began with a list or a snapshot.
--- a/packages/core/feed/retained_objects.cc
+++ b/packages/core/feed/retained_objects.cc
@@ -49,11 +49,11 @@
 }
 
 void
-RetainedObjects::StartHolds(TimePoint aNow)
+RetainedObjects::StartHolds(TimePoint aSince)
 {
   for (auto& [name, entry] : m_entries) {
     if (entry.m_hold && !entry.m_until) {
-      entry.m_until = aNow + *entry.m_hold;
+      entry.m_until = aSince + *entry.m_hold;
     }
   }
 }
--- a/packages/core/feed/retained_objects.h
+++ b/packages/core/feed/retained_objects.h
@@ -62,13 +62,18 @@
   [[nodiscard]] static bool Outranks(const FeedObject& aKnown,
                                      const FeedObject& aStated);
 
+  // Returns whether a later state stays in force until the store states one
+  // that is not earlier, whenever that was written.
+  [[nodiscard]] bool NeverGoesBack() const { return !m_options.m_laterHold; }
+
   // Keeps a state in force against what the store states. Its hold begins at
   // the next `StartHolds`.
   void Keep(FeedObject aKnown, const FeedObject& aStated);
   // Keeps what another instance keeps, for its remaining time.
   void Adopt(RetainedObject aRetained, TimePoint aNow);
   void Drop(std::string_view aName);
-  void StartHolds(TimePoint aNow);
+  // Begins the holds that have not begun, as of `aSince`.
+  void StartHolds(TimePoint aSince);
 
   [[nodiscard]] const FeedObject* Find(std::string_view aName) const;
   // Returns all objects with their remaining times at `aNow`.
--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -151,12 +151,18 @@
 {
   TimePoint now = m_loop.Now();
   bool newer = false;
+  bool isLaterEra = false;
   for (size_t i = 0; i < std::min(aWatermarks.size(), m_feeds.size()); ++i) {
+    const StorePosition& content = aWatermarks[i].m_content;
+    const StorePosition& known = m_feeds[i].CompleteTo();
     m_feeds[i].ConfirmFreshness(aWatermarks[i], now);
-    newer = newer || aWatermarks[i].m_content > m_feeds[i].CompleteTo();
+    newer = newer || content > known;
+    isLaterEra = isLaterEra || content.m_era > known.m_era;
   }
   if (newer && MayFetchFrom(aSender, now)) {
-    FetchFeeds(aSender.m_host);
+    FetchFeeds(aSender.m_host,
+               isLaterEra ? m_options.m_snapshotTimeout
+                          : m_options.m_exchangeTimeout);
   }
 }
 
@@ -214,7 +220,7 @@
 }
 
 void
-FleetService::FetchFeeds(const std::string& aHost)
+FleetService::FetchFeeds(const std::string& aHost, Duration aTimeout)
 {
   if (m_fetchInFlight) {
     return;
@@ -230,7 +236,7 @@
                         .m_headers = { { "Host", aHost } } };
   m_client.Send({ .m_address = { aHost, m_options.m_port },
                   .m_bytes = SerializeRequest(request),
-                  .m_timeout = m_options.m_exchangeTimeout },
+                  .m_timeout = aTimeout },
                 [this, aHost](const Http1Result& aResult) {
                   OnFeedsFetched(aHost, aResult);
                 });
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -42,6 +42,9 @@
   uint16_t m_port = 0;
   // The timeout of one fetch of feeds.
   Duration m_exchangeTimeout = Milliseconds(600);
+  // The timeout of a fetch on entering a later era of the store: all instances
+  // fetch whole feeds then, some over narrow links.
+  Duration m_snapshotTimeout = Milliseconds(1500);
   // Feeds whose registrations are at least this old are fetched from any data
   // centre.
   Duration m_staleFeedAge = Milliseconds(2000);
@@ -91,7 +94,7 @@
   void OnDatagram(const std::string& aHost, std::string_view aBytes);
   [[nodiscard]] bool MayFetchFrom(const FleetRecord& aPeer,
                                   TimePoint aNow) const;
-  void FetchFeeds(const std::string& aHost);
+  void FetchFeeds(const std::string& aHost, Duration aTimeout);
   void OnFeedsFetched(const std::string& aHost, const Http1Result& aResult);
   void RearmTimer();
 
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr int kOkStatus = 200;
+// An era that is later by more than this is taken for a fault of the answer:
+// the store is restored once in a while.
+constexpr uint64_t kMaxEraStep = 1000;
 
 // Returns the last state of each object that the events name, in the order of
 // the names.
@@ -91,6 +94,7 @@
     return;
   }
   m_active = aActive;
+  m_heldRemovals.clear();
   m_log.Write(Event::kReaderRoleChanged,
               { { "on_duty", aActive ? "1" : "0" } });
   for (KindState& kind : m_kindStates) {
@@ -258,10 +262,6 @@
   // The list is complete only up to the position of its first page.
   StorePosition asOf = pages.front().m_asOf;
   m_announcedEra = asOf.m_era;
-  if (asOf.m_era > Feed(aKind).CompleteTo().m_era &&
-      aKind.m_kind == FeedKind::kReplicas) {
-    m_heldRemovals.clear();
-  }
   HoldRemovalsAfterOutage(aKind);
   aKind.m_unreadable.BeginList();
   bool changed = false;
@@ -314,28 +314,23 @@
 bool
 StoreReader::AcceptListEra(KindState& aKind, uint64_t aEra)
 {
-  if (aEra < Feed(aKind).CompleteTo().m_era) {
-    OnFailure(aKind, "earlier-era");
-    return false;
-  }
   std::optional<uint64_t> known = KnownEra();
+  std::string_view problem = EraProblem(aKind, aEra);
+  bool isMixed =
+    !aKind.m_pages.empty() && aKind.m_pages.front().m_asOf.m_era != aEra;
   bool isConfirmed = aEra == m_announcedEra || (known && aEra <= *known);
-  if (!isConfirmed && known) {
+  if (!problem.empty()) {
+    OnFailure(aKind, problem);
+  } else if (!isConfirmed && known) {
     AnnounceEra(aEra);
-    return false;
-  }
-  if (!isConfirmed) {
+  } else if (!isConfirmed) {
     // The first answer of the store: a second one must state the same.
     m_announcedEra = aEra;
     RestartList(aKind);
-    return false;
-  }
-  bool isMixed =
-    !aKind.m_pages.empty() && aKind.m_pages.front().m_asOf.m_era != aEra;
-  if (isMixed) {
+  } else if (isMixed) {
     OnFailure(aKind, "mixed-eras");
   }
-  return !isMixed;
+  return problem.empty() && isConfirmed && !isMixed;
 }
 
 bool
@@ -343,20 +338,33 @@
 {
   absl::StatusOr<uint64_t> era = m_protocol.ReadEra(aResponse);
   uint64_t feedEra = Feed(aKind).CompleteTo().m_era;
-  if (era.ok() && *era > feedEra) {
-    AnnounceEra(*era);
+  if (aKind.m_watchSince.m_era < feedEra && era.ok() && *era <= feedEra) {
+    // A peer told of the later era while the answer was on its way.
+    ReadNext(aKind);
     return false;
   }
-  if (era.ok() && *era == feedEra && aKind.m_watchSince.m_era == feedEra) {
-    return true;
+  std::string_view problem =
+    era.ok() ? EraProblem(aKind, *era) : "unreadable-era";
+  if (!problem.empty()) {
+    OnFailure(aKind, problem);
+    return false;
   }
-  if (aKind.m_watchSince.m_era < feedEra) {
-    // A peer told of the later era while the answer was on its way.
-    ReadNext(aKind);
-  } else {
-    OnFailure(aKind, era.ok() ? "earlier-era" : "unreadable-era");
+  if (*era > feedEra) {
+    AnnounceEra(*era);
+  }
+  return *era == feedEra;
+}
+
+std::string_view
+StoreReader::EraProblem(const KindState& aKind, uint64_t aEra)
+{
+  std::optional<uint64_t> known = KnownEra();
+  if (aEra < Feed(aKind).CompleteTo().m_era) {
+    return "earlier-era";
   }
-  return false;
+  return known && aEra > *known && aEra - *known > kMaxEraStep
+           ? "implausible-era"
+           : "";
 }
 
 void
@@ -527,6 +535,11 @@
     return false;
   }
   std::map<std::string, FeedObject> held = std::exchange(m_heldRemovals, {});
+  // The store may have been restored since, and state an object again that was
+  // missing in an earlier era.
+  std::erase_if(held, [&](const auto& aEntry) {
+    return aEntry.second.m_position.m_era != aAsOf.m_era;
+  });
   m_log.Write(Event::kRemovalsReleased,
               { { "count", absl::StrCat(held.size()) } });
   bool changed = false;
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -141,6 +141,9 @@
   // As above, for a watch's answer.
   [[nodiscard]] bool AcceptWatchEra(KindState& aKind,
                                     const Http1Response& aResponse);
+  // Returns why an answer of `aEra` cannot be used; empty if it can.
+  [[nodiscard]] std::string_view EraProblem(const KindState& aKind,
+                                            uint64_t aEra);
   // Lists all kinds anew because the store stated a later era.
   void AnnounceEra(uint64_t aEra);
   // Returns the latest era of all feeds; nothing if none was ever complete.
--- a/packages/runtime/fleet/fleet.capnp
+++ b/packages/runtime/fleet/fleet.capnp
@@ -60,6 +60,7 @@
   objects @3 :List(FeedObject);
   completeToEra @4 :UInt64;
   retained @5 :List(RetainedObject);
+  eraAgeMs @6 :UInt32;
 }
 
 struct FeedAnswer {
--- a/packages/runtime/fleet/fleet.capnp.h
+++ b/packages/runtime/fleet/fleet.capnp.h
@@ -113,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd2db30642a71d37, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fd2db30642a71d37, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -730,6 +730,8 @@
   inline bool hasRetained() const;
   inline  ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>::Reader getRetained() const;
 
+  inline  ::uint32_t getEraAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -784,6 +786,9 @@
   inline void adoptRetained(::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::ebonykeel::wire::RetainedObject,  ::capnp::Kind::STRUCT>> disownRetained();
 
+  inline  ::uint32_t getEraAgeMs();
+  inline void setEraAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1661,6 +1666,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t FeedDelta::Reader::getEraAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FeedDelta::Builder::getEraAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FeedDelta::Builder::setEraAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FeedAnswer::Reader::hasDeltas() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/runtime/fleet/fleet_codec.cc
+++ b/packages/runtime/fleet/fleet_codec.cc
@@ -129,7 +129,8 @@
   FeedDelta delta{ .m_isSnapshot = aReader.getWhole(),
                    .m_completeTo = { aReader.getCompleteToEra(),
                                      aReader.getCompleteTo() },
-                   .m_age = Milliseconds(aReader.getAgeMs()) };
+                   .m_age = Milliseconds(aReader.getAgeMs()),
+                   .m_eraAge = Milliseconds(aReader.getEraAgeMs()) };
   for (wire::FeedObject::Reader object : aReader.getObjects()) {
     delta.m_objects.push_back(ReadObject(object));
   }
@@ -146,6 +147,7 @@
   aBuilder.setCompleteToEra(aDelta.m_completeTo.m_era);
   aBuilder.setCompleteTo(aDelta.m_completeTo.m_revision);
   aBuilder.setAgeMs(EncodeAge(aDelta.m_age));
+  aBuilder.setEraAgeMs(EncodeAge(aDelta.m_eraAge));
   auto objects = aBuilder.initObjects(aDelta.m_objects.size());
   for (size_t i = 0; i < aDelta.m_objects.size(); ++i) {
     WriteObject(aDelta.m_objects[i], objects[i]);
