--- a/packages/cli/explain.cc
+++ b/packages/cli/explain.cc
@@ -228,8 +228,7 @@
     std::optional<int64_t> noticedAtMs;
     for (const LogLine& line : m_lines) {
       int64_t beforeMs = aEnd.m_uptimeMs - line.m_uptimeMs;
-      bool isRestore = line.m_event == "store_era_changed" ||
-                       line.m_event == "feed_era_entered";
+      bool isRestore = line.m_event == "feed_era_entered";
       bool isRelated = isRestore && line.m_source == aEnd.m_source &&
                        beforeMs >= 0 && beforeMs <= kRestoreWindowMs;
       uint64_t era = 0;
--- a/packages/cli/explain_test.cc
+++ b/packages/cli/explain_test.cc
@@ -158,9 +158,13 @@
     story = "  500 ms before, this instance noticed that the store came back "
             "from a copy (era 5)\n";
   }
-  DOCTEST_SUBCASE("a line of one event is enough")
+  DOCTEST_SUBCASE("an era that an answer stated is not entered yet")
   {
     end = "1050";
+  }
+  DOCTEST_SUBCASE("a line of one kind is enough")
+  {
+    end = "1150";
     story = "  50 ms before, this instance noticed that the store came back "
             "from a copy (era 4)\n";
   }
--- a/packages/core/feed/retained_objects.cc
+++ b/packages/core/feed/retained_objects.cc
@@ -11,8 +11,9 @@
   if (aStated.m_deleted) {
     return !aKnown.m_deleted;
   }
-  // The state before a removal may have the same order as the copy's.
-  return aKnown.m_deleted ? aKnown.m_order >= aStated.m_order
+  // The copy may state writes that no change of the entry told, so that of a
+  // removed upstream only the start counts.
+  return aKnown.m_deleted ? aKnown.m_order.m_start >= aStated.m_order.m_start
                           : aKnown.m_order > aStated.m_order;
 }
 
--- a/packages/core/rollout/testing/simulated_rollout.cc
+++ b/packages/core/rollout/testing/simulated_rollout.cc
@@ -467,9 +467,9 @@
   m_entry.m_state = *aCall.m_write;
   ++m_entry.m_position.m_revision;
   if (IsFinal(m_entry.m_state)) {
-    bool isRepeated = m_finalState == m_entry.m_state;
+    bool isRepeated = m_lostFinalState == m_entry.m_state;
     m_outcome.m_finalWrites += isRepeated ? 0 : 1;
-    m_finalState = m_entry.m_state;
+    m_lostFinalState.reset();
     m_outcome.m_finalAt = m_now - m_start;
   }
   if (m_entry.m_state == RolloutState::kCompleted) {
@@ -486,6 +486,9 @@
 {
   RolloutEntry before = std::exchange(m_entry, aCopy);
   m_entry.m_position.m_era = before.m_position.m_era + 1;
+  if (IsFinal(before.m_state) && !IsFinal(m_entry.m_state)) {
+    m_lostFinalState = before.m_state;
+  }
   for (size_t i = 0; i < m_instances.size(); ++i) {
     PublishTo(i, m_entry, m_entry.m_state != before.m_state);
   }
--- a/packages/core/rollout/testing/simulated_rollout.h
+++ b/packages/core/rollout/testing/simulated_rollout.h
@@ -155,7 +155,8 @@
   std::vector<std::unique_ptr<Instance>> m_ended;
   std::vector<ReplicaPtr> m_upstreams;
   RolloutEntry m_entry;
-  std::optional<RolloutState> m_finalState;
+  // The final state that a restored store lacks, until it is written again.
+  std::optional<RolloutState> m_lostFinalState;
   int m_targetInFlight = 0;
   std::optional<TimePoint> m_rollbackDue;
   RolloutOutcome m_outcome;
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -358,13 +358,13 @@
 std::string_view
 StoreReader::EraProblem(const KindState& aKind, uint64_t aEra)
 {
-  std::optional<uint64_t> known = KnownEra();
   if (aEra < Feed(aKind).CompleteTo().m_era) {
     return "earlier-era";
   }
-  return known && aEra > *known && aEra - *known > kMaxEraStep
-           ? "implausible-era"
-           : "";
+  // Era 0 is that of answers that state none.
+  uint64_t known = KnownEra().value_or(0);
+  bool isImplausible = known > 0 && aEra > known && aEra - known > kMaxEraStep;
+  return isImplausible ? "implausible-era" : "";
 }
 
 void
