Fault matrix: a cell counts as proved only by a test of its path

What was wrong: turned the cell of query / merge and answer / bad answer of a searcher / own answer from open ("its test is known red") to proved, naming a test of the store's restore, which plays no query and no bad answer: a claim without a run. Two test files were called store_restore_test, so that the name in the matrix stood for both.

--- a/packages/testing/fault_matrix.cc
+++ b/packages/testing/fault_matrix.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -39,6 +40,20 @@
     return text;
   }
 
+  std::vector<std::string> Texts(std::string_view aKey)
+  {
+    std::vector<std::string> texts;
+    if (const toml::array* array = m_table[aKey].as_array()) {
+      for (const toml::node& node : *array) {
+        texts.push_back(node.value_or(std::string()));
+      }
+    }
+    if (texts.empty()) {
+      AddFinding(aKey, "is missing");
+    }
+    return texts;
+  }
+
   void AddFinding(std::string_view aKey, std::string_view aProblem)
   {
     m_findings.push_back({ .m_place = { m_file, m_table.source().begin.line },
@@ -124,6 +139,37 @@
          joined.substr(0, last + 1).ends_with("DOCTEST_TEST_CASE(");
 }
 
+std::vector<std::string>
+TestFoldersOf(const FaultMatrix& aMatrix, std::string_view aPath)
+{
+  auto path = std::ranges::find(aMatrix.m_paths, aPath, &FaultPath::m_id);
+  return path == aMatrix.m_paths.end() ? std::vector<std::string>()
+                                       : path->m_testFolders;
+}
+
+// Returns why the test of a proved cell proves nothing, or an empty string.
+std::string
+FindTestProblem(const FaultCell& aCell,
+                std::span<const std::string> aFolders,
+                const TestFiles& aFiles)
+{
+  size_t colon = aCell.m_test.find(": ");
+  std::vector<TestFile> files = aFiles(aCell.m_test.substr(0, colon));
+  if (files.size() > 1) {
+    return "stands for several files";
+  }
+  if (colon == std::string::npos || files.empty() ||
+      !DeclaresTestCase(files.front().m_source,
+                        aCell.m_test.substr(colon + 2))) {
+    return "is not a test case";
+  }
+  bool belongs = std::ranges::any_of(aFolders, [&](const std::string& aFolder) {
+    return files.front().m_path.starts_with(aFolder + "/");
+  });
+  return belongs ? ""
+                 : absl::StrCat("does not belong to the path ", aCell.m_path);
+}
+
 size_t
 CountStatus(const FaultMatrix& aMatrix, CellStatus aStatus)
 {
@@ -253,6 +299,11 @@
                                   .m_seenRed = table.Text("seen_red") });
     promises.insert(matrix.m_promises.back().m_id);
   });
+  ForEachTable(parsed.table(), "path", [&](const toml::table& aTable) {
+    TableReader table(aTable, file, result.m_findings);
+    matrix.m_paths.push_back(
+      { .m_id = table.Text("id"), .m_testFolders = table.Texts("tests") });
+  });
   std::set<std::tuple<std::string, std::string, std::string>> places;
   ForEachTable(parsed.table(), "cell", [&](const toml::table& aTable) {
     TableReader table(aTable, file, result.m_findings);
@@ -260,6 +311,10 @@
     if (!promises.contains(cell.m_promise)) {
       table.AddFinding("promise", "is not declared");
     }
+    if (std::ranges::find(matrix.m_paths, cell.m_path, &FaultPath::m_id) ==
+        matrix.m_paths.end()) {
+      table.AddFinding("path", "is not declared");
+    }
     if (!places.emplace(cell.m_path, cell.m_step, cell.m_fault).second) {
       table.AddFinding("cell", "is a duplicate");
     }
@@ -273,26 +328,24 @@
 
 Findings
 CheckTests(const FaultMatrix& aMatrix,
-           const TestSource& aSource,
+           const TestFiles& aFiles,
            std::string_view aKnownRed)
 {
   Findings findings;
-  std::set<std::string> tests;
+  std::set<std::pair<std::string, std::string>> checked;
   for (const FaultCell& cell : aMatrix.m_cells) {
-    if (cell.m_status == CellStatus::kProved) {
-      tests.insert(cell.m_test);
+    if (cell.m_status != CellStatus::kProved ||
+        !checked.emplace(cell.m_path, cell.m_test).second) {
+      continue;
     }
-  }
-  for (const std::string& test : tests) {
-    size_t colon = test.find(": ");
-    std::string binary = test.substr(0, colon);
-    std::optional<std::string> source = aSource(binary);
-    bool found = colon != std::string::npos && source &&
-                 DeclaresTestCase(*source, test.substr(colon + 2));
-    if (!found) {
-      findings.push_back({ .m_key = test, .m_problem = "is not a test case" });
-    } else if (aKnownRed.find(test) != std::string_view::npos) {
-      findings.push_back({ .m_key = test, .m_problem = "is known to fail" });
+    std::string problem =
+      FindTestProblem(cell, TestFoldersOf(aMatrix, cell.m_path), aFiles);
+    if (problem.empty() && aKnownRed.find(cell.m_test) != std::string::npos) {
+      problem = "is known to fail";
+    }
+    if (!problem.empty()) {
+      findings.push_back(
+        { .m_key = cell.m_test, .m_problem = std::move(problem) });
     }
   }
   return findings;
--- a/packages/testing/fault_matrix.h
+++ b/packages/testing/fault_matrix.h
@@ -46,9 +46,19 @@
   std::string m_seenRed;
 };
 
+// A path through the system.
+struct FaultPath
+{
+  std::string m_id;
+  // The folders whose tests play this path. A test of another folder proves
+  // nothing of it.
+  std::vector<std::string> m_testFolders;
+};
+
 struct FaultMatrix
 {
   std::vector<FaultPromise> m_promises;
+  std::vector<FaultPath> m_paths;
   std::vector<FaultCell> m_cells;
 };
 
@@ -63,15 +73,22 @@
 [[nodiscard]] FaultMatrixResult
 ParseFaultMatrix(std::string_view aText, std::string_view aFileName);
 
-// Returns the source of a test binary, or nullopt if there is none.
-using TestSource =
-  std::function<std::optional<std::string>(const std::string&)>;
+struct TestFile
+{
+  // Relative to the root of the repository, with slashes.
+  std::string m_path;
+  std::string m_source;
+};
+
+// Returns the test files of a name without its extension.
+using TestFiles = std::function<std::vector<TestFile>(const std::string&)>;
 
-// Reports the tests of proved cells that do not exist or are listed in
-// `aKnownRed`.
+// Reports the tests of proved cells that do not exist, are listed in
+// `aKnownRed`, stand for several files, or lie outside the folders of the
+// cell's path.
 [[nodiscard]] Findings
 CheckTests(const FaultMatrix& aMatrix,
-           const TestSource& aSource,
+           const TestFiles& aFiles,
            std::string_view aKnownRed);
 
 // Returns the matrix as a Markdown page.
--- a/packages/testing/fault_matrix_main.cc
+++ b/packages/testing/fault_matrix_main.cc
@@ -1,5 +1,6 @@
 // Renders docs/FAULTS.md from docs/fault_matrix.toml, or checks that it is up
 // to date. Also checks that every test named in the matrix exists.
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -8,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <docopt/docopt.h>
 
@@ -36,39 +38,25 @@
   return std::string{ std::istreambuf_iterator<char>(file), {} };
 }
 
-// Returns the paths of the test files by their names without the extension.
-std::multimap<std::string, std::filesystem::path>
-FindTests(const std::filesystem::path& aRoot)
+// Returns the test files by their names without the extension.
+std::multimap<std::string, TestFile>
+ReadTests(const std::filesystem::path& aRoot)
 {
-  std::multimap<std::string, std::filesystem::path> tests;
+  std::multimap<std::string, TestFile> tests;
   for (const char* folder : { "packages", "platform" }) {
     for (const auto& entry :
          std::filesystem::recursive_directory_iterator(aRoot / folder)) {
-      std::string name = entry.path().filename().string();
-      if (name.ends_with("_test.cc")) {
-        tests.emplace(entry.path().stem().string(), entry.path());
+      const std::filesystem::path& path = entry.path();
+      if (path.filename().string().ends_with("_test.cc")) {
+        tests.emplace(path.stem().string(),
+                      TestFile{ path.lexically_relative(aRoot).generic_string(),
+                                ReadFile(path).value_or("") });
       }
     }
   }
   return tests;
 }
 
-// Returns the sources of all test files of one name; nullopt if there is none.
-std::optional<std::string>
-ReadTests(const std::multimap<std::string, std::filesystem::path>& aTests,
-          const std::string& aName)
-{
-  auto [begin, end] = aTests.equal_range(aName);
-  if (begin == end) {
-    return std::nullopt;
-  }
-  std::string source;
-  for (auto test = begin; test != end; ++test) {
-    source += ReadFile(test->second).value_or("");
-  }
-  return source;
-}
-
 int
 Run(const std::filesystem::path& aRoot, bool aCheck)
 {
@@ -79,10 +67,17 @@
     std::cerr << FormatFindings(result.m_findings);
     return 1;
   }
-  auto tests = FindTests(aRoot);
+  std::multimap<std::string, TestFile> tests = ReadTests(aRoot);
   Findings findings = CheckTests(
     *result.m_matrix,
-    [&tests](const std::string& aName) { return ReadTests(tests, aName); },
+    [&tests](const std::string& aName) {
+      std::vector<TestFile> files;
+      auto [begin, end] = tests.equal_range(aName);
+      std::transform(begin, end, std::back_inserter(files), [](const auto& a) {
+        return a.second;
+      });
+      return files;
+    },
     ReadFile(aRoot / "KNOWN-RED.txt").value_or(""));
   std::string page = RenderFaultMatrix(*result.m_matrix);
   std::filesystem::path target = aRoot / "docs/FAULTS.md";
