Feeds: an object's position lies within the answer that states it

What callers saw (by reading; no user has reported it): one answer that states too great a revision for one object makes this instance, and all that fetch from it, ignore every later change of the object: a configuration that stays, an upstream that drains unseen. No log line shows it, all other objects move on.

The feed kept the object's revision as it was stated, also beyond the position of the answer itself, and takes only later ones.

Why this works: an answer as of R can't know of a change after R. The object's position is at most R, so that the change that gets R + 1 is later; if the object did change while the answer was made, the watch from R states it once more, with the same content.

--- a/packages/core/feed/object_feed.cc
+++ b/packages/core/feed/object_feed.cc
@@ -27,7 +27,10 @@
 bool
 ObjectFeed::Apply(FeedObject aObject, const StorePosition& aAsOf)
 {
-  StorePosition statedAt = aObject.m_deleted ? aAsOf : aObject.m_position;
+  // An answer may state a change beyond its own position, wrongly or since it
+  // was made meanwhile. Such a position would hide later changes.
+  StorePosition statedAt =
+    aObject.m_deleted ? aAsOf : std::min(aObject.m_position, aAsOf);
   auto found = m_objects.find(aObject.m_name);
   const FeedObject* known = found == m_objects.end() ? nullptr : &found->second;
   bool isOlder = known != nullptr && statedAt < known->m_position;
--- a/packages/core/feed/object_feed_test.cc
+++ b/packages/core/feed/object_feed_test.cc
@@ -317,5 +317,17 @@
   DOCTEST_CHECK(feed.ChangesSince(At(6), kStart).m_isSnapshot);
 }
 
+// Guards against changes of an object that are ignored for good because one
+// answer stated too great a revision for it.
+DOCTEST_TEST_CASE("a change beyond the answer's own position hides none")
+{
+  ObjectFeed feed;
+  feed.Apply({ .m_name = "a", .m_position = At(900), .m_payload = "1" },
+             At(10));
+  feed.MarkCompleteTo(At(10), kStart);
+  feed.Apply({ .m_name = "a", .m_position = At(11), .m_payload = "2" }, At(11));
+  DOCTEST_CHECK(feed.Find("a")->m_payload == "2");
+}
+
 } // namespace
 } // namespace ebonykeel
