Instance list: an instance whose entry is lost registers again

Cause: the list after a restore was read with `serializable=1`, which may return data that is seconds old: it names the entry that the copy lacks, and counts as "already known". A call that failed was never repeated.

Change: InstanceList takes this job out of StoreReader and ForwardInstance.

--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -143,6 +143,15 @@
             aLog,
             FleetOptionsFrom(m_settings),
             *this)
+  , m_instanceList(aLoop,
+                   m_controlClient,
+                   aStore,
+                   { .m_host = m_settings.m_host,
+                     .m_dataCentre = m_settings.m_dataCentre,
+                     .m_store = m_settings.m_store },
+                   [this](const std::vector<std::string>& aHosts) {
+                     m_fleet.AddSeeds(aHosts);
+                   })
   , m_quota(QuotaService::Make(aLoop, *this, aLog, m_settings))
   , m_rollouts(
       m_settings.m_rollout
@@ -383,8 +392,7 @@
   }
   if (isNewEra) {
     ++m_eraChanges;
-    // The copy may lack this instance's entry.
-    m_instanceListRequested = false;
+    m_instanceList.OnEraEntered();
   }
 }
 
@@ -526,28 +534,14 @@
 void
 ForwardInstance::MaintainInstanceList()
 {
-  bool active = m_reader.IsActive();
-  bool isolated = !m_fleet.InContact() && MayReadStore();
-  if (!m_instanceListRequested && (active || isolated)) {
-    m_instanceListRequested = true;
-    m_reader.ListInstances([this](std::vector<std::string> aHosts) {
-      m_fleet.AddSeeds(aHosts);
-      m_listedInstances = std::move(aHosts);
-      if (std::ranges::find(m_listedInstances, m_settings.m_host) ==
-          m_listedInstances.end()) {
-        m_reader.Register(m_settings.m_host, m_settings.m_dataCentre);
-      }
-    });
-  }
-  if (!active) {
-    return;
-  }
-  for (const std::string& host :
-       m_fleet.View().DeadFor(kUnregisterDelay, m_loop.Now())) {
-    if (std::erase(m_listedInstances, host) > 0) {
-      m_reader.Unregister(host);
-    }
+  InstanceList::Duty duty = InstanceList::Duty::kNone;
+  if (m_reader.IsActive()) {
+    duty = InstanceList::Duty::kReader;
+  } else if (!m_fleet.InContact() && MayReadStore()) {
+    duty = InstanceList::Duty::kIsolated;
   }
+  m_instanceList.OnTick(duty,
+                        m_fleet.View().DeadFor(kUnregisterDelay, m_loop.Now()));
 }
 
 void
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -16,6 +16,7 @@
 #include "core/forward/extra_budget.h"
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
+#include "node/entry/instance_list.h"
 #include "node/entry/metrics_handler.h"
 #include "node/entry/protocol.h"
 #include "node/entry/quota_service.h"
@@ -81,9 +82,6 @@
   void ApplyLimits();
   // Adds a suspension since the last check to the age of the feeds.
   void CheckSuspension();
-  // Maintains the store's list of instances, by which a starting instance whose
-  // seeds are gone finds others. Adds this instance when it first is a reader,
-  // or may read and has no contact; a reader also removes dead instances.
   void MaintainInstanceList();
   // Stops listening once callers no longer cache the addresses of this
   // instance, and ends the stop when no caller is left or the stop timeout is
@@ -95,8 +93,7 @@
   // Returns the instances that may be offered to callers.
   [[nodiscard]] std::vector<FleetRecord> ChooseCallerCandidates() const;
   [[nodiscard]] bool MayReadStore() const;
-  // Logs which feeds have entered a later era of the store, and registers this
-  // instance anew.
+  // Logs which feeds have entered a later era of the store.
   void CheckEras();
   // Applies what the store states in place of objects that are retained no
   // longer.
@@ -123,6 +120,7 @@
   RoutingState m_routing;
   StoreReader m_reader;
   FleetService m_fleet;
+  InstanceList m_instanceList;
   // Nothing if quotas are not enforced.
   std::optional<QuotaService> m_quota;
   // Null if the settings have no table for roll-outs.
@@ -144,8 +142,6 @@
   uint64_t m_eraChanges = 0;
   // Whether another instance was ever heard.
   bool m_hadContact = false;
-  bool m_instanceListRequested = false;
-  std::vector<std::string> m_listedInstances;
   std::optional<TimePoint> m_stoppingSince;
   std::function<void()> m_onStopped;
 };
--- a/packages/node/entry/forward_instance_metrics.cc
+++ b/packages/node/entry/forward_instance_metrics.cc
@@ -38,7 +38,8 @@
   gauge("ebonykeel_caller_connections", m_callerServer.Connections());
   gauge("ebonykeel_searcher_connections_opened",
         m_upstreamClient.ConnectionsOpened());
-  gauge("ebonykeel_store_calls", m_reader.CallCount());
+  gauge("ebonykeel_store_calls",
+        m_reader.CallCount() + m_instanceList.CallCount());
   gauge("ebonykeel_store_on_duty", m_reader.IsActive() ? 1 : 0);
   gauge("ebonykeel_store_unreadable_objects", m_reader.UnreadableCount());
   gauge("ebonykeel_store_era_changes", m_eraChanges);
--- a/packages/node/entry/protocol.h
+++ b/packages/node/entry/protocol.h
@@ -162,6 +162,13 @@
   StorePosition m_asOf;
 };
 
+// Whether a list may be some seconds old, for a lower price.
+enum class ListFreshness
+{
+  kCurrent,
+  kMayBeStale,
+};
+
 class StoreProtocol
 {
 public:
@@ -222,7 +229,8 @@
 
   // The store's list of instances, which a starting instance reads when its
   // seeds do not answer.
-  [[nodiscard]] virtual Http1Request MakeListInstancesRequest() const = 0;
+  [[nodiscard]] virtual Http1Request MakeListInstancesRequest(
+    ListFreshness aFreshness) const = 0;
   [[nodiscard]] virtual absl::StatusOr<std::vector<std::string>> ReadInstances(
     std::string_view aBody) const = 0;
   [[nodiscard]] virtual Http1Request MakeAddInstanceRequest(
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -114,45 +114,6 @@
   }
 }
 
-void
-StoreReader::ListInstances(
-  std::function<void(std::vector<std::string>)> aCallback)
-{
-  Call(m_protocol.MakeListInstancesRequest(),
-       m_options.m_callTimeout,
-       [this, callback = std::move(aCallback)](const Http1Result& aResult) {
-         if (aResult.m_outcome != Http1Outcome::kAnswered ||
-             aResult.m_response.m_status != kOkStatus) {
-           callback({});
-           return;
-         }
-         auto hosts = m_protocol.ReadInstances(aResult.m_response.m_body);
-         callback(hosts.ok() ? *std::move(hosts) : std::vector<std::string>());
-       });
-}
-
-void
-StoreReader::Register(const std::string& aHost, const DataCentre& aDataCentre)
-{
-  Call(m_protocol.MakeAddInstanceRequest(aHost, aDataCentre),
-       m_options.m_callTimeout,
-       [](const Http1Result&) {
-         // A failure is harmless: later instances also find others by seeds and
-         // gossip.
-       });
-}
-
-void
-StoreReader::Unregister(const std::string& aHost)
-{
-  Call(m_protocol.MakeRemoveInstanceRequest(aHost),
-       m_options.m_callTimeout,
-       [](const Http1Result&) {
-         // A failure is harmless: a stale entry costs a later instance one
-         // datagram.
-       });
-}
-
 void
 StoreReader::ReadNext(KindState& aKind)
 {
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -90,14 +90,6 @@
   [[nodiscard]] size_t UnreadableCount() const;
   [[nodiscard]] const StoreReaderStats& Stats() const { return m_stats; }
 
-  // Reads the list of instances; calls `aCallback` with their hosts, or with
-  // none if the list cannot be read.
-  void ListInstances(std::function<void(std::vector<std::string>)> aCallback);
-  // Adds an instance to the list.
-  void Register(const std::string& aHost, const DataCentre& aDataCentre);
-  // Removes an instance from the list.
-  void Unregister(const std::string& aHost);
-
 private:
   // The progress of reading one kind of objects.
   struct KindState
