Store reader: a position that the store never reached is given up

What callers saw: after some answers of the store that stated a later era, or revisions that are too great, no instance learns of a change until all restart at once: a moved route stays at the old service (CONFIG), a draining upstream gets requests (DRAIN). The same if the store comes back from a copy and states no later era.

What is newer was decided by a number alone, and nothing ended one that was never the store's.

Change: StoreEraGuard and PositionDoubt (core, without I/O) decide what a reader does with an answer because of its era; several answers in a row that contradict what was known when their calls began end it by a correction, an era that is later than the false one. EK1418; ebonykeel_feed_corrections. HeldRemovals is taken out of the reader. An answer that peers have overtaken no longer counts as a failure.

Why this works: a true store never states an earlier position than one known when the call began, so that several in a row speak against the known one; a reader that may itself be served by a store that is behind does not correct. The correction is a later era for all instances, which follow it as they follow a restore.

--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -385,7 +385,7 @@
       m_log.Write(
         Event::kFeedEraEntered,
         { { "kind", std::string(FeedKindName(static_cast<FeedKind>(i))) },
-          { "era", absl::StrCat(era) },
+          { "era", FormatEra(era) },
           { "revision", absl::StrCat(feed.CompleteTo().m_revision) },
           { "retained", absl::StrCat(feed.RetainedCount()) } });
     }
--- a/packages/node/entry/forward_instance_metrics.cc
+++ b/packages/node/entry/forward_instance_metrics.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "core/base/store_era.h"
 #include "node/entry/work_metrics.h"
 
 namespace ebonykeel {
@@ -46,7 +47,9 @@
   for (size_t i = 0; i < m_feeds.size(); ++i) {
     const ObjectFeed& feed = m_feeds[i];
     std::string_view kind = FeedKindName(static_cast<FeedKind>(i));
-    labelled("ebonykeel_feed_era", kind, feed.CompleteTo().m_era);
+    uint64_t era = feed.CompleteTo().m_era;
+    labelled("ebonykeel_feed_era", kind, StatedEra(era));
+    labelled("ebonykeel_feed_corrections", kind, CorrectionsOf(era));
     labelled("ebonykeel_feed_revision", kind, feed.CompleteTo().m_revision);
     labelled("ebonykeel_feed_retained_objects", kind, feed.RetainedCount());
   }
--- a/packages/node/entry/rollout_service.cc
+++ b/packages/node/entry/rollout_service.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "core/base/stable_hash.h"
+#include "core/base/store_era.h"
 #include "core/base/store_position.h"
 #include "core/fleet/store_readers.h"
 #include "runtime/fleet/rollout_codec.h"
@@ -264,6 +265,8 @@
     m_coordinator.OnCallLost(service, m_loop.Now());
     return;
   }
+  uint64_t& era = object->m_position.m_era;
+  era = MakeEra(CorrectionsOf(m_fleet.StoreEra()), StatedEra(era));
   ApplyAnswer(service, &*object, isOk && aCall.m_write);
 }
 
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -6,13 +6,12 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "core/base/store_era.h"
+
 namespace ebonykeel {
 namespace {
 
 constexpr int kOkStatus = 200;
-// An era that is later by more than this is taken for a fault of the answer:
-// the store is restored once in a while.
-constexpr uint64_t kMaxEraStep = 1000;
 
 // Returns the last state of each object that the events name, in the order of
 // the names.
@@ -35,6 +34,16 @@
   return states;
 }
 
+// Replaces the number that the store stated by the era in full.
+void
+SetEra(StorePosition& aAsOf, std::span<FeedObject> aObjects, uint64_t aEra)
+{
+  aAsOf.m_era = aEra;
+  for (FeedObject& object : aObjects) {
+    object.m_position.m_era = aEra;
+  }
+}
+
 // The kinds whose changes are counted by the watch of the registrations.
 constexpr std::array kOtherKinds = { FeedKind::kConfiguration,
                                      FeedKind::kExclusions,
@@ -78,10 +87,12 @@
     m_reachable = true;
     m_observer.OnStoreReachabilityChanged(true);
   })
+  , m_heldRemovals(m_options.m_heldRemovals)
 {
   for (size_t i = 0; i < kFeedKinds; ++i) {
     KindState& kind = m_kindStates[i];
     kind.m_kind = static_cast<FeedKind>(i);
+    kind.m_doubt = PositionDoubt(m_options.m_doubt);
     kind.m_timer =
       std::make_unique<UvTimer>(aLoop, [this, &kind]() { ReadNext(kind); });
   }
@@ -94,7 +105,7 @@
     return;
   }
   m_active = aActive;
-  m_heldRemovals.clear();
+  m_heldRemovals.Clear();
   m_log.Write(Event::kReaderRoleChanged,
               { { "on_duty", aActive ? "1" : "0" } });
   for (KindState& kind : m_kindStates) {
@@ -132,6 +143,7 @@
 {
   if (aKind.m_pages.empty()) {
     m_stats.OnListBegun(aKind.m_kind);
+    aKind.m_knownAtCall = Feed(aKind).CompleteTo();
   }
   std::string after =
     aKind.m_pages.empty() ? "" : aKind.m_pages.back().m_nextAfter;
@@ -155,9 +167,9 @@
                     ? m_options.m_replicaWatchDuration
                     : m_options.m_watchDuration;
   m_stats.OnWatchBegun(aKind.m_kind);
-  aKind.m_watchSince = Feed(aKind).CompleteTo();
+  aKind.m_knownAtCall = Feed(aKind).CompleteTo();
   aKind.m_httpCall =
-    Call(m_protocol.MakeWatchRequest(aKind.m_kind, aKind.m_watchSince, wait),
+    Call(m_protocol.MakeWatchRequest(aKind.m_kind, aKind.m_knownAtCall, wait),
          m_options.m_callTimeout + wait,
          [this, &aKind](const Http1Result& aResult) {
            OnWatchAnswer(aKind, aResult);
@@ -205,7 +217,7 @@
     OnFailure(aKind, "repeated-page");
     return;
   }
-  if (!AcceptListEra(aKind, page->m_asOf.m_era)) {
+  if (!AcceptListEra(aKind, *page)) {
     return;
   }
   aKind.m_pages.push_back(*std::move(page));
@@ -222,7 +234,12 @@
   std::vector<StoreListPage> pages = std::exchange(aKind.m_pages, {});
   // The list is complete only up to the position of its first page.
   StorePosition asOf = pages.front().m_asOf;
-  m_announcedEra = asOf.m_era;
+  if (asOf < aKind.m_knownAtCall) {
+    aKind.m_listed = true;
+    OnContradicted(aKind, asOf);
+    return;
+  }
+  m_eraGuard.OnListTaken(asOf.m_era);
   HoldRemovalsAfterOutage(aKind);
   aKind.m_unreadable.BeginList();
   bool changed = false;
@@ -273,66 +290,111 @@
 }
 
 bool
-StoreReader::AcceptListEra(KindState& aKind, uint64_t aEra)
+StoreReader::AcceptListEra(KindState& aKind, StoreListPage& aPage)
 {
-  std::optional<uint64_t> known = KnownEra();
-  std::string_view problem = EraProblem(aKind, aEra);
+  EraView view = ViewOf(aKind);
+  uint64_t era = m_eraGuard.EraOf(aPage.m_asOf.m_era, view);
+  SetEra(aPage.m_asOf, aPage.m_objects, era);
+  EraDecision decision = m_eraGuard.OnListPage(era, view);
   bool isMixed =
-    !aKind.m_pages.empty() && aKind.m_pages.front().m_asOf.m_era != aEra;
-  bool isConfirmed = aEra == m_announcedEra || (known && aEra <= *known);
-  if (!problem.empty()) {
-    OnFailure(aKind, problem);
-  } else if (!isConfirmed && known) {
-    AnnounceEra(aEra);
-  } else if (!isConfirmed) {
-    // The first answer of the store: a second one must state the same.
-    m_announcedEra = aEra;
-    RestartList(aKind);
-  } else if (isMixed) {
+    !aKind.m_pages.empty() && aKind.m_pages.front().m_asOf.m_era != era;
+  if (decision == EraDecision::kTake && isMixed) {
     OnFailure(aKind, "mixed-eras");
+    return false;
   }
-  return problem.empty() && isConfirmed && !isMixed;
+  return Follow(aKind, decision, aPage.m_asOf);
 }
 
 bool
 StoreReader::AcceptWatchEra(KindState& aKind, const Http1Response& aResponse)
 {
-  absl::StatusOr<uint64_t> era = m_protocol.ReadEra(aResponse);
-  uint64_t feedEra = Feed(aKind).CompleteTo().m_era;
-  if (aKind.m_watchSince.m_era < feedEra && era.ok() && *era <= feedEra) {
-    // A peer told of the later era while the answer was on its way.
-    ReadNext(aKind);
+  absl::StatusOr<uint64_t> stated = m_protocol.ReadEra(aResponse);
+  if (!stated.ok()) {
+    OnFailure(aKind, "unreadable-era");
     return false;
   }
-  std::string_view problem =
-    era.ok() ? EraProblem(aKind, *era) : "unreadable-era";
-  if (!problem.empty()) {
-    OnFailure(aKind, problem);
-    return false;
+  EraView view = ViewOf(aKind);
+  uint64_t era = m_eraGuard.EraOf(*stated, view);
+  return Follow(aKind, m_eraGuard.OnWatchAnswer(era, view), { .m_era = era });
+}
+
+EraView
+StoreReader::ViewOf(const KindState& aKind) const
+{
+  return { .m_known = KnownEra(),
+           .m_ofFeed =
+             m_feeds[static_cast<size_t>(aKind.m_kind)].CompleteTo().m_era,
+           .m_atCall = aKind.m_knownAtCall.m_era };
+}
+
+bool
+StoreReader::Follow(KindState& aKind,
+                    EraDecision aDecision,
+                    const StorePosition& aStated)
+{
+  switch (aDecision) {
+    case EraDecision::kTake:
+      return true;
+    case EraDecision::kListAll:
+      AnnounceEra(aStated.m_era);
+      return false;
+    case EraDecision::kListKind:
+      RestartList(aKind);
+      return false;
+    case EraDecision::kReadAgain:
+      aKind.m_pages.clear();
+      ReadNext(aKind);
+      return false;
+    case EraDecision::kDoubt:
+      OnContradicted(aKind, aStated);
+      return false;
+  }
+  return false;
+}
+
+void
+StoreReader::OnContradicted(KindState& aKind, const StorePosition& aStated)
+{
+  m_stats.OnPositionStated(aKind.m_kind, aStated, Feed(aKind).CompleteTo());
+  aKind.m_doubt.OnContradicted(aStated.m_era, m_loop.Now());
+  aKind.m_pages.clear();
+  if (!IsRefuted(aKind)) {
+    ScheduleRead(aKind, m_options.m_retryDelay);
+    return;
   }
-  if (*era > feedEra) {
-    AnnounceEra(*era);
+  m_log.Write(Event::kPositionGivenUp,
+              { { "kind", std::string(FeedKindName(aKind.m_kind)) },
+                { "stated", FormatPosition(aStated) },
+                { "known", FormatPosition(Feed(aKind).CompleteTo()) } });
+  for (KindState& kind : m_kindStates) {
+    kind.m_doubt.OnConfirmed();
   }
-  return *era == feedEra;
+  AnnounceEra(m_eraGuard.Correct(StatedEra(aStated.m_era), ViewOf(aKind)));
 }
 
-std::string_view
-StoreReader::EraProblem(const KindState& aKind, uint64_t aEra)
+bool
+StoreReader::IsRefuted(const KindState& aKind) const
 {
-  if (aEra < Feed(aKind).CompleteTo().m_era) {
-    return "earlier-era";
+  TimePoint now = m_loop.Now();
+  if (!aKind.m_doubt.IsCertain(now)) {
+    return false;
   }
-  // Era 0 is that of answers that state none.
-  uint64_t known = KnownEra().value_or(0);
-  bool isImplausible = known > 0 && aEra > known && aEra - known > kMaxEraStep;
-  return isImplausible ? "implausible-era" : "";
+  // Either the store confirms the other kinds to this instance, or no other
+  // instance reads it at the known position: this one may have been served by a
+  // store that is behind.
+  const ObjectFeed& replicas =
+    m_feeds[static_cast<size_t>(FeedKind::kReplicas)];
+  return replicas.Age(now) >= m_options.m_unconfirmedAge ||
+         std::ranges::any_of(m_kindStates, [&](const KindState& aOther) {
+           return aOther.m_kind != aKind.m_kind &&
+                  aOther.m_confirmedAt > aKind.m_doubt.Since();
+         });
 }
 
 void
 StoreReader::AnnounceEra(uint64_t aEra)
 {
-  m_announcedEra = aEra;
-  m_log.Write(Event::kStoreEraChanged, { { "era", absl::StrCat(aEra) } });
+  m_log.Write(Event::kStoreEraChanged, { { "era", FormatEra(aEra) } });
   Relist(FeedKind::kReplicas);
   RelistOtherKinds();
 }
@@ -362,8 +424,8 @@
   }
   auto events = m_protocol.ReadEvents(aKind.m_kind, aResult.m_response);
   if (absl::IsOutOfRange(events.status())) {
-    m_stats.OnHistoryLost(aKind.m_kind, aKind.m_watchSince);
-    aKind.m_lostSince = aKind.m_watchSince;
+    m_stats.OnHistoryLost(aKind.m_kind, aKind.m_knownAtCall);
+    aKind.m_lostSince = aKind.m_knownAtCall;
     // Watches of the other kinds may miss changes too.
     Relist(FeedKind::kReplicas);
     RelistOtherKinds();
@@ -373,11 +435,16 @@
     OnFailure(aKind, "status");
     return;
   }
+  SetEra(events->m_asOf, events->m_objects, aKind.m_knownAtCall.m_era);
+  if (events->m_asOf < aKind.m_knownAtCall) {
+    OnContradicted(aKind, events->m_asOf);
+    return;
+  }
   aKind.m_lostSince.reset();
   HoldRemovalsAfterOutage(aKind);
   if (aKind.m_kind == FeedKind::kReplicas) {
     DetectUnseenChanges(
-      aKind.m_watchSince, events->m_asOf, events->m_objects.size());
+      aKind.m_knownAtCall, events->m_asOf, events->m_objects.size());
   }
   for (const FeedObject& object : events->m_objects) {
     bool isUnreadable =
@@ -399,11 +466,8 @@
 StoreReader::HoldRemovalsAfterOutage(const KindState& aKind)
 {
   TimePoint now = m_loop.Now();
-  std::optional<Duration> age = Feed(aKind).Age(now);
-  bool afterOutage =
-    aKind.m_kind == FeedKind::kReplicas && age && *age > m_options.m_outageAge;
-  if (afterOutage && !IsHoldingRemovals()) {
-    m_holdRemovalsUntil = now + m_options.m_removalHoldDuration;
+  if (m_reachable && aKind.m_kind == FeedKind::kReplicas) {
+    m_heldRemovals.BeginAfterOutage(Feed(aKind).Age(now), now);
   }
 }
 
@@ -428,11 +492,10 @@
     if (removal && isSameEra && IsHoldingRemovals() && current != nullptr &&
         !current->m_deleted) {
       aObject.m_position = aAsOf;
-      std::string name = aObject.m_name;
-      m_heldRemovals[name] = std::move(aObject);
+      m_heldRemovals.Hold(std::move(aObject));
       return false;
     }
-    m_heldRemovals.erase(aObject.m_name);
+    m_heldRemovals.Forget(aObject.m_name);
   }
   std::string name = aObject.m_name;
   if (!Feed(aKind).Apply(std::move(aObject), aAsOf)) {
@@ -492,20 +555,15 @@
 StoreReader::ReleaseHeldRemovals(KindState& aKind, const StorePosition& aAsOf)
 {
   if (aKind.m_kind != FeedKind::kReplicas || IsHoldingRemovals() ||
-      m_heldRemovals.empty()) {
+      m_heldRemovals.IsEmpty()) {
     return false;
   }
-  std::map<std::string, FeedObject> held = std::exchange(m_heldRemovals, {});
-  // The store may have been restored since, and state an object again that was
-  // missing in an earlier era.
-  std::erase_if(held, [&](const auto& aEntry) {
-    return aEntry.second.m_position.m_era != aAsOf.m_era;
-  });
+  std::vector<FeedObject> held = m_heldRemovals.Take(aAsOf);
   m_log.Write(Event::kRemovalsReleased,
               { { "count", absl::StrCat(held.size()) } });
   bool changed = false;
-  for (auto& [name, object] : held) {
-    const FeedObject* current = Feed(aKind).Find(name);
+  for (FeedObject& object : held) {
+    const FeedObject* current = Feed(aKind).Find(object.m_name);
     // A peer has told that the upstream is back.
     if (current != nullptr && current->m_position > object.m_position) {
       continue;
@@ -523,12 +581,14 @@
   if (!m_reachable) {
     m_reachable = true;
     m_reachableResetTimer.Set(std::nullopt);
-    m_holdRemovalsUntil = m_loop.Now() + m_options.m_removalHoldDuration;
+    m_heldRemovals.Begin(m_loop.Now());
     m_log.Write(Event::kStoreRecovered, {});
     m_observer.OnStoreReachabilityChanged(true);
   }
   StorePosition known = Feed(aKind).CompleteTo();
   m_stats.OnPositionStated(aKind.m_kind, aAsOf, known);
+  aKind.m_doubt.OnConfirmed();
+  aKind.m_confirmedAt = m_loop.Now();
   bool changed = ReleaseHeldRemovals(aKind, aAsOf) || aChanged;
   Feed(aKind).MarkCompleteTo(aAsOf, m_loop.Now());
   m_observer.OnFeedRead(aKind.m_kind, changed || aAsOf.m_era > known.m_era);
@@ -634,7 +694,7 @@
 bool
 StoreReader::IsHoldingRemovals() const
 {
-  return !m_reachable || m_loop.Now() < m_holdRemovalsUntil;
+  return !m_reachable || m_heldRemovals.IsHolding(m_loop.Now());
 }
 
 ObjectFeed&
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -11,13 +11,15 @@
 
 #include <array>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 
+#include "core/feed/held_removals.h"
 #include "core/feed/object_feed.h"
+#include "core/feed/position_doubt.h"
+#include "core/feed/store_era_guard.h"
 #include "core/feed/unreadable_objects.h"
 #include "node/entry/protocol.h"
 #include "node/entry/store_feeds.h"
@@ -57,10 +59,11 @@
   Duration m_callTimeout = Milliseconds(1500);
   // The delay before the next call of a kind after a failure.
   Duration m_retryDelay = Milliseconds(700);
-  // How long removals of registrations are held back after an outage.
-  Duration m_removalHoldDuration = Milliseconds(2300);
-  // The age of the registrations' feed beyond which an outage is assumed.
-  Duration m_outageAge = Milliseconds(2800);
+  HeldRemovalsOptions m_heldRemovals;
+  PositionDoubtOptions m_doubt;
+  // The age of the registrations' feed beyond which no other instance counts as
+  // reading the store at the known position.
+  Duration m_unconfirmedAge = Seconds(2);
   // How long after the last failed call the store counts as reachable again. An
   // instance that is not a reader makes no calls that would show it.
   Duration m_reachableResetDelay = Seconds(5);
@@ -100,12 +103,16 @@
     uint64_t m_httpCall = 0;
     // The pages of the list that is being read.
     std::vector<StoreListPage> m_pages;
-    // The position at which the watch began. Peers may bring the feed further
-    // while the watch's answer is on its way.
-    StorePosition m_watchSince;
+    // What the feed was complete to when the list or the watch began. Peers may
+    // bring the feed further while the answer is on its way.
+    StorePosition m_knownAtCall;
     // The position from which the store did not have the changes; nothing after
     // a successful watch.
     std::optional<StorePosition> m_lostSince;
+    // Whether the feed's position is the store's.
+    PositionDoubt m_doubt{ {} };
+    // When an answer last stated a position that was not known before.
+    TimePoint m_confirmedAt;
     UnreadableObjects m_unreadable;
     std::unique_ptr<UvTimer> m_timer;
   };
@@ -127,16 +134,24 @@
   // Removes the objects that the pages do not name; returns whether the feed
   // changed.
   bool ApplyMissing(KindState& aKind, std::span<const StoreListPage> aPages);
-  // Returns whether a page of `aEra` may be used. If not, what follows from it
-  // has begun: another call or a retry.
-  [[nodiscard]] bool AcceptListEra(KindState& aKind, uint64_t aEra);
+  // Returns whether a page may be used, because of its era. If not, what
+  // follows from it has begun: another call or a retry.
+  [[nodiscard]] bool AcceptListEra(KindState& aKind, StoreListPage& aPage);
   // As above, for a watch's answer.
   [[nodiscard]] bool AcceptWatchEra(KindState& aKind,
                                     const Http1Response& aResponse);
-  // Returns why an answer of `aEra` cannot be used; empty if it can.
-  [[nodiscard]] std::string_view EraProblem(const KindState& aKind,
-                                            uint64_t aEra);
-  // Lists all kinds anew because the store stated a later era.
+  [[nodiscard]] EraView ViewOf(const KindState& aKind) const;
+  // Acts on an answer that stated `aStated`; returns whether it may be used.
+  [[nodiscard]] bool Follow(KindState& aKind,
+                            EraDecision aDecision,
+                            const StorePosition& aStated);
+  // Called when an answer contradicts what was known when its call began. Tries
+  // again after a delay, or gives the known position up.
+  void OnContradicted(KindState& aKind, const StorePosition& aStated);
+  // Returns whether it is certain that the known position was never the
+  // store's.
+  [[nodiscard]] bool IsRefuted(const KindState& aKind) const;
+  // Lists all kinds anew because the store is in another era than was known.
   void AnnounceEra(uint64_t aEra);
   // Returns the latest era of all feeds; nothing if none was ever complete.
   [[nodiscard]] std::optional<uint64_t> KnownEra() const;
@@ -190,15 +205,11 @@
   UvTimer m_reachableResetTimer;
   bool m_active = false;
   bool m_reachable = true;
-  TimePoint m_holdRemovalsUntil;
-  // Registrations whose removal is held back, with the positions as of which
-  // they were missing, all of the feed's era.
-  std::map<std::string, FeedObject> m_heldRemovals;
+  HeldRemovals m_heldRemovals;
   uint64_t m_callCount = 0;
   // The value of `OtherKindsPosition` when `m_unseenChangeTimer` was set.
   StorePosition m_otherKindsBefore;
-  // The latest era that the store stated; a list of it is accepted.
-  uint64_t m_announcedEra = 0;
+  StoreEraGuard m_eraGuard;
 };
 
 } // namespace ebonykeel
--- a/packages/runtime/log/events.cc
+++ b/packages/runtime/log/events.cc
@@ -260,6 +260,14 @@
     "Objects that stayed in force over a restore of the store were not "
     "written again in time; what the store states holds now.",
     "kind count" },
+  EventInfo{
+    Event::kPositionGivenUp,
+    Severity::kWarning,
+    "position_given_up",
+    "Several answers of the store in a row stated an earlier position than "
+    "the feed is complete to (known), or an implausibly later era: the known "
+    "one was stated wrongly. All kinds are listed again.",
+    "kind stated known" },
   EventInfo{ Event::kQueryRefused,
              Severity::kInfo,
              "query_refused",
--- a/packages/runtime/log/events.h
+++ b/packages/runtime/log/events.h
@@ -58,6 +58,7 @@
   kRolloutEnded = 1415,
   kFeedEraEntered = 1416,
   kRetainedReleased = 1417,
+  kPositionGivenUp = 1418,
   kQueryRefused = 1501,
   kQueryPartial = 1502,
   kFilingUnknown = 1601,
