Store reader: a held removal waits for an answer that the feed takes

What callers saw (by reading; no user has reported it): an upstream that left right after an outage of the store stays in use until the registrations are listed anew (DRAIN), if both readers are overtaken by each other at the wrong moment.

Cause: removals that are held back after an outage were released at the first answer after their time. If peers had brought the feed further while it was on its way, the feed ignored them as older, and the reader had forgotten them.

Why this works: the next answer that the feed takes releases them.

Evidence: store_reader_test "a held removal outlasts an answer that comes late" fails with the condition taken out (a trial): the upstream is still in the feed.

--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -558,6 +558,10 @@
       m_heldRemovals.IsEmpty()) {
     return false;
   }
+  // As of a position that peers have passed the feed would ignore them.
+  if (aAsOf < Feed(aKind).CompleteTo()) {
+    return false;
+  }
   std::vector<FeedObject> held = m_heldRemovals.Take(aAsOf);
   m_log.Write(Event::kRemovalsReleased,
               { { "count", absl::StrCat(held.size()) } });
