Reader choice: instances of a release without eras don't read for others

It needs no restore: once a new instance has read the store it knows an era, and what the others tell counts as era 0.

Cause: every instance chooses the same two readers by host, whether it can follow them or not.

Change: FleetService notes the hosts whose watermarks state content but no era while it knows one; the readers are chosen among the others.

Why this works: those that know an era then have readers of their own, and the earlier release reads as before.

Evidence: node_entry_test "an instance that states no era is not followed".

--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -89,6 +89,16 @@
   return era(*std::ranges::max_element(m_feeds, {}, era));
 }
 
+std::vector<FleetRecord>
+FleetService::FollowedMembers() const
+{
+  std::vector<FleetRecord> members = m_view.LiveMembers();
+  std::erase_if(members, [this](const FleetRecord& aMember) {
+    return m_hostsWithoutEra.contains(aMember.m_host);
+  });
+  return members;
+}
+
 void
 FleetService::AddSeeds(std::span<const std::string> aHosts)
 {
@@ -149,6 +159,7 @@
 FleetService::OnFeedWatermarks(const FleetRecord& aSender,
                                std::span<const FeedWatermark> aWatermarks)
 {
+  NoteEraOf(aSender.m_host, aWatermarks);
   TimePoint now = m_loop.Now();
   bool newer = false;
   bool isLaterEra = false;
@@ -166,6 +177,24 @@
   }
 }
 
+void
+FleetService::NoteEraOf(const std::string& aHost,
+                        std::span<const FeedWatermark> aWatermarks)
+{
+  bool hasContent = false;
+  bool statesEra = false;
+  for (const FeedWatermark& watermark : aWatermarks) {
+    hasContent = hasContent || watermark.m_content.m_revision > 0;
+    statesEra = statesEra || watermark.m_content.m_era > 0;
+  }
+  if (hasContent && !statesEra && StoreEra() > 0) {
+    m_membersChanged =
+      m_hostsWithoutEra.insert(aHost).second || m_membersChanged;
+  } else {
+    m_membersChanged = m_hostsWithoutEra.erase(aHost) > 0 || m_membersChanged;
+  }
+}
+
 bool
 FleetService::MayFetchFrom(const FleetRecord& aPeer, TimePoint aNow) const
 {
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,9 @@
   [[nodiscard]] bool InContact() const;
   // Returns the newest era of the store that a feed has entered.
   [[nodiscard]] uint64_t StoreEra() const;
+  // Returns the living instances, this one too, whose feeds this instance can
+  // follow: not those of a release that states no eras though the store does.
+  [[nodiscard]] std::vector<FleetRecord> FollowedMembers() const;
   void AddSeeds(std::span<const std::string> aHosts);
   void SetSelf(FleetState aState, bool aReady, bool aStoreReachable);
   void SetCapacity(uint32_t aCapacity);
@@ -92,6 +96,9 @@
   void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override;
 
   void OnDatagram(const std::string& aHost, std::string_view aBytes);
+  // Notes whether the host's watermarks state an era.
+  void NoteEraOf(const std::string& aHost,
+                 std::span<const FeedWatermark> aWatermarks);
   [[nodiscard]] bool MayFetchFrom(const FleetRecord& aPeer,
                                   TimePoint aNow) const;
   void FetchFeeds(const std::string& aHost, Duration aTimeout);
@@ -109,6 +116,9 @@
   DatagramSocket m_socket;
   Http1Server m_server;
   UvTimer m_timer;
+  // The hosts whose last watermarks stated content, but no era of the store,
+  // while this instance knew one.
+  std::set<std::string> m_hostsWithoutEra;
   bool m_fetchInFlight = false;
   bool m_membersChanged = false;
 };
--- a/packages/node/entry/fleet_service_test.cc
+++ b/packages/node/entry/fleet_service_test.cc
@@ -14,6 +14,7 @@
 #include <doctest/doctest.h>
 
 #include "runtime/fleet/fleet_codec.h"
+#include "runtime/uv/datagram_socket.h"
 
 namespace ebonykeel {
 namespace {
@@ -180,4 +181,33 @@
   }
 }
 
+// Guards against instances that learn of no change while those of an earlier
+// release, which states no eras, read the store for all.
+DOCTEST_TEST_CASE("an instance that states no era is not followed")
+{
+  Fixture fixture;
+  Instance& newer = *fixture.m_instances[0];
+  fixture.Fill(0, Object({ 2, 100 }, "new"), { 2, 105 });
+  DOCTEST_REQUIRE(newer.m_service.Start().empty());
+  DatagramSocket earlier(fixture.m_loop,
+                         [](const std::string&, std::string_view) {});
+  DOCTEST_REQUIRE(earlier.Bind({ HostOf(1), kPort }).empty());
+  auto tell = [&](StorePosition aContent) {
+    FleetMessage message{ .m_kind = FleetMessageKind::kNotice,
+                          .m_sender = { .m_host = HostOf(1),
+                                        .m_incarnation = 1 },
+                          .m_feedWatermarks = { { aContent, {} } } };
+    earlier.Send({ HostOf(0), kPort }, EncodeFleetMessage(message));
+  };
+  auto followed = [&]() { return newer.m_service.FollowedMembers().size(); };
+  // It has started and knows nothing yet.
+  tell({ 0, 0 });
+  DOCTEST_CHECK(fixture.RunUntil([&]() { return followed() == 2; }));
+  tell({ 0, 120 });
+  DOCTEST_CHECK(fixture.RunUntil([&]() { return followed() == 1; }));
+  // It has been replaced by this release.
+  tell({ 2, 100 });
+  DOCTEST_CHECK(fixture.RunUntil([&]() { return followed() == 2; }));
+}
+
 } // namespace ebonykeel
--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -433,8 +433,7 @@
   if (m_stoppingSince) {
     return;
   }
-  std::vector<FleetRecord> live = m_fleet.View().LiveMembers();
-  std::vector<std::string> readers = ChooseReaders(live);
+  std::vector<std::string> readers = ChooseReaders(m_fleet.FollowedMembers());
   bool chosen = std::ranges::find(readers, m_settings.m_host) != readers.end();
   m_reader.SetActive(MayReadStore() && chosen);
 }
