--- a/packages/node/entry/forward_instance.cc
+++ b/packages/node/entry/forward_instance.cc
@@ -19,18 +19,10 @@
 constexpr Duration kStartingTickInterval = Milliseconds(10);
 // The assumed age of a feed that was never complete.
 constexpr Duration kMissingFeedAge = Seconds(3600);
-// If the clocks differ by more than this, the process was suspended, and the
-// difference is added to the age of the feeds.
-constexpr Duration kMinSuspension = Milliseconds(300);
 // How long an instance must be dead before it is removed from the store's list.
 constexpr Duration kUnregisterDelay = Seconds(60);
 // If the feeds are older, the store counts as away for roll-outs.
 constexpr Duration kMaxRolloutFeedAge = Seconds(4);
-// Remote instances that were lost longer ago than this are not offered to
-// callers.
-constexpr Duration kMaxLostAge = Milliseconds(5500);
-// Some callers cache the directory's answer for this many times its TTL.
-constexpr int kMaxCachedTtls = 3;
 // The part of the stop timeout that is reserved for the exit of the process.
 constexpr Duration kExitMargin = Milliseconds(400);
 // The part of the stop timeout before that, in which the last answers reach
@@ -64,6 +56,16 @@
            .m_port = aSettings.m_listen.m_peerPort };
 }
 
+DirectoryOptions
+DirectoryOptionsFrom(const ForwardSettings& aSettings)
+{
+  return { .m_answerTtl = aSettings.m_directoryAnswerTtl,
+           .m_instancesPerCaller =
+             static_cast<size_t>(aSettings.m_instancesPerCaller),
+           .m_callerPort = aSettings.m_listen.m_callers.m_port,
+           .m_retryAfter = kTickInterval };
+}
+
 ForwardServiceOptions
 ForwardOptionsFrom(const ForwardSettings& aSettings)
 {
@@ -89,7 +91,7 @@
     const Http1Request& request = aExchange->Request();
     if (std::optional<DirectoryQuery> query =
           m_instance.m_traffic.ReadDirectoryQuery(request)) {
-      aExchange->Answer(m_instance.AnswerDirectoryQuery(*query));
+      aExchange->Answer(m_instance.m_directory.Answer(*query));
     } else if (m_instance.m_traffic.IsReadinessCheck(request)) {
       aExchange->Answer(m_instance.AnswerReadiness());
     } else if (PathOf(request.m_target) == "/metrics") {
@@ -116,8 +118,8 @@
   , m_traffic(aTraffic)
   , m_log(aLog)
   , m_startedAt(aLoop.Now())
-  , m_suspendedTotal(aLoop.Suspended())
   , m_feeds(MakeStoreFeeds())
+  , m_feedUpkeep(aLoop, m_feeds, aLog)
   , m_upstreamClient(aLoop, {})
   , m_controlClient(aLoop, {})
   , m_load({ .m_dataCentre = m_settings.m_dataCentre,
@@ -152,6 +154,11 @@
                    [this](const std::vector<std::string>& aHosts) {
                      m_fleet.AddSeeds(aHosts);
                    })
+  , m_directory(aLoop,
+                aTraffic,
+                m_fleet.View(),
+                m_reachability,
+                DirectoryOptionsFrom(m_settings))
   , m_quota(QuotaService::Make(aLoop, *this, aLog, m_settings))
   , m_rollouts(
       m_settings.m_rollout
@@ -228,6 +235,7 @@
   m_settings.m_seeds = aSettings.m_seeds;
   m_settings.m_directoryAnswerTtl = aSettings.m_directoryAnswerTtl;
   m_settings.m_instancesPerCaller = aSettings.m_instancesPerCaller;
+  m_directory.SetOptions(DirectoryOptionsFrom(m_settings));
   m_settings.m_stopTimeout = aSettings.m_stopTimeout;
   m_fleet.AddSeeds(m_settings.m_seeds);
 }
@@ -262,7 +270,7 @@
     if (aKind == FeedKind::kConfiguration) {
       ApplyLimits();
     }
-    m_upstreamCounts = m_routing.CountGatheredUpstreams();
+    m_directory.SetUpstreamCounts(m_routing.CountGatheredUpstreams());
     UpdateSelf();
     m_fleet.AnnounceFeeds();
   }
@@ -294,7 +302,7 @@
 {
   CheckEras();
   ApplyLimits();
-  m_upstreamCounts = m_routing.CountGatheredUpstreams();
+  m_directory.SetUpstreamCounts(m_routing.CountGatheredUpstreams());
   UpdateSelf();
 }
 
@@ -335,7 +343,9 @@
 void
 ForwardInstance::OnTick()
 {
-  CheckSuspension();
+  if (m_feedUpkeep.CheckSuspension() && m_rollouts != nullptr) {
+    m_rollouts->OnSuspended();
+  }
   ReleaseRetained();
   UpdateReaderRole();
   MaintainInstanceList();
@@ -373,25 +383,7 @@
 void
 ForwardInstance::CheckEras()
 {
-  bool isNewEra = false;
-  for (size_t i = 0; i < m_feeds.size(); ++i) {
-    const ObjectFeed& feed = m_feeds[i];
-    uint64_t era = feed.CompleteTo().m_era;
-    if (!feed.WasComplete() || m_feedEras[i] == era) {
-      continue;
-    }
-    if (std::exchange(m_feedEras[i], era)) {
-      isNewEra = isNewEra || std::ranges::count(m_feedEras, era) == 1;
-      m_log.Write(
-        Event::kFeedEraEntered,
-        { { "kind", std::string(FeedKindName(static_cast<FeedKind>(i))) },
-          { "era", FormatEra(era) },
-          { "revision", absl::StrCat(feed.CompleteTo().m_revision) },
-          { "retained", absl::StrCat(feed.RetainedCount()) } });
-    }
-  }
-  if (isNewEra) {
-    ++m_eraChanges;
+  if (m_feedUpkeep.CheckEras()) {
     m_instanceList.OnEraEntered();
   }
 }
@@ -399,19 +391,12 @@
 void
 ForwardInstance::ReleaseRetained()
 {
-  for (size_t i = 0; i < m_feeds.size(); ++i) {
-    auto kind = static_cast<FeedKind>(i);
-    std::vector<std::string> changed = m_feeds[i].ReleaseRetained(m_loop.Now());
-    if (changed.empty()) {
-      continue;
-    }
-    m_log.Write(Event::kRetainedReleased,
-                { { "kind", std::string(FeedKindName(kind)) },
-                  { "count", absl::StrCat(changed.size()) } });
-    for (const std::string& name : changed) {
-      ApplyObject(kind, *m_feeds[i].Find(name));
-    }
-    m_upstreamCounts = m_routing.CountGatheredUpstreams();
+  bool isReleased = m_feedUpkeep.ReleaseRetained(
+    [this](FeedKind aKind, const FeedObject& aObject) {
+      ApplyObject(aKind, aObject);
+    });
+  if (isReleased) {
+    m_directory.SetUpstreamCounts(m_routing.CountGatheredUpstreams());
   }
 }
 
@@ -461,10 +446,7 @@
   if (!m_fleet.InContact()) {
     return;
   }
-  m_budget.SetParticipants(InstancesForAllCallers(m_fleet.View().LiveMembers(),
-                                                  m_upstreamCounts,
-                                                  DirectoryOptions()),
-                           m_loop.Now());
+  m_budget.SetParticipants(m_directory.OfferedHosts(), m_loop.Now());
 }
 
 void
@@ -478,22 +460,12 @@
     std::ranges::any_of(m_settings.m_seeds, [&](const std::string& aSeed) {
       return aSeed != m_settings.m_host;
     });
-  std::vector<FleetRecord> live = m_fleet.View().LiveMembers();
-  std::set<std::string> named =
-    InstancesForAllCallers(live, m_upstreamCounts, DirectoryOptions());
-  m_quota->SetFleet({ .m_liveInstances = std::move(live),
-                      .m_namedHosts = std::move(named),
+  m_quota->SetFleet({ .m_liveInstances = m_fleet.View().LiveMembers(),
+                      .m_namedHosts = m_directory.OfferedHosts(),
                       .m_mayBeIncomplete = knowsOthers && !m_hadContact,
                       .m_isInContact = m_fleet.InContact() });
 }
 
-CallerDirectoryOptions
-ForwardInstance::DirectoryOptions() const
-{
-  return { .m_instancesPerCaller =
-             static_cast<size_t>(m_settings.m_instancesPerCaller) };
-}
-
 void
 ForwardInstance::ApplyLimits()
 {
@@ -509,27 +481,6 @@
       .m_idleTimeout = limits.m_idleTimeout });
 }
 
-void
-ForwardInstance::CheckSuspension()
-{
-  Duration suspendedTotal = m_loop.Suspended();
-  if (suspendedTotal - m_suspendedTotal > kMinSuspension) {
-    m_log.Write(
-      Event::kSuspended,
-      { { "ms",
-          absl::StrCat(ToMilliseconds(suspendedTotal - m_suspendedTotal)) } });
-    // The steady clock did not count the suspension, so it is missing from the
-    // age of the feeds.
-    for (ObjectFeed& feed : m_feeds) {
-      feed.AddAge(suspendedTotal - m_suspendedTotal);
-    }
-    if (m_rollouts != nullptr) {
-      m_rollouts->OnSuspended();
-    }
-  }
-  m_suspendedTotal = suspendedTotal;
-}
-
 void
 ForwardInstance::MaintainInstanceList()
 {
@@ -547,8 +498,7 @@
 ForwardInstance::ContinueStop()
 {
   Duration elapsed = m_loop.Now() - *m_stoppingSince;
-  Duration maxCacheTime = m_settings.m_directoryAnswerTtl * kMaxCachedTtls;
-  bool cachesExpired = elapsed >= maxCacheTime;
+  bool cachesExpired = elapsed >= m_directory.MaxCacheTime();
   if (cachesExpired) {
     m_callerServer.StopListening();
     m_callerServer.BeginShutdown(true);
@@ -583,24 +533,6 @@
     });
 }
 
-std::vector<FleetRecord>
-ForwardInstance::ChooseCallerCandidates() const
-{
-  const FleetView& view = m_fleet.View();
-  if (m_reachability.IsImpaired() && !view.HasLiveRemoteInstance()) {
-    // Callers may reach remote instances that this instance does not reach.
-    std::vector<FleetRecord> lost =
-      view.RecentlyLostRemote(kMaxLostAge, m_loop.Now());
-    for (FleetRecord& record : lost) {
-      record.m_state = FleetState::kAlive;
-    }
-    if (!lost.empty()) {
-      return lost;
-    }
-  }
-  return view.LiveMembers();
-}
-
 bool
 ForwardInstance::MayReadStore() const
 {
@@ -619,26 +551,6 @@
          replicas.WasComplete();
 }
 
-Http1Response
-ForwardInstance::AnswerDirectoryQuery(const DirectoryQuery& aQuery)
-{
-  std::vector<FleetRecord> candidates = ChooseCallerCandidates();
-  std::vector<Address> addresses;
-  std::ranges::transform(
-    ChooseInstancesForCaller(
-      candidates, aQuery.m_dataCentre, m_upstreamCounts, DirectoryOptions()),
-    std::back_inserter(addresses),
-    [&](const std::string& aHost) {
-      return Address{ aHost, m_settings.m_listen.m_callers.m_port };
-    });
-  if (addresses.empty()) {
-    return m_traffic.MakeOwnAnswer(
-      kUnavailableStatus, "no-instance", kTickInterval);
-  }
-  return m_traffic.MakeDirectoryAnswer(addresses,
-                                       m_settings.m_directoryAnswerTtl);
-}
-
 Http1Response
 ForwardInstance::AnswerReadiness() const
 {
--- a/packages/node/entry/forward_instance.h
+++ b/packages/node/entry/forward_instance.h
@@ -11,9 +11,10 @@
 
 #include "core/config/forward_settings.h"
 #include "core/feed/object_feed.h"
-#include "core/fleet/caller_directory.h"
 #include "core/fleet/upstream_reachability.h"
 #include "core/forward/extra_budget.h"
+#include "node/entry/directory_service.h"
+#include "node/entry/feed_upkeep.h"
 #include "node/entry/fleet_service.h"
 #include "node/entry/forward_service.h"
 #include "node/entry/instance_list.h"
@@ -80,8 +81,6 @@
   // Tells the quota which instances there are.
   void UpdateQuota();
   void ApplyLimits();
-  // Adds a suspension since the last check to the age of the feeds.
-  void CheckSuspension();
   void MaintainInstanceList();
   // Stops listening once callers no longer cache the addresses of this
   // instance, and ends the stop when no caller is left or the stop timeout is
@@ -90,8 +89,6 @@
   // Returns whether enough upstreams for every gathered route count as
   // reachable.
   [[nodiscard]] bool ReachesEnoughUpstreams() const;
-  // Returns the instances that may be offered to callers.
-  [[nodiscard]] std::vector<FleetRecord> ChooseCallerCandidates() const;
   [[nodiscard]] bool MayReadStore() const;
   // Logs which feeds have entered a later era of the store.
   void CheckEras();
@@ -99,9 +96,6 @@
   // longer.
   void ReleaseRetained();
   [[nodiscard]] bool IsReady() const;
-  [[nodiscard]] CallerDirectoryOptions DirectoryOptions() const;
-  [[nodiscard]] Http1Response AnswerDirectoryQuery(
-    const DirectoryQuery& aQuery);
   [[nodiscard]] Http1Response AnswerReadiness() const;
   [[nodiscard]] std::string RenderMetrics() const;
 
@@ -110,9 +104,8 @@
   const TrafficProtocol& m_traffic;
   LineLog& m_log;
   TimePoint m_startedAt;
-  // The total time that the process was suspended, as of the last check.
-  Duration m_suspendedTotal{};
   StoreFeeds m_feeds;
+  FeedUpkeep m_feedUpkeep;
   Http1Client m_upstreamClient;
   Http1Client m_controlClient;
   ReplicaLoad m_load;
@@ -121,6 +114,8 @@
   StoreReader m_reader;
   FleetService m_fleet;
   InstanceList m_instanceList;
+  UpstreamReachability m_reachability;
+  DirectoryService m_directory;
   // Nothing if quotas are not enforced.
   std::optional<QuotaService> m_quota;
   // Null if the settings have no table for roll-outs.
@@ -133,13 +128,7 @@
   Http1Server m_readinessServer;
   Http1Server m_metricsServer;
   UvTimer m_tickTimer;
-  std::map<DataCentre, size_t> m_upstreamCounts;
-  UpstreamReachability m_reachability;
   bool m_storeReachable = true;
-  // The era of each feed; nothing before the feed was complete.
-  std::array<std::optional<uint64_t>, kFeedKinds> m_feedEras;
-  // How many later eras of the store this instance has entered.
-  uint64_t m_eraChanges = 0;
   // Whether another instance was ever heard.
   bool m_hadContact = false;
   std::optional<TimePoint> m_stoppingSince;
--- a/packages/node/entry/forward_instance_metrics.cc
+++ b/packages/node/entry/forward_instance_metrics.cc
@@ -2,7 +2,6 @@
 
 #include "absl/strings/str_cat.h"
 
-#include "core/base/store_era.h"
 #include "node/entry/work_metrics.h"
 
 namespace ebonykeel {
@@ -25,16 +24,6 @@
                     aValue,
                     "\n");
   };
-  auto labelled =
-    [&text](std::string_view aName, std::string_view aKind, uint64_t aValue) {
-      absl::StrAppend(&text,
-                      std::string(aName),
-                      "{kind=\"",
-                      std::string(aKind),
-                      "\"} ",
-                      aValue,
-                      "\n");
-    };
   gauge("ebonykeel_in_flight_requests", m_callerServer.InFlight());
   gauge("ebonykeel_caller_connections", m_callerServer.Connections());
   gauge("ebonykeel_searcher_connections_opened",
@@ -43,16 +32,7 @@
         m_reader.CallCount() + m_instanceList.CallCount());
   gauge("ebonykeel_store_on_duty", m_reader.IsActive() ? 1 : 0);
   gauge("ebonykeel_store_unreadable_objects", m_reader.UnreadableCount());
-  gauge("ebonykeel_store_era_changes", m_eraChanges);
-  for (size_t i = 0; i < m_feeds.size(); ++i) {
-    const ObjectFeed& feed = m_feeds[i];
-    std::string_view kind = FeedKindName(static_cast<FeedKind>(i));
-    uint64_t era = feed.CompleteTo().m_era;
-    labelled("ebonykeel_feed_era", kind, StatedEra(era));
-    labelled("ebonykeel_feed_corrections", kind, CorrectionsOf(era));
-    labelled("ebonykeel_feed_revision", kind, feed.CompleteTo().m_revision);
-    labelled("ebonykeel_feed_retained_objects", kind, feed.RetainedCount());
-  }
+  text += m_feedUpkeep.RenderMetrics();
   gauge("ebonykeel_replicas", m_routing.Catalogue().Count());
   gauge("ebonykeel_replicas_leaving", m_routing.Catalogue().LeavingCount());
   gauge("ebonykeel_replicas_pushing_back",
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -13,27 +13,6 @@
 
 constexpr int kOkStatus = 200;
 
-// Returns the last state of each object that the events name, in the order of
-// the names.
-std::vector<FeedObject>
-LastStates(std::vector<FeedObject> aEvents)
-{
-  std::map<std::string, FeedObject> last;
-  for (FeedObject& event : aEvents) {
-    FeedObject& state = last[event.m_name];
-    // The store states the revision of the last change before a removal.
-    if (event.m_position >= state.m_position) {
-      state = std::move(event);
-    }
-  }
-  std::vector<FeedObject> states;
-  states.reserve(last.size());
-  for (auto& [name, state] : last) {
-    states.push_back(std::move(state));
-  }
-  return states;
-}
-
 // Replaces the number that the store stated by the era in full.
 void
 SetEra(StorePosition& aAsOf, std::span<FeedObject> aObjects, uint64_t aEra)
@@ -82,12 +61,9 @@
   , m_stats(aLog)
   , m_options(std::move(aOptions))
   , m_observer(aObserver)
+  , m_writer(aFeeds, aProtocol, aLog, aObserver, m_options.m_heldRemovals)
   , m_unseenChangeTimer(aLoop, [this]() { OnUnseenChangeTimer(); })
-  , m_reachableResetTimer(aLoop, [this]() {
-    m_reachable = true;
-    m_observer.OnStoreReachabilityChanged(true);
-  })
-  , m_heldRemovals(m_options.m_heldRemovals)
+  , m_reachableResetTimer(aLoop, [this]() { SetReachable(true); })
 {
   for (size_t i = 0; i < kFeedKinds; ++i) {
     KindState& kind = m_kindStates[i];
@@ -105,7 +81,7 @@
     return;
   }
   m_active = aActive;
-  m_heldRemovals.Clear();
+  m_writer.Reset();
   m_log.Write(Event::kReaderRoleChanged,
               { { "on_duty", aActive ? "1" : "0" } });
   for (KindState& kind : m_kindStates) {
@@ -240,55 +216,11 @@
     return;
   }
   m_eraGuard.OnListTaken(asOf.m_era);
-  HoldRemovalsAfterOutage(aKind);
-  aKind.m_unreadable.BeginList();
-  bool changed = false;
-  for (StoreListPage& page : pages) {
-    changed = ApplyPage(aKind, page) || changed;
-  }
-  changed = ApplyMissing(aKind, pages) || changed;
+  bool changed = m_writer.ApplyList(aKind.m_kind, pages, m_loop.Now());
   aKind.m_listed = true;
-  aKind.m_unreadable.EndList();
-  Feed(aKind).ForgetRemovalsUpTo(asOf);
   OnSuccess(aKind, asOf, changed);
 }
 
-bool
-StoreReader::ApplyPage(KindState& aKind, StoreListPage& aPage)
-{
-  ReportUnreadable(aKind, aPage.m_unreadable, aPage.m_asOf);
-  bool changed = false;
-  for (const FeedObject& object : aPage.m_objects) {
-    changed = Apply(aKind, object, aPage.m_asOf) || changed;
-  }
-  return changed;
-}
-
-bool
-StoreReader::ApplyMissing(KindState& aKind,
-                          std::span<const StoreListPage> aPages)
-{
-  std::set<std::string_view> listed;
-  for (const StoreListPage& page : aPages) {
-    for (const FeedObject& object : page.m_objects) {
-      if (!object.m_deleted) {
-        listed.insert(object.m_name);
-      }
-    }
-  }
-  bool changed = false;
-  for (const FeedObject& object :
-       Feed(aKind).ChangesSince({}, m_loop.Now()).m_objects) {
-    if (!listed.contains(object.m_name)) {
-      changed = Apply(aKind,
-                      { .m_name = object.m_name, .m_deleted = true },
-                      aPages.front().m_asOf) ||
-                changed;
-    }
-  }
-  return changed;
-}
-
 bool
 StoreReader::AcceptListEra(KindState& aKind, StoreListPage& aPage)
 {
@@ -441,140 +373,14 @@
     return;
   }
   aKind.m_lostSince.reset();
-  HoldRemovalsAfterOutage(aKind);
   if (aKind.m_kind == FeedKind::kReplicas) {
     DetectUnseenChanges(
       aKind.m_knownAtCall, events->m_asOf, events->m_objects.size());
   }
-  for (const FeedObject& object : events->m_objects) {
-    bool isUnreadable =
-      std::ranges::find(events->m_unreadable, object.m_name) !=
-      events->m_unreadable.end();
-    if (!isUnreadable) {
-      aKind.m_unreadable.Remove(object.m_name);
-    }
-  }
-  ReportUnreadable(aKind, events->m_unreadable, events->m_asOf);
-  bool changed = false;
-  for (FeedObject& object : LastStates(std::move(events->m_objects))) {
-    changed = Apply(aKind, std::move(object), events->m_asOf) || changed;
-  }
-  OnSuccess(aKind, events->m_asOf, changed);
-}
-
-void
-StoreReader::HoldRemovalsAfterOutage(const KindState& aKind)
-{
-  TimePoint now = m_loop.Now();
-  if (m_reachable && aKind.m_kind == FeedKind::kReplicas) {
-    m_heldRemovals.BeginAfterOutage(Feed(aKind).Age(now), now);
-  }
-}
-
-bool
-StoreReader::Apply(KindState& aKind,
-                   FeedObject aObject,
-                   const StorePosition& aAsOf)
-{
-  // Peers have told this state already, or a later one.
-  const StorePosition completeTo = Feed(aKind).CompleteTo();
-  if (aAsOf < completeTo) {
-    return false;
-  }
-  if (aKind.m_kind == FeedKind::kConfiguration && !IsUsable(aObject)) {
-    return false;
-  }
-  if (aKind.m_kind == FeedKind::kReplicas) {
-    bool removal = aObject.m_deleted;
-    const FeedObject* current = Feed(aKind).Find(aObject.m_name);
-    // The feed itself retains what a restored store lacks.
-    bool isSameEra = aAsOf.m_era == completeTo.m_era;
-    if (removal && isSameEra && IsHoldingRemovals() && current != nullptr &&
-        !current->m_deleted) {
-      aObject.m_position = aAsOf;
-      m_heldRemovals.Hold(std::move(aObject));
-      return false;
-    }
-    m_heldRemovals.Forget(aObject.m_name);
-  }
-  std::string name = aObject.m_name;
-  if (!Feed(aKind).Apply(std::move(aObject), aAsOf)) {
-    return false;
-  }
-  m_observer.OnObjectChanged(aKind.m_kind, *Feed(aKind).Find(name));
-  return true;
-}
-
-bool
-StoreReader::IsUsable(const FeedObject& aConfiguration)
-{
-  if (aConfiguration.m_deleted) {
-    return false;
-  }
-  absl::Status status =
-    m_protocol.ReadConfiguration(aConfiguration.m_payload).status();
-  if (!status.ok()) {
-    m_log.Write(Event::kConfigurationRefused,
-                { { "problem", std::string(status.message()) },
-                  { "source", "store" },
-                  { "detail", FormatPosition(aConfiguration.m_position) } });
-  }
-  return status.ok();
-}
-
-void
-StoreReader::ReportUnreadable(KindState& aKind,
-                              std::span<const std::string> aNames,
-                              const StorePosition& aAsOf)
-{
-  for (const std::string& name : aNames) {
-    if (aKind.m_unreadable.Add(name)) {
-      m_log.Write(Event::kObjectUnreadable,
-                  { { "kind", std::string(FeedKindName(aKind.m_kind)) },
-                    { "object", name },
-                    { "revision", FormatPosition(aAsOf) } });
-    }
-  }
-}
-
-size_t
-StoreReader::UnreadableCount() const
-{
-  if (!m_active) {
-    return 0;
-  }
-  return std::accumulate(m_kindStates.begin(),
-                         m_kindStates.end(),
-                         size_t{ 0 },
-                         [](size_t aCount, const KindState& aKind) {
-                           return aCount + aKind.m_unreadable.Count();
-                         });
-}
-
-bool
-StoreReader::ReleaseHeldRemovals(KindState& aKind, const StorePosition& aAsOf)
-{
-  if (aKind.m_kind != FeedKind::kReplicas || IsHoldingRemovals() ||
-      m_heldRemovals.IsEmpty()) {
-    return false;
-  }
-  // As of a position that peers have passed the feed would ignore them.
-  if (aAsOf < Feed(aKind).CompleteTo()) {
-    return false;
-  }
-  std::vector<FeedObject> held = m_heldRemovals.Take(aAsOf);
-  m_log.Write(Event::kRemovalsReleased,
-              { { "count", absl::StrCat(held.size()) } });
-  bool changed = false;
-  for (FeedObject& object : held) {
-    const FeedObject* current = Feed(aKind).Find(object.m_name);
-    // A peer has told that the upstream is back.
-    if (current != nullptr && current->m_position > object.m_position) {
-      continue;
-    }
-    changed = Apply(aKind, std::move(object), aAsOf) || changed;
-  }
-  return changed;
+  StorePosition asOf = events->m_asOf;
+  bool changed =
+    m_writer.ApplyEvents(aKind.m_kind, *std::move(events), m_loop.Now());
+  OnSuccess(aKind, asOf, changed);
 }
 
 void
@@ -583,17 +389,19 @@
                        bool aChanged)
 {
   if (!m_reachable) {
-    m_reachable = true;
     m_reachableResetTimer.Set(std::nullopt);
-    m_heldRemovals.Begin(m_loop.Now());
+    m_writer.BeginHold(m_loop.Now());
     m_log.Write(Event::kStoreRecovered, {});
-    m_observer.OnStoreReachabilityChanged(true);
+    SetReachable(true);
   }
   StorePosition known = Feed(aKind).CompleteTo();
   m_stats.OnPositionStated(aKind.m_kind, aAsOf, known);
   aKind.m_doubt.OnConfirmed();
   aKind.m_confirmedAt = m_loop.Now();
-  bool changed = ReleaseHeldRemovals(aKind, aAsOf) || aChanged;
+  bool isReplicas = aKind.m_kind == FeedKind::kReplicas;
+  bool changed =
+    (isReplicas && m_writer.ReleaseHeldRemovals(aAsOf, m_loop.Now())) ||
+    aChanged;
   Feed(aKind).MarkCompleteTo(aAsOf, m_loop.Now());
   m_observer.OnFeedRead(aKind.m_kind, changed || aAsOf.m_era > known.m_era);
   if (m_active) {
@@ -682,11 +490,10 @@
 StoreReader::OnFailure(KindState& aKind, std::string_view aProblem)
 {
   if (m_reachable) {
-    m_reachable = false;
     m_log.Write(Event::kStoreFailed,
                 { { "call", std::string(FeedKindName(aKind.m_kind)) },
                   { "problem", std::string(aProblem) } });
-    m_observer.OnStoreReachabilityChanged(false);
+    SetReachable(false);
   }
   m_reachableResetTimer.Set(m_loop.Now() + m_options.m_reachableResetDelay);
   aKind.m_pages.clear();
@@ -695,10 +502,12 @@
   }
 }
 
-bool
-StoreReader::IsHoldingRemovals() const
+void
+StoreReader::SetReachable(bool aReachable)
 {
-  return !m_reachable || m_heldRemovals.IsHolding(m_loop.Now());
+  m_reachable = aReachable;
+  m_writer.SetReachable(aReachable);
+  m_observer.OnStoreReachabilityChanged(aReachable);
 }
 
 ObjectFeed&
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -13,15 +13,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 
-#include "core/feed/held_removals.h"
 #include "core/feed/object_feed.h"
 #include "core/feed/position_doubt.h"
 #include "core/feed/store_era_guard.h"
-#include "core/feed/unreadable_objects.h"
 #include "node/entry/protocol.h"
+#include "node/entry/store_feed_writer.h"
 #include "node/entry/store_feeds.h"
 #include "node/entry/store_reader_stats.h"
 #include "runtime/http1/client.h"
@@ -30,12 +28,9 @@
 
 namespace ebonykeel {
 
-class StoreReaderObserver
+class StoreReaderObserver : public StoreFeedObserver
 {
 public:
-  virtual ~StoreReaderObserver() = default;
-  // Called when an object changed in the feed of `aKind`.
-  virtual void OnObjectChanged(FeedKind aKind, const FeedObject& aObject) = 0;
   // Called when a call brought the feed up to date. `aChanged` says whether an
   // object changed.
   virtual void OnFeedRead(FeedKind aKind, bool aChanged) = 0;
@@ -90,7 +85,10 @@
   [[nodiscard]] uint64_t CallCount() const { return m_callCount; }
   // Returns how many objects of the store cannot be read; 0 while this instance
   // is not a reader.
-  [[nodiscard]] size_t UnreadableCount() const;
+  [[nodiscard]] size_t UnreadableCount() const
+  {
+    return m_active ? m_writer.UnreadableCount() : 0;
+  }
   [[nodiscard]] const StoreReaderStats& Stats() const { return m_stats; }
 
 private:
@@ -113,7 +111,6 @@
     PositionDoubt m_doubt{ {} };
     // When an answer last stated a position that was not known before.
     TimePoint m_confirmedAt;
-    UnreadableObjects m_unreadable;
     std::unique_ptr<UvTimer> m_timer;
   };
 
@@ -129,11 +126,6 @@
   void OnListPage(KindState& aKind, const Http1Result& aResult);
   // Applies the pages of a complete list to the feed.
   void ApplyList(KindState& aKind);
-  // Applies the objects of a page; returns whether the feed changed.
-  bool ApplyPage(KindState& aKind, StoreListPage& aPage);
-  // Removes the objects that the pages do not name; returns whether the feed
-  // changed.
-  bool ApplyMissing(KindState& aKind, std::span<const StoreListPage> aPages);
   // Returns whether a page may be used, because of its era. If not, what
   // follows from it has begun: another call or a retry.
   [[nodiscard]] bool AcceptListEra(KindState& aKind, StoreListPage& aPage);
@@ -156,23 +148,6 @@
   // Returns the latest era of all feeds; nothing if none was ever complete.
   [[nodiscard]] std::optional<uint64_t> KnownEra() const;
   void OnWatchAnswer(KindState& aKind, const Http1Result& aResult);
-  // Holds removals back if the feed of registrations is old enough for an
-  // outage: registrations that are missing now may have expired during it.
-  void HoldRemovalsAfterOutage(const KindState& aKind);
-  // Applies an object, as of the store's position `aAsOf`, to the feed or holds
-  // its removal back; returns whether the feed changed.
-  bool Apply(KindState& aKind, FeedObject aObject, const StorePosition& aAsOf);
-  // Returns whether a configuration may replace the one in the feed: one that
-  // cannot be read or was removed must not, since instances that start later
-  // have only the feed.
-  [[nodiscard]] bool IsUsable(const FeedObject& aConfiguration);
-  // Logs the objects that cannot be read and were not known as such.
-  void ReportUnreadable(KindState& aKind,
-                        std::span<const std::string> aNames,
-                        const StorePosition& aAsOf);
-  // Applies the held removals as of `aAsOf` once they need not be held any
-  // longer; returns whether the feed changed.
-  bool ReleaseHeldRemovals(KindState& aKind, const StorePosition& aAsOf);
   void OnSuccess(KindState& aKind, const StorePosition& aAsOf, bool aChanged);
   // Starts the next call of a kind after a successful one.
   void ContinueReading(KindState& aKind);
@@ -189,7 +164,7 @@
   // Discards the progress of a kind and lists it again at once.
   void Relist(FeedKind aKind);
   void OnFailure(KindState& aKind, std::string_view aProblem);
-  [[nodiscard]] bool IsHoldingRemovals() const;
+  void SetReachable(bool aReachable);
   ObjectFeed& Feed(const KindState& aKind);
 
   UvLoop& m_loop;
@@ -200,12 +175,12 @@
   StoreReaderStats m_stats;
   StoreReaderOptions m_options;
   StoreReaderObserver& m_observer;
+  StoreFeedWriter m_writer;
   std::array<KindState, kFeedKinds> m_kindStates;
   UvTimer m_unseenChangeTimer;
   UvTimer m_reachableResetTimer;
   bool m_active = false;
   bool m_reachable = true;
-  HeldRemovals m_heldRemovals;
   uint64_t m_callCount = 0;
   // The value of `OtherKindsPosition` when `m_unseenChangeTimer` was set.
   StorePosition m_otherKindsBefore;
