Fleet service: whole feeds have the time that they take over narrow links

What callers would see (by arithmetic; not played): with 3,200 upstreams and links of 18 Mbit/s, several instances that enter a new era of the store fetch whole feeds from one at once. All time out together and try again: routes and upstreams stay as they were before the restore.

Cause: a whole feed is 657 kB (measured with the codec; 140 kB with 685 upstreams). Four local and up to four remote instances fetch it from one that has announced it: 2.3 s at 18 Mbit/s, and a fetch had 1.5 s whatever the size.

Change: a fetch on entering a later era has 0.73 ms more for each known object.

--- a/packages/core/feed/object_feed.h
+++ b/packages/core/feed/object_feed.h
@@ -115,6 +115,8 @@
   {
     return m_contentPosition;
   }
+  // Returns the number of known objects and tombstones.
+  [[nodiscard]] size_t ObjectCount() const { return m_objects.size(); }
   // Returns the number of objects that stay in force although the store states
   // otherwise.
   [[nodiscard]] size_t RetainedCount() const { return m_retained.Count(); }
--- a/packages/node/entry/fleet_service.cc
+++ b/packages/node/entry/fleet_service.cc
@@ -172,11 +172,21 @@
   }
   if (newer && MayFetchFrom(aSender, now)) {
     FetchFeeds(aSender.m_host,
-               isLaterEra ? m_options.m_snapshotTimeout
-                          : m_options.m_exchangeTimeout);
+               isLaterEra ? SnapshotTimeout() : m_options.m_exchangeTimeout);
   }
 }
 
+Duration
+FleetService::SnapshotTimeout() const
+{
+  size_t objects = 0;
+  for (const ObjectFeed& feed : m_feeds) {
+    objects += feed.ObjectCount();
+  }
+  return m_options.m_snapshotTimeout +
+         m_options.m_snapshotTimePerObject * static_cast<int64_t>(objects);
+}
+
 void
 FleetService::NoteEraOf(const std::string& aHost,
                         std::span<const FeedWatermark> aWatermarks)
--- a/packages/node/entry/fleet_service.h
+++ b/packages/node/entry/fleet_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <functional>
 #include <set>
 #include <string>
@@ -46,6 +47,10 @@
   // The timeout of a fetch on entering a later era of the store: all instances
   // fetch whole feeds then, some over narrow links.
   Duration m_snapshotTimeout = Milliseconds(1500);
+  // What is added to it for each object that this instance knows: the time for
+  // eight copies of 205 bytes over 18 Mbit/s, as several instances fetch from
+  // one.
+  Duration m_snapshotTimePerObject = std::chrono::microseconds(730);
   // Feeds whose registrations are at least this old are fetched from any data
   // centre.
   Duration m_staleFeedAge = Milliseconds(2000);
@@ -103,6 +108,8 @@
                                   TimePoint aNow) const;
   void FetchFeeds(const std::string& aHost, Duration aTimeout);
   void OnFeedsFetched(const std::string& aHost, const Http1Result& aResult);
+  // Returns the timeout of a fetch on entering a later era of the store.
+  [[nodiscard]] Duration SnapshotTimeout() const;
   void RearmTimer();
 
   UvLoop& m_loop;
--- a/packages/node/entry/fleet_service_test.cc
+++ b/packages/node/entry/fleet_service_test.cc
@@ -14,6 +14,7 @@
 #include <doctest/doctest.h>
 
 #include "runtime/fleet/fleet_codec.h"
+#include "runtime/http1/server.h"
 #include "runtime/uv/datagram_socket.h"
 
 namespace ebonykeel {
@@ -210,4 +211,66 @@
   DOCTEST_CHECK(fixture.RunUntil([&]() { return followed() == 2; }));
 }
 
+namespace {
+
+// A peer in a later era whose feeds take a while to arrive.
+struct SlowPeer final : Http1Handler
+{
+  explicit SlowPeer(UvLoop& aLoop)
+    : m_timer(aLoop,
+              [this]() {
+                m_exchange->Answer(
+                  { .m_status = 200,
+                    .m_body = EncodeDeltas(std::vector{ m_delta }) });
+              })
+    , m_loop(aLoop)
+  {
+  }
+
+  void OnRequest(std::shared_ptr<Http1Exchange> aExchange) override
+  {
+    m_exchange = std::move(aExchange);
+    m_timer.Set(m_loop.Now() + Seconds(2));
+  }
+
+  FeedDelta m_delta{ .m_isSnapshot = true,
+                     .m_completeTo = { 3, 90 },
+                     .m_objects = { Object({ 3, 80 }, "later") } };
+  std::shared_ptr<Http1Exchange> m_exchange;
+  UvTimer m_timer;
+  UvLoop& m_loop;
+};
+
+} // namespace
+
+// Guards against a large fleet whose instances all give up the feeds of a later
+// era because several fetch them over one narrow link.
+DOCTEST_TEST_CASE("many objects have the time that they take over narrow links")
+{
+  constexpr uint64_t kObjects = 3200;
+  Fixture fixture;
+  Instance& behind = *fixture.m_instances[0];
+  for (uint64_t i = 0; i < kObjects; ++i) {
+    FeedObject object = Object({ 2, i + 1 }, "known");
+    object.m_name = "u" + std::to_string(i);
+    (void)behind.Feed().Apply(object, { 2, kObjects });
+  }
+  fixture.Fill(0, Object({ 2, 100 }, "old"), { 2, kObjects });
+  SlowPeer peer(fixture.m_loop);
+  Http1Server server(fixture.m_loop, peer, {});
+  DOCTEST_REQUIRE(server.Listen({ HostOf(1), kPort }).empty());
+  DatagramSocket socket(fixture.m_loop,
+                        [](const std::string&, std::string_view) {});
+  DOCTEST_REQUIRE(socket.Bind({ HostOf(1), kPort }).empty());
+  DOCTEST_REQUIRE(behind.m_service.Start().empty());
+  socket.Send({ HostOf(0), kPort },
+              EncodeFleetMessage(
+                { .m_kind = FleetMessageKind::kNotice,
+                  .m_sender = { .m_host = HostOf(1), .m_incarnation = 1 },
+                  .m_feedWatermarks = { { { 3, 80 }, {} } } }));
+  DOCTEST_CHECK(fixture.RunUntil([&]() {
+    return behind.Feed().CompleteTo() == StorePosition{ 3, 90 };
+  }));
+}
+
 } // namespace ebonykeel
