--- a/packages/core/feed/position_doubt.h
+++ b/packages/core/feed/position_doubt.h
@@ -44,8 +44,9 @@
     }
     ++m_answers;
   }
-  // Called for an answer that does not contradict it.
-  void OnConfirmed() { m_answers = 0; }
+  // Called for an answer that does not contradict it, and when the reader
+  // begins anew.
+  void Reset() { m_answers = 0; }
 
   [[nodiscard]] bool IsCertain(TimePoint aNow) const
   {
--- a/packages/core/feed/store_era_guard_test.cc
+++ b/packages/core/feed/store_era_guard_test.cc
@@ -93,7 +93,7 @@
   }
   DOCTEST_SUBCASE("a true one between them")
   {
-    doubt.OnConfirmed();
+    doubt.Reset();
     doubt.OnContradicted(2, kStart + Seconds(2));
     DOCTEST_CHECK_FALSE(doubt.IsCertain(kStart + Seconds(4)));
   }
--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -93,6 +93,7 @@
       // while watches miss changes.
       kind.m_listed = false;
       kind.m_pages.clear();
+      kind.m_doubt.Reset();
       ReadNext(kind);
     } else {
       m_client.Cancel(std::exchange(kind.m_httpCall, 0));
@@ -299,7 +300,7 @@
                 { "stated", FormatPosition(aStated) },
                 { "known", FormatPosition(Feed(aKind).CompleteTo()) } });
   for (KindState& kind : m_kindStates) {
-    kind.m_doubt.OnConfirmed();
+    kind.m_doubt.Reset();
   }
   AnnounceEra(m_eraGuard.Correct(StatedEra(aStated.m_era), ViewOf(aKind)));
 }
@@ -396,7 +397,7 @@
   }
   StorePosition known = Feed(aKind).CompleteTo();
   m_stats.OnPositionStated(aKind.m_kind, aAsOf, known);
-  aKind.m_doubt.OnConfirmed();
+  aKind.m_doubt.Reset();
   aKind.m_confirmedAt = m_loop.Now();
   bool isReplicas = aKind.m_kind == FeedKind::kReplicas;
   bool changed =
