Store reader: comments as the code is now

The header named what StoreFeedWriter does now and not the corrections; the time of the last answer that was taken had the comment of something else. No change in behaviour.

--- a/packages/node/entry/store_reader.cc
+++ b/packages/node/entry/store_reader.cc
@@ -320,7 +320,7 @@
   return replicas.Age(now) >= m_options.m_unconfirmedAge ||
          std::ranges::any_of(m_kindStates, [&](const KindState& aOther) {
            return aOther.m_kind != aKind.m_kind &&
-                  aOther.m_confirmedAt > aKind.m_doubt.Since();
+                  aOther.m_takenAt > aKind.m_doubt.Since();
          });
 }
 
@@ -398,7 +398,7 @@
   StorePosition known = Feed(aKind).CompleteTo();
   m_stats.OnPositionStated(aKind.m_kind, aAsOf, known);
   aKind.m_doubt.Reset();
-  aKind.m_confirmedAt = m_loop.Now();
+  aKind.m_takenAt = m_loop.Now();
   bool isReplicas = aKind.m_kind == FeedKind::kReplicas;
   bool changed =
     (isReplicas && m_writer.ReleaseHeldRemovals(aAsOf, m_loop.Now())) ||
--- a/packages/node/entry/store_reader.h
+++ b/packages/node/entry/store_reader.h
@@ -4,9 +4,12 @@
 // changes without failing. The registrations are watched with short waits, so
 // their watch is used to detect missed changes of the other kinds: the store's
 // revision counts every change, and if it counts a change that no watch
-// reported, the other kinds are listed again. Removals of registrations that
-// are seen right after an outage are held back: registrations expire while the
-// store is unavailable and return soon after.
+// reported, the other kinds are listed again.
+//
+// An answer counts only if the era that it states is known or was stated
+// before. When the store goes on contradicting what the feeds hold, the known
+// position is given up, and all kinds are listed in a corrected era
+// (store_era.h).
 #pragma once
 
 #include <array>
@@ -109,8 +112,8 @@
     std::optional<StorePosition> m_lostSince;
     // Whether the feed's position is the store's.
     PositionDoubt m_doubt{ {} };
-    // When an answer last stated a position that was not known before.
-    TimePoint m_confirmedAt;
+    // When an answer was last taken.
+    TimePoint m_takenAt;
     std::unique_ptr<UvTimer> m_timer;
   };
 
