--- a/packages/testing/fault_matrix_main.cc
+++ b/packages/testing/fault_matrix_main.cc
@@ -73,9 +73,10 @@
     [&tests](const std::string& aName) {
       std::vector<TestFile> files;
       auto [begin, end] = tests.equal_range(aName);
-      std::transform(begin, end, std::back_inserter(files), [](const auto& a) {
-        return a.second;
-      });
+      std::transform(begin,
+                     end,
+                     std::back_inserter(files),
+                     [](const auto& aTest) { return aTest.second; });
       return files;
     },
     ReadFile(aRoot / "KNOWN-RED.txt").value_or(""));
